--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+# Two commands matter: `make demo` shows the whole path, `make test` tests it.
+GO ?= go
+BIN := bin
+
+.PHONY: build demo test bench bench-quick bench-capacity lint clean
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+demo: build
+	./demo/run.sh $(BIN)
+
+test:
+	$(GO) test -race ./...
+
+lint:
+	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/admin/server.go
@@ -0,0 +1,108 @@
+package admin
+
+import (
+	"crypto/subtle"
+	"net/http"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/aspenswitch/aspenswitch/bundle"
+	"github.com/aspenswitch/aspenswitch/router"
+)
+
+// Server is the operators' API of one router.
+type Server struct {
+	router    *router.Router
+	tokenHash string
+	drain     func()
+}
+
+// New returns the API. tokenHash is what settings hold; drain begins a graceful
+// shutdown of the process.
+func New(r *router.Router, tokenHash string, drain func()) *Server {
+	return &Server{router: r, tokenHash: tokenHash, drain: drain}
+}
+
+// Handler returns the routes.
+func (s *Server) Handler() http.Handler {
+	e := echo.New()
+	e.Use(s.authenticate)
+	e.GET("/status", s.status)
+	e.GET("/bundle", s.bundle)
+	e.GET("/teams", s.teams)
+	e.GET("/upstreams", s.upstreams)
+	e.GET("/dump", func(c echo.Context) error { return c.JSONPretty(http.StatusOK, s.router.Dump(), "  ") })
+	e.GET("/metrics", echo.WrapHandler(s.router.Metrics().Handler))
+	e.POST("/drain", s.startDrain)
+	return e
+}
+
+// authenticate compares hashes in constant time.
+func (s *Server) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		token, _ := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
+		hash := bundle.HashKey(token)
+		if subtle.ConstantTimeCompare([]byte(hash), []byte(s.tokenHash)) != 1 {
+			return echo.NewHTTPError(http.StatusUnauthorized, "the operators' token is needed")
+		}
+		return next(c)
+	}
+}
+
+// Status is a router's state in a line.
+type Status struct {
+	Name          string      `json:"name"`
+	FailureDomain string      `json:"failureDomain"`
+	Ready         bool        `json:"ready"`
+	Leaving       bool        `json:"leaving"`
+	InForce       bundle.Mark `json:"bundleInForce"`
+	Live          []string    `json:"live"`
+	Waiting       int         `json:"waiting"`
+	Running       int         `json:"running"`
+	HomeOf        int         `json:"homeOf"`
+	PeerBytes     int64       `json:"peerBytesSent"`
+	PlatformCalls int64       `json:"platformCalls"`
+}
+
+func (s *Server) status(c echo.Context) error {
+	d := s.router.Dump()
+	homes := 0
+	for _, p := range d.Core.Pools {
+		for _, u := range p.Upstreams {
+			if u.IsHome {
+				homes++
+			}
+		}
+	}
+	return c.JSON(http.StatusOK, Status{
+		Name: d.Name, FailureDomain: d.FailureDomain, Ready: d.Ready, Leaving: d.Core.Leaving,
+		InForce: d.InForce, Live: d.Core.Live, Waiting: d.Core.Waiting, Running: d.Core.Running,
+		HomeOf: homes, PeerBytes: d.PeerBytes, PlatformCalls: d.PlatformCalls,
+	})
+}
+
+func (s *Server) bundle(c echo.Context) error {
+	b := s.router.Bundle()
+	if b == nil {
+		return echo.NewHTTPError(http.StatusNotFound, "no bundle is in force")
+	}
+	return c.JSONPretty(http.StatusOK, b, "  ")
+}
+
+func (s *Server) teams(c echo.Context) error {
+	return c.JSONPretty(http.StatusOK, s.router.Dump().Core.Pools, "  ")
+}
+
+func (s *Server) upstreams(c echo.Context) error {
+	b := s.router.Bundle()
+	if b == nil {
+		return echo.NewHTTPError(http.StatusNotFound, "no bundle is in force")
+	}
+	return c.JSONPretty(http.StatusOK, b.Upstreams, "  ")
+}
+
+func (s *Server) startDrain(c echo.Context) error {
+	s.drain()
+	return c.NoContent(http.StatusAccepted)
+}
--- /dev/null
+++ b/callers/auth.go
@@ -0,0 +1,34 @@
+package callers
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/aspenswitch/aspenswitch/bundle"
+)
+
+const teamKey = "team"
+
+// authenticate finds the team of the bearer key.
+func (s *Server) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if s.router.Bundle() == nil {
+			return unavailable("not-ready", "no bundle is in force here yet", minRetry)
+		}
+		key, ok := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
+		if !ok {
+			return badRequest(http.StatusUnauthorized, "invalid_api_key", "a bearer key is needed")
+		}
+		team, ok := s.router.Team(key)
+		if !ok {
+			return badRequest(http.StatusUnauthorized, "invalid_api_key", "no team has this key")
+		}
+		c.Set(teamKey, team)
+		recordOf(c).team = team.Name
+		return next(c)
+	}
+}
+
+func teamOf(c echo.Context) bundle.Team { return c.Get(teamKey).(bundle.Team) }
--- /dev/null
+++ b/cmd/aspenswitchctl/main.go
@@ -0,0 +1,75 @@
+// Command aspenswitchctl is the operators' tool.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/aspenswitch/aspenswitch/bundle"
+	"github.com/aspenswitch/aspenswitch/ctl"
+	"github.com/aspenswitch/aspenswitch/version"
+)
+
+func main() {
+	app := kingpin.New("aspenswitchctl", "Operators' tool of the aspenswitch fleet.")
+	app.Version(version.String())
+	commands := map[string]func() error{}
+	add := func(c *kingpin.CmdClause, run func() error) { commands[c.FullCommand()] = run }
+	addBundle(app, add)
+	addFleet(app, add)
+	hash := app.Command("hash-key", "Print the hash of a bearer key or token, as files hold it.")
+	key := hash.Arg("key", "The key.").Required().String()
+	add(hash, func() error {
+		fmt.Println(bundle.HashKey(*key))
+		return nil
+	})
+	name := kingpin.MustParse(app.Parse(os.Args[1:]))
+	app.FatalIfError(commands[name](), "%s", name)
+}
+
+type adder func(*kingpin.CmdClause, func() error)
+
+func addBundle(app *kingpin.Application, add adder) {
+	b := app.Command("bundle", "Prepare and sign off bundle versions.")
+
+	check := b.Command("check", "Report all findings with line and column.")
+	checkFile := check.Arg("file", "Bundle.").Required().ExistingFile()
+	add(check, func() error { return ctl.Check(os.Stdout, *checkFile) })
+
+	diff := b.Command("diff", "Tell what changes from one bundle to another.")
+	from := diff.Arg("from", "Bundle in force.").Required().ExistingFile()
+	to := diff.Arg("to", "Bundle to roll out.").Required().ExistingFile()
+	add(diff, func() error { return ctl.Diff(os.Stdout, *from, *to) })
+
+	keygen := b.Command("keygen", "Make an operator's key file and print the public key.")
+	keygenFile := keygen.Arg("file", "Key file to make; keep it secret.").Required().String()
+	add(keygen, func() error { return ctl.Keygen(os.Stdout, *keygenFile) })
+
+	sign := b.Command("sign", "Add an operator's signature.")
+	operator := sign.Flag("operator", "Operator's name.").Required().String()
+	keyFile := sign.Flag("key", "Operator's key file.").Required().ExistingFile()
+	signFile := sign.Arg("file", "Bundle, or a signed file of another operator.").Required().ExistingFile()
+	signOut := sign.Arg("out", "Signed file.").Required().String()
+	add(sign, func() error { return ctl.Sign(*signFile, *signOut, *operator, *keyFile) })
+
+	verify := b.Command("verify", "Check that two different operators signed.")
+	verifySettings := verify.Flag("settings", "A router's settings, which name the operators.").Required().ExistingFile()
+	verifyFile := verify.Arg("file", "Signed file.").Required().ExistingFile()
+	add(verify, func() error { return ctl.Verify(os.Stdout, *verifySettings, *verifyFile) })
+}
+
+func addFleet(app *kingpin.Application, add adder) {
+	fleet := app.Command("fleet", "Ask running routers.")
+	admins := fleet.Flag("admin", "Base URL of a router's operators' API; may stand several times.").Required().Strings()
+	token := fleet.Flag("token", "Operators' token.").Envar("ASPENSWITCH_TOKEN").Required().String()
+	client := func() *ctl.Client { return ctl.NewClient(*admins, *token) }
+
+	status := fleet.Command("status", "Print a table of all routers.")
+	add(status, func() error { return client().Status(os.Stdout) })
+	dump := fleet.Command("dump", "Print the whole state of each router as JSON.")
+	add(dump, func() error { return client().Dump(os.Stdout) })
+	drain := fleet.Command("drain", "Begin a graceful shutdown of each router named.")
+	add(drain, func() error { return client().Drain(os.Stdout) })
+}
--- /dev/null
+++ b/demo/run.sh
@@ -0,0 +1,92 @@
+#!/bin/sh
+# Runs the whole path on loopback as separate processes: a platform, four
+# engines, a plain service and three routers, with callers that check every
+# answer while one router is killed. Ends with what aspenswitch-load says.
+set -eu
+bin=$1
+here=$(dirname "$0")
+dir=$(mktemp -d)
+pids=""
+
+stop_all() {
+	for pid in $pids; do kill "$pid" 2>/dev/null || true; done
+	for pid in $pids; do wait "$pid" 2>/dev/null || true; done
+	rm -rf "$dir"
+}
+trap stop_all EXIT INT TERM
+
+# start NAME COMMAND...: runs a process in the background, its log in the folder.
+start() {
+	name=$1
+	shift
+	"$@" >"$dir/$name.log" 2>&1 &
+	eval "pid_$name=$!"
+	pids="$pids $!"
+}
+
+hash_of() { "$bin/aspenswitchctl" hash-key "$1"; }
+
+# Two operators prepare and sign the bundle.
+sed -e "s/@schools/$(hash_of schools)/" -e "s/@homes/$(hash_of homes)/" \
+	-e "s/@festivals/$(hash_of festivals)/" -e "s/@vans/$(hash_of vans)/" \
+	"$here/bundle.json" >"$dir/bundle.json"
+"$bin/aspenswitchctl" bundle check "$dir/bundle.json"
+anna=$("$bin/aspenswitchctl" bundle keygen "$dir/anna.key")
+bert=$("$bin/aspenswitchctl" bundle keygen "$dir/bert.key")
+"$bin/aspenswitchctl" bundle sign --operator anna --key "$dir/anna.key" "$dir/bundle.json" "$dir/signed.json"
+"$bin/aspenswitchctl" bundle sign --operator bert --key "$dir/bert.key" "$dir/signed.json" "$dir/signed.json"
+
+cat >"$dir/vms.json" <<END
+[{"name": "vm1", "failureDomain": "a", "address": "127.0.0.1:18401"},
+ {"name": "vm2", "failureDomain": "b", "address": "127.0.0.1:18402"},
+ {"name": "vm3", "failureDomain": "b", "address": "127.0.0.1:18403"}]
+END
+start platform "$bin/aspenswitch-standin" --listen 127.0.0.1:18100 platform \
+	--bundle "$dir/signed.json" --vms "$dir/vms.json"
+for n in 1 2 3 4; do
+	start engine$n "$bin/aspenswitch-standin" --listen 127.0.0.1:1810$n engine --slots 4
+done
+start service "$bin/aspenswitch-standin" --listen 127.0.0.1:18105 service
+
+for n in 1 2 3; do
+	domain=b
+	if [ $n = 1 ]; then domain=a; fi
+	cat >"$dir/vm$n.json" <<END
+{
+  "name": "vm$n", "failureDomain": "$domain",
+  "callers": {"listen": "127.0.0.1:1820$n"},
+  "peers": {"listen": "127.0.0.1:1840$n"},
+  "admin": {"listener": {"listen": "127.0.0.1:1830$n"}, "tokenHash": "$(hash_of demo-operators-token)"},
+  "platform": {"url": "http://127.0.0.1:18100", "pollEvery": "1s"},
+  "operators": [{"name": "anna", "publicKey": "$anna"}, {"name": "bert", "publicKey": "$bert"}]
+}
+END
+	start vm$n "$bin/aspenswitchd" --settings "$dir/vm$n.json"
+done
+
+status() {
+	"$bin/aspenswitchctl" fleet --token demo-operators-token --admin http://127.0.0.1:18301 \
+		--admin http://127.0.0.1:18302 --admin http://127.0.0.1:18303 status
+}
+tries=0
+until [ "$(status 2>/dev/null | grep -c ' ready ')" = 3 ]; do
+	tries=$((tries + 1))
+	if [ $tries -gt 100 ]; then
+		echo "the routers did not become ready" >&2
+		cat "$dir"/vm*.log >&2
+		exit 1
+	fi
+	sleep 0.1
+done
+status
+echo "sending requests; vm3 is killed after 4 seconds"
+(sleep 4 && kill -9 "$pid_vm3") &
+pids="$pids $!"
+result=0
+"$bin/aspenswitch-load" run --out "$dir/result.json" "$here/plan.json" || result=$?
+status || true
+if [ $result != 0 ] && [ -n "${DEMO_LOGS:-}" ]; then
+	mkdir -p "$DEMO_LOGS"
+	cp "$dir"/*.log "$dir/result.json" "$DEMO_LOGS"
+fi
+exit $result
--- /dev/null
+++ b/experiment/run.go
@@ -0,0 +1,201 @@
+package experiment
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/fairness"
+	"github.com/aspenswitch/aspenswitch/membership"
+	"github.com/aspenswitch/aspenswitch/sched"
+)
+
+// envelope is what jsonrpc2 adds to a notification's parameters, with its
+// length prefix.
+const envelope = len(`{"jsonrpc":"2.0","method":"sync","params":}`) + 2
+
+// inFlight is a request that waits or runs.
+type inFlight struct {
+	arrival
+	node    int
+	started time.Duration
+}
+
+// run is one design under one load.
+type run struct {
+	timeline
+	load     Load
+	design   Design
+	nodes    []*sched.Node
+	requests map[sched.RequestID]*inFlight
+	meter    *meter
+	bytes    []int
+	messages int
+	cpu      time.Duration
+	lastUse  time.Duration
+	rng      *rand.Rand
+	start    time.Time
+	// deliver decides what becomes of a message; nil delivers it after OneWay.
+	deliver func(from, to int, s sched.Sync)
+}
+
+func teamID(i int) fairness.TeamID { return fairness.TeamID(i + 1) }
+
+func newRun(l Load, d Design) *run {
+	r := &run{
+		load: l, design: d, meter: newMeter(l),
+		requests: map[sched.RequestID]*inFlight{},
+		rng:      rand.New(rand.NewPCG(l.Seed, 0)),
+		start:    time.Unix(1_000_000_000, 0),
+	}
+	nodes := d.Nodes(l)
+	r.bytes = make([]int, nodes)
+	for i := range nodes {
+		r.nodes = append(r.nodes, r.newNode(i))
+	}
+	return r
+}
+
+func (r *run) newNode(i int) *sched.Node {
+	cfg := sched.DefaultConfig(nodeName(i), uint64(i)+1)
+	cfg.QueuePerTeam = 1 << 20
+	cfg.MeanCost = r.load.MeanCost
+	if r.design.Tune != nil {
+		r.design.Tune(&cfg)
+	}
+	n := sched.NewNode(r.clock(), cfg)
+	if r.design.Connected {
+		n.SetList(r.clock(), r.list())
+	}
+	n.Configure(r.clock(), r.design.settings(r.load, i))
+	return n
+}
+
+func (r *run) list() []membership.Listed {
+	var list []membership.Listed
+	for i := range r.design.Nodes(r.load) {
+		list = append(list, membership.Listed{Name: nodeName(i)})
+	}
+	return list
+}
+
+func (r *run) clock() time.Time { return r.start.Add(r.now) }
+
+// warmUp lets the nodes find each other before the load begins.
+const warmUp = 5 * time.Second
+
+func (r *run) run() {
+	for i := range r.nodes {
+		offset := tickEvery * time.Duration(i) / time.Duration(len(r.nodes))
+		r.at(offset, func() { r.tick(i) })
+	}
+	for id, a := range r.load.arrivals() {
+		r.at(warmUp+a.at, func() { r.arrive(sched.RequestID(id+1), a) })
+	}
+	r.runUntil(warmUp)
+	clear(r.bytes)
+	r.messages, r.cpu = 0, 0
+	r.at(r.now+sampleEvery, r.sample)
+	r.runUntil(warmUp + r.load.Duration)
+}
+
+func (r *run) sample() {
+	r.meter.sample(r.now)
+	if r.now%(250*time.Millisecond) == 0 {
+		r.meter.point(r.now - warmUp)
+	}
+	r.after(sampleEvery, r.sample)
+}
+
+// step runs one event of a node, counts its processor time and carries out what
+// it decided.
+func (r *run) step(i int, event func(*sched.Node)) {
+	r.meter.use(r.now - r.lastUse)
+	r.lastUse = r.now
+	began := time.Now()
+	event(r.nodes[i])
+	actions := r.nodes[i].Actions()
+	r.cpu += time.Since(began)
+	for _, a := range actions {
+		r.perform(i, a)
+	}
+}
+
+func (r *run) perform(i int, a sched.Action) {
+	switch a := a.(type) {
+	case sched.Dispatch:
+		r.dispatch(i, a)
+	case sched.Refuse:
+		delete(r.requests, a.Request)
+	case sched.Send:
+		r.send(i, a)
+	}
+}
+
+func (r *run) tick(i int) {
+	r.step(i, func(n *sched.Node) { n.Tick(r.clock()) })
+	r.after(tickEvery, func() { r.tick(i) })
+}
+
+func (r *run) arrive(id sched.RequestID, a arrival) {
+	f := &inFlight{arrival: a, node: a.router % len(r.nodes)}
+	f.at = r.now
+	r.requests[id] = f
+	r.meter.use(r.now - r.lastUse)
+	r.lastUse = r.now
+	r.meter.arrived(a.team)
+	r.step(f.node, func(n *sched.Node) {
+		n.Arrive(r.clock(), sched.Request{ID: id, Team: teamID(a.team), Pool: 1})
+	})
+}
+
+func (r *run) dispatch(i int, d sched.Dispatch) {
+	f := r.requests[d.Request]
+	f.started = r.now
+	r.meter.started(r.now, f.team, r.now-f.at)
+	r.after(time.Duration(f.cost*float64(time.Second)), func() { r.finish(i, d.Request, f) })
+}
+
+func (r *run) finish(i int, id sched.RequestID, f *inFlight) {
+	r.meter.use(r.now - r.lastUse)
+	r.lastUse = r.now
+	r.meter.ended(f.team, f.started, f.cost)
+	delete(r.requests, id)
+	r.step(i, func(n *sched.Node) { n.Finish(r.clock(), id) })
+}
+
+func (r *run) send(from int, a sched.Send) {
+	began := time.Now()
+	data, err := json.Marshal(a.Sync)
+	if err != nil {
+		panic(err)
+	}
+	r.cpu += time.Since(began)
+	r.bytes[from] += len(data) + envelope
+	r.messages++
+	to := r.indexOf(a.To)
+	if r.deliver != nil {
+		r.deliver(from, to, a.Sync)
+		return
+	}
+	r.after(r.load.OneWay, func() { r.receive(to, data) })
+}
+
+func (r *run) receive(to int, data []byte) {
+	r.step(to, func(n *sched.Node) {
+		var s sched.Sync
+		if err := json.Unmarshal(data, &s); err != nil {
+			panic(err)
+		}
+		n.Receive(r.clock(), s)
+	})
+}
+
+func (r *run) indexOf(name string) int {
+	for i := range r.nodes {
+		if nodeName(i) == name {
+			return i
+		}
+	}
+	panic("experiment: message to unknown node " + name)
+}
--- /dev/null
+++ b/fairness/accounts.go
@@ -0,0 +1,169 @@
+package fairness
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// costWindow is the weight of one more request in the learned mean cost: an exponential average over the last fifty or so.
+const costWindow = 0.02
+
+// account is one team in one pool.
+type account struct {
+	id    TeamID
+	share float64
+	// base is the service of incarnations that have ended.
+	base float64
+	// lift is credit that takes a returning or lagging team to the floor. It is
+	// merged over routers by maximum, so two routers that lift at once don't add up.
+	lift float64
+	own  Tally
+	// pending is the sum over own running requests of when each started, in
+	// seconds since the epoch of Accounts. It gives the time that all of them
+	// have run in one subtraction.
+	pending float64
+	// sent is what the peers were last told.
+	sent     view
+	sentLift float64
+}
+
+// Accounts is the fleet's service by team in one pool, as one router sees it.
+//
+// Invariant: a team's total is base plus the router's own service plus one view
+// for each other router, and no incarnation's service is in two of these.
+type Accounts struct {
+	cfg   Config
+	teams map[TeamID]*account
+	order []*account
+	peers map[string]*peer
+	// meanCost is learned from requests that ended here, in slot seconds.
+	meanCost float64
+	// virtualTime is the key of the team served last, as in start-time fair
+	// queueing.
+	virtualTime float64
+	// epoch is the time that pending sums count from.
+	epoch time.Time
+}
+
+// NewAccounts returns empty accounts. meanCost (slot seconds) holds until
+// requests have ended.
+func NewAccounts(cfg Config, meanCost float64) *Accounts {
+	return &Accounts{
+		cfg:      cfg,
+		teams:    map[TeamID]*account{},
+		peers:    map[string]*peer{},
+		meanCost: meanCost,
+	}
+}
+
+// SetShare adds a team or changes what it is owed. Shares must be positive.
+func (a *Accounts) SetShare(id TeamID, share float64) {
+	if acc, ok := a.teams[id]; ok {
+		acc.share = share
+		return
+	}
+	acc := &account{id: id, share: share}
+	a.teams[id] = acc
+	a.order = append(a.order, acc)
+	slices.SortFunc(a.order, func(x, y *account) int { return int(x.id - y.id) })
+}
+
+// MeanCost is the learned cost of a request, in slot seconds.
+func (a *Accounts) MeanCost() float64 { return a.meanCost }
+
+// Own returns the router's own tally of a team.
+func (a *Accounts) Own(id TeamID) Tally {
+	if acc, ok := a.teams[id]; ok {
+		return acc.own
+	}
+	return Tally{}
+}
+
+// residual is what a running request is charged ahead, in slot seconds.
+func (a *Accounts) residual() float64 { return a.cfg.Residual * a.meanCost }
+
+// unit is one mean cost per unit of the smallest scale that keys are compared
+// on: thresholds in Config are multiples of it.
+func (a *Accounts) unit() float64 { return a.meanCost }
+
+// SetWaiting tells how many requests of the team wait here.
+func (a *Accounts) SetWaiting(id TeamID, n int) { a.teams[id].own.Waiting = n }
+
+// Start notes that a request was sent to an upstream.
+func (a *Accounts) Start(now time.Time, id TeamID) {
+	acc := a.teams[id]
+	a.virtualTime = max(a.virtualTime, a.key(now, acc))
+	acc.own.Running++
+	acc.pending += a.seconds(now)
+}
+
+// End charges a request that ended for the time it held its slot.
+func (a *Accounts) End(now time.Time, id TeamID, started time.Time) {
+	acc := a.teams[id]
+	acc.own.Service += now.Sub(started).Seconds()
+	acc.own.Running--
+	acc.pending -= a.seconds(started)
+}
+
+// Learn takes a whole request into the mean cost.
+func (a *Accounts) Learn(took time.Duration) {
+	a.meanCost += costWindow * (took.Seconds() - a.meanCost)
+}
+
+// seconds is the time since the epoch, which begins with the first request.
+func (a *Accounts) seconds(now time.Time) float64 {
+	if a.epoch.IsZero() {
+		a.epoch = now
+	}
+	return now.Sub(a.epoch).Seconds()
+}
+
+// ownService is the own service including what runs.
+func (a *Accounts) ownService(now time.Time, acc *account) float64 {
+	uncharged := float64(acc.own.Running)*a.seconds(now) - acc.pending
+	return acc.own.Service + max(uncharged, 0)
+}
+
+// key is the team's weighted service over the fleet: the least goes next.
+func (a *Accounts) key(now time.Time, acc *account) float64 {
+	sum := acc.base + acc.lift + a.ownService(now, acc)
+	running := acc.own.Running
+	for _, p := range a.peers {
+		v, ok := p.views[acc.id]
+		if !ok {
+			continue
+		}
+		if p.gone {
+			sum += v.tally.Service
+			continue
+		}
+		sum += v.service(now, a.cfg.ExtrapolateFor)
+		running += v.tally.Running
+	}
+	return (sum + float64(running)*a.residual()) / acc.share
+}
+
+// Key is the team's weighted service over the fleet in slot seconds per unit
+// of share. It is infinite for a team that is not in the bundle.
+func (a *Accounts) Key(now time.Time, id TeamID) float64 {
+	acc, ok := a.teams[id]
+	if !ok {
+		return math.Inf(1)
+	}
+	return a.key(now, acc)
+}
+
+// remoteWaiting is the number of the team's requests that wait at other routers.
+func (a *Accounts) remoteWaiting(id TeamID) int {
+	n := 0
+	for _, p := range a.peers {
+		if p.gone {
+			continue
+		}
+		if v, ok := p.views[id]; ok {
+			n += v.waiting()
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/fairness/next.go
@@ -0,0 +1,106 @@
+package fairness
+
+import (
+	"math"
+	"time"
+)
+
+// Candidate is a team that has requests waiting somewhere.
+type Candidate struct {
+	Team TeamID
+	// Router is where the requests wait; empty for this router.
+	Router string
+	Key    float64
+	// Waiting counts the requests that wait there.
+	Waiting int
+}
+
+// NextLocal returns the team to serve next of those waiting here.
+func (a *Accounts) NextLocal(now time.Time) (Candidate, bool) {
+	best := Candidate{Key: math.Inf(1)}
+	found := false
+	for _, acc := range a.order {
+		if acc.own.Waiting == 0 {
+			continue
+		}
+		if key := a.key(now, acc); key < best.Key {
+			best = Candidate{Team: acc.id, Key: key, Waiting: acc.own.Waiting}
+			found = true
+		}
+	}
+	return best, found
+}
+
+// NextRemote returns the least served team that waits at another router.
+// Requests that a slot was already given up for don't count.
+func (a *Accounts) NextRemote(now time.Time) (Candidate, bool) {
+	best := Candidate{Key: math.Inf(1)}
+	found := false
+	for _, acc := range a.order {
+		waiting := a.remoteWaiting(acc.id)
+		if waiting == 0 {
+			continue
+		}
+		key := a.key(now, acc)
+		if key >= best.Key {
+			continue
+		}
+		best = Candidate{Team: acc.id, Router: a.longestQueue(acc.id), Key: key, Waiting: waiting}
+		found = true
+	}
+	return best, found
+}
+
+// longestQueue is the live router with most waiting requests of the team; the
+// name breaks ties, so that every router picks the same one.
+func (a *Accounts) longestQueue(id TeamID) string {
+	router, most := "", 0
+	for name, p := range a.peers {
+		v, ok := p.views[id]
+		if p.gone || !ok {
+			continue
+		}
+		w := v.waiting()
+		if w > most || (w == most && w > 0 && name < router) {
+			router, most = name, w
+		}
+	}
+	return router
+}
+
+// Assume notes that n slots were given up for the team's requests that wait at
+// router, until its next report tells what came of it.
+func (a *Accounts) Assume(router string, id TeamID, n int) {
+	if p, ok := a.peers[router]; ok {
+		if v, ok := p.views[id]; ok {
+			v.assumed += n
+		}
+	}
+}
+
+// RemoteWaiting is the number of requests known to wait at other routers.
+func (a *Accounts) RemoteWaiting() int {
+	n := 0
+	for _, acc := range a.order {
+		n += a.remoteWaiting(acc.id)
+	}
+	return n
+}
+
+// AllPeersWait reports whether every live peer has waiting requests of its own
+// and so, by the scheduler's invariant, no idle slot to give.
+func (a *Accounts) AllPeersWait() bool {
+	for _, p := range a.peers {
+		if p.gone {
+			continue
+		}
+		waits := false
+		for _, v := range p.views {
+			waits = waits || v.waiting() > 0
+		}
+		if !waits {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/fairness/tally.go
@@ -0,0 +1,24 @@
+package fairness
+
+// TeamID names a team on the wire. Operators choose it in the bundle and never
+// use it again for another team, so that a report made under an older bundle
+// version cannot be charged to the wrong team.
+type TeamID int
+
+// Tally is what one router knows of one team in one pool.
+type Tally struct {
+	// Service is the slot time charged so far, in seconds: how long the team's
+	// requests have held slots. It only grows within one incarnation, so that
+	// reports merge by maximum.
+	Service float64
+	// Running counts the requests that hold a slot.
+	Running int
+	// Waiting counts the requests in the router's queue.
+	Waiting int
+}
+
+// charged is the service plus what the running requests are expected to
+// cost still, in slot seconds.
+func (t Tally) charged(residual float64) float64 {
+	return t.Service + float64(t.Running)*residual
+}
--- /dev/null
+++ b/idempotency/claim.go
@@ -0,0 +1,92 @@
+package idempotency
+
+import "time"
+
+// listTolerance is by how many VMs two routers' lists may differ with their
+// quorums still sharing a voter.
+const listTolerance = 2
+
+// Quorum is the number of votes needed of n voters: two quorums drawn from
+// lists that differ by listTolerance can't be disjoint.
+func Quorum(n int) int { return min(n, (n+listTolerance)/2+1) }
+
+// Result is what a claim has come to.
+type Result int
+
+// Results of a claim.
+const (
+	// Pending: votes are still to come.
+	Pending Result = iota
+	// Won: this owner, and no other, may run the key.
+	Won
+	// Taken: another owner has votes and may have run the key.
+	Taken
+	// NotRun: no quorum can be had now, and enough voters are free of the key to
+	// prove that nobody ran it.
+	NotRun
+	// Unknown: no quorum can be had, and the key may have run.
+	Unknown
+)
+
+// Claim counts the votes on one key for one owner.
+type Claim struct {
+	cfg      Config
+	voters   int
+	granted  int
+	other    Owner
+	taken    bool
+	answered int
+	wonAt    time.Time
+}
+
+// NewClaim begins a claim that so many voters are asked about.
+func NewClaim(cfg Config, voters int) *Claim {
+	return &Claim{cfg: cfg, voters: voters}
+}
+
+// Add counts a voter's answer.
+func (c *Claim) Add(now time.Time, v Vote) {
+	c.answered++
+	switch {
+	case v.Granted:
+		c.granted++
+	case !v.Abstained:
+		c.taken = true
+		c.other = v.Owner
+	}
+	if c.granted == Quorum(c.voters) {
+		c.wonAt = now
+	}
+}
+
+// Miss counts a voter that did not answer.
+func (c *Claim) Miss() { c.answered++ }
+
+// Result tells how the claim stands.
+//
+// A grant says that the voter had not voted before, so a quorum for somebody
+// else would have to do without it, on a list that may hold listTolerance other
+// voters. If too few are left for that, the key did not run.
+func (c *Claim) Result() Result {
+	switch {
+	case c.granted >= Quorum(c.voters):
+		return Won
+	case c.answered < c.voters:
+		return Pending
+	case c.granted > c.voters+listTolerance-Quorum(c.voters):
+		return NotRun
+	case c.taken:
+		return Taken
+	}
+	return Unknown
+}
+
+// Other is an owner that has votes, where there is one.
+func (c *Claim) Other() (Owner, bool) { return c.other, c.taken }
+
+// Usable reports whether a won claim may still be acted on. Check it at the last
+// moment before sending: a process frozen after its claim could wake when the
+// voters have long forgotten it and another router has run the key.
+func (c *Claim) Usable(now time.Time) bool {
+	return !c.wonAt.IsZero() && now.Sub(c.wonAt) <= c.cfg.ClaimFor
+}
--- /dev/null
+++ b/jsonc/duration.go
@@ -0,0 +1,30 @@
+package jsonc
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Duration is a time.Duration written as a string such as "1.5s" or "200ms".
+type Duration time.Duration
+
+// UnmarshalJSON reads the string.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var s string
+	if err := json.Unmarshal(data, &s); err != nil {
+		return errs.New(`must be a duration such as "2s"`)
+	}
+	parsed, err := time.ParseDuration(s)
+	if err != nil {
+		return errs.New(`must be a duration such as "2s", not %q`, s)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalJSON writes the string.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
--- /dev/null
+++ b/lease/book.go
@@ -0,0 +1,216 @@
+package lease
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Grant is what a home tells a holder: the slots granted so far in a term.
+type Grant struct {
+	Upstream int    `json:"u"`
+	Term     uint64 `json:"t"`
+	Granted  uint64 `json:"g"`
+	// Recalled is how many of the granted slots must come back as they fall idle.
+	Recalled uint64 `json:"r,omitempty"`
+}
+
+// Report is what a holder tells the home: the slots returned so far in a term.
+// With term 0 it is a claim: the holder has Claim slots that no term covers.
+type Report struct {
+	Upstream int    `json:"u"`
+	Term     uint64 `json:"t,omitempty"`
+	Returned uint64 `json:"r,omitempty"`
+	Claim    int    `json:"c,omitempty"`
+}
+
+// holder is a book's side of one relation.
+type holder struct {
+	incarnation uint64
+	term        uint64
+	granted     uint64
+	returned    uint64
+	recalled    uint64
+	until       time.Time
+}
+
+func (h *holder) held() int { return int(h.granted - h.returned) }
+
+// Book is the lease book of one upstream at its home.
+//
+// Invariant: while the book is open, the slots it believes granted and those it
+// calls free add up to the limit, or free is zero and more are granted.
+type Book struct {
+	upstream int
+	limit    int
+	// opensAt is when slots that nobody claimed count as free.
+	opensAt  time.Time
+	lastTerm uint64
+	holders  map[string]*holder
+}
+
+// NewBook returns the book of a home that begins now. Slots that an earlier
+// home may have granted stay closed until opensAt, one lease time ahead: a
+// holder cut off from this home could still use them until then.
+func NewBook(upstream, limit int, firstTerm uint64, opensAt time.Time) *Book {
+	return &Book{
+		upstream: upstream,
+		limit:    limit,
+		opensAt:  opensAt,
+		lastTerm: firstTerm,
+		holders:  map[string]*holder{},
+	}
+}
+
+// SetLimit changes how many slots the upstream has.
+func (b *Book) SetLimit(n int) { b.limit = n }
+
+// LastTerm is the last term begun; the next book of this home starts after it.
+func (b *Book) LastTerm() uint64 { return b.lastTerm }
+
+// Limit is the number of slots.
+func (b *Book) Limit() int { return b.limit }
+
+// Granted is the number of slots that holders have or may have.
+func (b *Book) Granted() int {
+	n := 0
+	for _, h := range b.holders {
+		n += h.held()
+	}
+	return n
+}
+
+// Free is the number of slots that may be granted now.
+func (b *Book) Free(now time.Time) int {
+	if now.Before(b.opensAt) {
+		return 0
+	}
+	return max(b.limit-b.Granted(), 0)
+}
+
+// Grant gives n slots to a router and returns what to tell it. The caller has
+// checked Free.
+func (b *Book) Grant(router string, incarnation uint64, n int, until time.Time) Grant {
+	h := b.holderOf(router, incarnation, until)
+	h.granted += uint64(n)
+	return b.word(h)
+}
+
+// word is what a holder is told.
+func (b *Book) word(h *holder) Grant {
+	return Grant{Upstream: b.upstream, Term: h.term, Granted: h.granted, Recalled: h.recalled}
+}
+
+// Recall asks the routers with most slots to give back what is granted beyond
+// the limit, and returns those that must be told. A slot comes back when its
+// request ends, so a smaller limit cuts nothing.
+func (b *Book) Recall() []string {
+	var told []string
+	for excess := b.Granted() - b.recalling() - b.limit; excess > 0; excess-- {
+		name := b.largest()
+		if name == "" {
+			break
+		}
+		h := b.holders[name]
+		h.recalled = max(h.recalled, h.returned) + 1
+		if !slices.Contains(told, name) {
+			told = append(told, name)
+		}
+	}
+	return told
+}
+
+// recalling counts slots that were recalled and have not come back yet.
+func (b *Book) recalling() int {
+	n := 0
+	for _, h := range b.holders {
+		n += h.recalling()
+	}
+	return n
+}
+
+func (h *holder) recalling() int { return int(max(h.recalled, h.returned) - h.returned) }
+
+// largest is the router with most slots that are not recalled.
+func (b *Book) largest() string {
+	name, most := "", 0
+	for _, router := range b.Holders() {
+		h := b.holders[router]
+		if n := h.held() - h.recalling(); n > most {
+			name, most = router, n
+		}
+	}
+	return name
+}
+
+// Current returns the grant in force for a router, to be told again.
+func (b *Book) Current(router string, incarnation uint64) (Grant, bool) {
+	h, ok := b.holders[router]
+	if !ok || h.incarnation != incarnation {
+		return Grant{}, false
+	}
+	return b.word(h), true
+}
+
+// holderOf returns the relation with the router's incarnation, a new one where
+// there is none. What an earlier incarnation held is void: it ended with the
+// process.
+func (b *Book) holderOf(router string, incarnation uint64, until time.Time) *holder {
+	h, ok := b.holders[router]
+	if ok && h.incarnation == incarnation {
+		return h
+	}
+	b.lastTerm++
+	h = &holder{incarnation: incarnation, term: b.lastTerm, until: until}
+	b.holders[router] = h
+	return h
+}
+
+// Report takes in what a holder says. It returns the grant to answer a claim with.
+func (b *Book) Report(router string, incarnation uint64, r Report, until time.Time) (Grant, bool) {
+	if r.Term == 0 {
+		return b.claim(router, incarnation, r.Claim, until), true
+	}
+	h, ok := b.holders[router]
+	if !ok || h.incarnation != incarnation || h.term != r.Term {
+		return Grant{}, false
+	}
+	h.returned = min(max(h.returned, r.Returned), h.granted)
+	return Grant{}, false
+}
+
+// claim begins a new term with what the holder says it has: it alone knows.
+func (b *Book) claim(router string, incarnation uint64, n int, until time.Time) Grant {
+	delete(b.holders, router)
+	h := b.holderOf(router, incarnation, until)
+	h.granted = uint64(max(n, 0))
+	return b.word(h)
+}
+
+// Renew extends every slot of the router: it was heard at until less a lease time.
+func (b *Book) Renew(router string, incarnation uint64, until time.Time) {
+	if h, ok := b.holders[router]; ok && h.incarnation == incarnation && until.After(h.until) {
+		h.until = until
+	}
+}
+
+// Expire takes back the slots of routers that were not heard for a lease time.
+// Their own leases ended before, so they send nothing more on these slots.
+func (b *Book) Expire(now time.Time) {
+	for name, h := range b.holders {
+		if now.After(h.until) {
+			delete(b.holders, name)
+		}
+	}
+}
+
+// Holders returns the routers that hold slots, sorted.
+func (b *Book) Holders() []string { return slices.Sorted(maps.Keys(b.holders)) }
+
+// Held is the number of slots a router has.
+func (b *Book) Held(router string) int {
+	if h, ok := b.holders[router]; ok {
+		return h.held()
+	}
+	return 0
+}
--- /dev/null
+++ b/membership/home.go
@@ -0,0 +1,17 @@
+package membership
+
+import "github.com/cespare/xxhash/v2"
+
+// Home picks the VM that is the home of key, by rendezvous (highest random
+// weight) hashing (Thaler and Ravishankar, 1998). When a VM goes, only what it
+// was the home of moves. It returns "" for an empty list.
+func Home(live []string, key string) string {
+	home, best := "", uint64(0)
+	for _, name := range live {
+		weight := xxhash.Sum64String(name + "\x00" + key)
+		if home == "" || weight > best || (weight == best && name < home) {
+			home, best = name, weight
+		}
+	}
+	return home
+}
--- /dev/null
+++ b/membership/member.go
@@ -0,0 +1,23 @@
+package membership
+
+import "time"
+
+// Listed is one VM on the platform's list.
+type Listed struct {
+	Name          string `json:"name"`
+	FailureDomain string `json:"failureDomain"`
+	// Address is where the VM's router listens for its peers.
+	Address string `json:"address"`
+	// Leaving is set while the platform drains the VM.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// member is what is known of another VM.
+type member struct {
+	listed  bool
+	leaving bool
+	// said is set when the VM itself told that it shuts down.
+	said        bool
+	incarnation uint64
+	heardAt     time.Time
+}
--- /dev/null
+++ b/membership/view.go
@@ -0,0 +1,141 @@
+package membership
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// View is one router's view of the fleet. It is not safe for concurrent use.
+type View struct {
+	self string
+	// suspectAfter is the silence after which a VM no longer counts as live.
+	suspectAfter time.Duration
+	members      map[string]*member
+	leaving      bool
+}
+
+// NewView returns the view of a router that knows only itself.
+func NewView(self string, suspectAfter time.Duration) *View {
+	return &View{self: self, suspectAfter: suspectAfter, members: map[string]*member{}}
+}
+
+// SetList takes in the platform's list. VMs that it drops and that are silent
+// are forgotten; those still heard stay, since the list lags.
+func (v *View) SetList(list []Listed) {
+	for _, m := range v.members {
+		m.listed = false
+	}
+	for _, l := range list {
+		if l.Name == v.self {
+			continue
+		}
+		m := v.member(l.Name)
+		m.listed = true
+		m.leaving = l.Leaving
+	}
+	maps.DeleteFunc(v.members, func(_ string, m *member) bool {
+		return !m.listed && m.heardAt.IsZero()
+	})
+}
+
+func (v *View) member(name string) *member {
+	m, ok := v.members[name]
+	if !ok {
+		m = &member{}
+		v.members[name] = m
+	}
+	return m
+}
+
+// Heard notes a message from a VM. It returns true if the VM's incarnation is a
+// new one: all that was promised by the earlier one is void.
+func (v *View) Heard(now time.Time, name string, incarnation uint64, leaving bool) bool {
+	m := v.member(name)
+	changed := m.incarnation != incarnation
+	if changed {
+		m.said = false
+	}
+	m.incarnation = incarnation
+	m.heardAt = now
+	m.said = m.said || leaving
+	return changed
+}
+
+// Leave marks this router as shutting down: it is no home any more.
+func (v *View) Leave() { v.leaving = true }
+
+// Incarnation is the last known incarnation of a VM, 0 if it was never heard.
+func (v *View) Incarnation(name string) uint64 {
+	if m, ok := v.members[name]; ok {
+		return m.incarnation
+	}
+	return 0
+}
+
+// Live returns the VMs that may be homes now, sorted; this one is among them
+// unless it is leaving.
+func (v *View) Live(now time.Time) []string {
+	var live []string
+	if !v.leaving {
+		live = append(live, v.self)
+	}
+	for name, m := range v.members {
+		if v.heard(now, m) && !m.said && !m.leaving {
+			live = append(live, name)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+func (v *View) heard(now time.Time, m *member) bool {
+	return !m.heardAt.IsZero() && now.Sub(m.heardAt) <= v.suspectAfter
+}
+
+// Reachable reports whether the VM was heard lately, leaving or not.
+func (v *View) Reachable(now time.Time, name string) bool {
+	m, ok := v.members[name]
+	return ok && v.heard(now, m)
+}
+
+// Peers returns every other VM that is listed or was heard lately, sorted.
+func (v *View) Peers(now time.Time) []string {
+	var peers []string
+	for name, m := range v.members {
+		if m.listed || v.heard(now, m) {
+			peers = append(peers, name)
+		}
+	}
+	slices.Sort(peers)
+	return peers
+}
+
+// Visible returns how many of the listed VMs are heard, and how many are
+// listed, this one in both. They differ during a partition and, until the list
+// catches up, after a crash.
+func (v *View) Visible(now time.Time) (visible, listed int) {
+	visible, listed = 1, 1
+	for _, m := range v.members {
+		if !m.listed || m.leaving || m.said {
+			continue
+		}
+		listed++
+		if v.heard(now, m) {
+			visible++
+		}
+	}
+	return visible, listed
+}
+
+// Listed returns the VMs on the platform's list and this one, sorted.
+func (v *View) Listed() []string {
+	names := []string{v.self}
+	for name, m := range v.members {
+		if m.listed {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/obs/doc.go
@@ -0,0 +1,2 @@
+// Package obs gives processes their logs and metrics.
+package obs
--- /dev/null
+++ b/peer/conn.go
@@ -0,0 +1,63 @@
+package peer
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/klauspost/compress/flate"
+)
+
+// deadlineConn bounds every write, and every read if read is not 0. Without it a peer whose connection
+// has gone silent would hold the writer until the kernel gives up, many minutes
+// later.
+type deadlineConn struct {
+	net.Conn
+	read, write time.Duration
+	sent        *atomic.Int64
+}
+
+func (c *deadlineConn) Read(p []byte) (int, error) {
+	if c.read > 0 {
+		if err := c.SetReadDeadline(time.Now().Add(c.read)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Read(p)
+}
+
+func (c *deadlineConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.write)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+// flateConn compresses one stream in each direction. Messages repeat most of
+// their bytes, so a window over the stream saves far more than one a message.
+type flateConn struct {
+	conn net.Conn
+	r    io.ReadCloser
+	w    *flate.Writer
+}
+
+func newFlateConn(conn net.Conn) (*flateConn, error) {
+	w, err := flate.NewWriter(conn, flate.BestSpeed)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &flateConn{conn: conn, r: flate.NewReader(conn), w: w}, nil
+}
+
+func (c *flateConn) Read(p []byte) (int, error) { return c.r.Read(p) }
+
+// Write compresses p. It is not sent before Flush.
+func (c *flateConn) Write(p []byte) (int, error) { return c.w.Write(p) }
+
+// Flush sends what was written.
+func (c *flateConn) Flush() error { return c.w.Flush() }
+
+func (c *flateConn) Close() error { return c.conn.Close() }
--- /dev/null
+++ b/peer/link.go
@@ -0,0 +1,151 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// notification is a message that waits to be sent.
+type notification struct {
+	method string
+	params any
+}
+
+// link is the outgoing connection to one peer.
+type link struct {
+	mesh    *Mesh
+	name    string
+	queue   chan notification
+	ctx     context.Context
+	cancel  context.CancelFunc
+	mu      sync.Mutex
+	address string
+	conn    *jsonrpc2.Conn
+}
+
+func newLink(m *Mesh, name, address string) *link {
+	ctx, cancel := context.WithCancel(m.ctx)
+	l := &link{
+		mesh: m, name: name, address: address,
+		queue: make(chan notification, m.cfg.Queue),
+		ctx:   ctx, cancel: cancel,
+	}
+	m.wg.Go(l.run)
+	return l
+}
+
+// run sends the queued notifications. What can't be sent is dropped: it would
+// be out of date by the time a connection comes back.
+func (l *link) run() {
+	defer l.redial()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case n := <-l.queue:
+			l.notify(n)
+		}
+	}
+}
+
+func (l *link) notify(n notification) {
+	conn, err := l.connection(l.ctx)
+	if err == nil {
+		err = conn.Notify(l.ctx, n.method, n.params)
+	}
+	if err != nil {
+		l.mesh.cfg.Log.Debug().Err(err).Str("peer", l.name).Msg("notification lost")
+		l.drop(conn)
+	}
+}
+
+// connection returns the open connection or dials one.
+func (l *link) connection(ctx context.Context) (*jsonrpc2.Conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		select {
+		case <-l.conn.DisconnectNotify():
+			l.conn = nil
+		default:
+			return l.conn, nil
+		}
+	}
+	raw, err := l.dial(ctx)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := l.mesh.serve(l.ctx, raw, nil)
+	if err != nil {
+		return nil, err
+	}
+	l.conn = conn
+	return conn, nil
+}
+
+func (l *link) dial(ctx context.Context) (net.Conn, error) {
+	d := net.Dialer{Timeout: l.mesh.cfg.DialTimeout}
+	if l.mesh.cfg.ClientTLS == nil {
+		conn, err := d.DialContext(ctx, "tcp", l.address)
+		return conn, Error.Wrap(err)
+	}
+	conn, err := (&tls.Dialer{NetDialer: &d, Config: l.mesh.cfg.ClientTLS}).DialContext(ctx, "tcp", l.address)
+	return conn, Error.Wrap(err)
+}
+
+// drop forgets a connection that failed.
+func (l *link) drop(conn *jsonrpc2.Conn) {
+	if conn == nil {
+		return
+	}
+	l.mu.Lock()
+	if l.conn == conn {
+		l.conn = nil
+	}
+	l.mu.Unlock()
+	_ = conn.Close()
+}
+
+// redial closes the connection, so that the next message opens a new one.
+func (l *link) redial() {
+	l.mu.Lock()
+	conn := l.conn
+	l.conn = nil
+	l.mu.Unlock()
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
+
+func (l *link) setAddress(address string) {
+	l.mu.Lock()
+	changed := l.address != address
+	l.address = address
+	l.mu.Unlock()
+	if changed {
+		l.redial()
+	}
+}
+
+// call makes a call within the context's deadline.
+func (l *link) call(ctx context.Context, method string, params, result any) error {
+	conn, err := l.connection(ctx)
+	if err != nil {
+		return err
+	}
+	err = conn.Call(ctx, method, params, result)
+	if ctx.Err() != nil {
+		// An answer that does not come may be a silent connection: the next call
+		// gets a new one.
+		l.drop(conn)
+	}
+	return Error.Wrap(err)
+}
+
+// callTimeout bounds calls whose context has no deadline.
+const callTimeout = 2 * time.Second
--- /dev/null
+++ b/peer/mesh.go
@@ -0,0 +1,144 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"log"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Mesh is a router's connections to all its peers.
+type Mesh struct {
+	cfg      Config
+	listener net.Listener
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	sent     atomic.Int64
+	dropped  atomic.Int64
+	mu       sync.Mutex
+	links    map[string]*link
+}
+
+// NewMesh returns a mesh that accepts peers on the listener. Serve starts it.
+func NewMesh(cfg Config, l net.Listener) *Mesh {
+	if cfg.ServerTLS != nil {
+		l = tls.NewListener(l, cfg.ServerTLS)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Mesh{cfg: cfg, listener: l, ctx: ctx, cancel: cancel, links: map[string]*link{}}
+}
+
+// Serve accepts peers until Close.
+func (m *Mesh) Serve() {
+	for {
+		conn, err := m.listener.Accept()
+		if err != nil {
+			return
+		}
+		m.wg.Go(func() { m.accept(conn) })
+	}
+}
+
+func (m *Mesh) accept(raw net.Conn) {
+	conn, err := m.serve(m.ctx, raw, m.cfg.Handler)
+	if err != nil {
+		m.cfg.Log.Debug().Err(err).Msg("peer connection refused")
+		return
+	}
+	<-conn.DisconnectNotify()
+}
+
+// serve starts JSON-RPC on a connection; h is nil on outgoing ones, which carry
+// only this side's messages.
+func (m *Mesh) serve(ctx context.Context, raw net.Conn, h Handler) (*jsonrpc2.Conn, error) {
+	bounded := &deadlineConn{Conn: raw, write: m.cfg.WriteTimeout, sent: &m.sent}
+	if h != nil {
+		bounded.read = m.cfg.ReadTimeout
+	}
+	compressed, err := newFlateConn(bounded)
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	quiet := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+	return jsonrpc2.NewConn(ctx, newStream(compressed), &dispatcher{handler: h}, quiet), nil
+}
+
+// SetAddresses names the peers and where they listen. Peers that are gone lose
+// their connection.
+func (m *Mesh) SetAddresses(addresses map[string]string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, address := range addresses {
+		if l, ok := m.links[name]; ok {
+			l.setAddress(address)
+			continue
+		}
+		m.links[name] = newLink(m, name, address)
+	}
+	for name, l := range m.links {
+		if _, ok := addresses[name]; !ok {
+			l.cancel()
+			delete(m.links, name)
+		}
+	}
+}
+
+func (m *Mesh) link(name string) *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.links[name]
+}
+
+// Notify queues a notification; it never blocks.
+func (m *Mesh) Notify(to, method string, params any) {
+	l := m.link(to)
+	if l == nil {
+		return
+	}
+	select {
+	case l.queue <- notification{method: method, params: params}:
+	default:
+		m.dropped.Add(1)
+	}
+}
+
+// Call makes a call and waits for its result.
+func (m *Mesh) Call(ctx context.Context, to, method string, params, result any) error {
+	l := m.link(to)
+	if l == nil {
+		return Error.New("no peer is named %q", to)
+	}
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+	}
+	return l.call(ctx, method, params, result)
+}
+
+// Redial replaces the connection to a peer: it may have gone silent.
+func (m *Mesh) Redial(to string) {
+	if l := m.link(to); l != nil {
+		l.redial()
+	}
+}
+
+// Sent is the number of bytes sent to peers, compressed, without TLS.
+func (m *Mesh) Sent() int64 { return m.sent.Load() }
+
+// Dropped is the number of notifications dropped because a queue was full.
+func (m *Mesh) Dropped() int64 { return m.dropped.Load() }
+
+// Close ends all connections and waits for their goroutines.
+func (m *Mesh) Close() {
+	m.cancel()
+	_ = m.listener.Close()
+	m.wg.Wait()
+}
--- /dev/null
+++ b/router/dump.go
@@ -0,0 +1,42 @@
+package router
+
+import (
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/bundle"
+	"github.com/aspenswitch/aspenswitch/membership"
+	"github.com/aspenswitch/aspenswitch/sched"
+)
+
+// Dump is the whole state of a router process, without secrets.
+type Dump struct {
+	Name          string              `json:"name"`
+	FailureDomain string              `json:"failureDomain"`
+	Ready         bool                `json:"ready"`
+	Watching      bool                `json:"watchingPlatform"`
+	PlatformCalls int64               `json:"platformCalls"`
+	PeerBytes     int64               `json:"peerBytesSent"`
+	PeerDropped   int64               `json:"peerNotificationsDropped"`
+	Held          bundle.Mark         `json:"bundleHeld"`
+	InForce       bundle.Mark         `json:"bundleInForce"`
+	Conflicts     []bundle.Mark       `json:"bundleConflicts,omitempty"`
+	Votes         int                 `json:"votes"`
+	Answers       int                 `json:"answersKept"`
+	VMs           []membership.Listed `json:"vms"`
+	Core          sched.Dump          `json:"core"`
+}
+
+// Dump returns the state now.
+func (r *Router) Dump() Dump {
+	d := Dump{
+		Name: r.cfg.Name, FailureDomain: r.cfg.FailureDomain, Ready: r.Ready(),
+		Watching: r.watching.Load(), PlatformCalls: r.platform.Calls(),
+		PeerBytes: r.mesh.Sent(), PeerDropped: r.mesh.Dropped(),
+	}
+	r.inspect(func(c *control) {
+		d.Held, d.InForce, d.Conflicts = c.acceptor.Latest(), c.acceptor.InForce(), c.acceptor.Conflicts()
+		d.Votes, d.Answers, d.VMs = c.voter.Len(), c.answers.Len(), c.list
+		d.Core = c.node.Dump(time.Now())
+	})
+	return d
+}
--- /dev/null
+++ b/sched/dump.go
@@ -0,0 +1,96 @@
+package sched
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/fairness"
+)
+
+// Dump is a node's whole state for operators.
+type Dump struct {
+	Router      string     `json:"router"`
+	Incarnation uint64     `json:"incarnation"`
+	Live        []string   `json:"live"`
+	Joined      bool       `json:"joined"`
+	Leaving     bool       `json:"leaving"`
+	Waiting     int        `json:"waiting"`
+	Running     int        `json:"running"`
+	Pools       []PoolDump `json:"pools"`
+	Peers       []PeerDump `json:"peers"`
+}
+
+// PoolDump is one pool's state.
+type PoolDump struct {
+	Pool      int                 `json:"pool"`
+	MeanCost  float64             `json:"meanCostSeconds"`
+	Teams     []fairness.TeamDump `json:"teams"`
+	Upstreams []UpstreamDump      `json:"upstreams"`
+}
+
+// UpstreamDump is one upstream as this router sees it.
+type UpstreamDump struct {
+	Upstream   int     `json:"upstream"`
+	Home       string  `json:"home"`
+	Held       int     `json:"held"`
+	InUse      int     `json:"inUse"`
+	LeaseLeft  float64 `json:"leaseLeftSeconds"`
+	Limit      int     `json:"limit"`
+	Granted    int     `json:"granted,omitempty"`
+	Free       int     `json:"free,omitempty"`
+	IsHome     bool    `json:"isHome"`
+	Leaving    bool    `json:"leaving,omitempty"`
+	Queued     int     `json:"queuedAtUpstream,omitempty"`
+	AvoidedFor float64 `json:"avoidedForSeconds,omitempty"`
+}
+
+// PeerDump is one link's state.
+type PeerDump struct {
+	Peer        string  `json:"peer"`
+	Incarnation uint64  `json:"incarnation"`
+	HeardAgo    float64 `json:"heardAgoSeconds"`
+	Sent        uint64  `json:"sent"`
+	Heard       uint64  `json:"heard"`
+	Unacked     int     `json:"unacked"`
+}
+
+// Dump returns the state at now.
+func (n *Node) Dump(now time.Time) Dump {
+	d := Dump{
+		Router: n.cfg.Router, Incarnation: n.cfg.Incarnation, Live: n.live,
+		Joined: n.joined, Leaving: n.leaving, Waiting: len(n.requests), Running: len(n.running),
+	}
+	for _, id := range slices.Sorted(maps.Keys(n.pools)) {
+		d.Pools = append(d.Pools, n.pools[id].dump(now))
+	}
+	for _, name := range slices.Sorted(maps.Keys(n.links)) {
+		l := n.links[name]
+		d.Peers = append(d.Peers, PeerDump{
+			Peer: name, Incarnation: l.incarnation, HeardAgo: now.Sub(l.heardAt).Seconds(),
+			Sent: l.seq, Heard: l.heard, Unacked: len(l.times),
+		})
+	}
+	return d
+}
+
+func (p *pool) dump(now time.Time) PoolDump {
+	d := PoolDump{Pool: p.id, MeanCost: p.accounts.MeanCost(), Teams: p.accounts.Dump(now)}
+	for _, u := range p.upstreams {
+		d.Upstreams = append(d.Upstreams, u.dump(now))
+	}
+	return d
+}
+
+func (u *upstream) dump(now time.Time) UpstreamDump {
+	d := UpstreamDump{
+		Upstream: u.ID, Home: u.holding.Home(), Held: u.holding.Held(), InUse: u.holding.InUse(),
+		LeaseLeft: max(u.holding.Until().Sub(now).Seconds(), 0), Limit: u.limit.Limit(),
+		Leaving: u.Leaving, Queued: u.load.Queued,
+		AvoidedFor: max(u.avoidUntil.Sub(now).Seconds(), 0),
+	}
+	if u.book != nil {
+		d.IsHome, d.Granted, d.Free, d.Limit = true, u.book.Granted(), u.book.Free(now), u.book.Limit()
+	}
+	return d
+}
--- /dev/null
+++ b/sched/home.go
@@ -0,0 +1,167 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/fairness"
+	"github.com/aspenswitch/aspenswitch/lease"
+	"github.com/aspenswitch/aspenswitch/limits"
+)
+
+// allocate grants the free slots of the upstreams homed here to the routers
+// where the least served teams wait. Slots that nobody waits for stay free
+// until park spreads them.
+func (n *Node) allocate(now time.Time, p *pool) {
+	for _, u := range p.upstreams {
+		if u.book == nil || u.Leaving {
+			continue
+		}
+		for u.book.Free(now) > 0 && n.grantNext(now, p, u) {
+		}
+	}
+}
+
+// grantNext grants one slot to the least served waiting team; it returns false
+// if no team waits for one.
+func (n *Node) grantNext(now time.Time, p *pool, u *upstream) bool {
+	local, waits := p.accounts.NextLocal(now)
+	remote, elsewhere := p.accounts.NextRemote(now)
+	if waits && n.wanted(now, p) && (!elsewhere || local.Key <= remote.Key) {
+		n.grantSelf(now, u, 1)
+		return true
+	}
+	if !elsewhere {
+		return false
+	}
+	p.accounts.Assume(remote.Router, remote.Team, 1)
+	n.grant(now, u, remote.Router, 1)
+	return true
+}
+
+// wanted reports whether more requests wait here than slots are idle.
+func (n *Node) wanted(now time.Time, p *pool) bool {
+	idle := 0
+	for _, u := range p.upstreams {
+		idle += u.idle(now)
+	}
+	return p.queue.Len() > idle
+}
+
+func (n *Node) grantSelf(now time.Time, u *upstream, slots int) {
+	g := u.book.Grant(n.cfg.Router, n.cfg.Incarnation, slots, n.ownLease())
+	u.holding.Apply(g)
+	u.holding.Extend(n.ownLease())
+}
+
+// ownLease is the end of slots that this router grants itself. It counts from
+// the last tick, so that a process that was paused finds it ended.
+func (n *Node) ownLease() time.Time { return n.tickedAt.Add(n.cfg.LeaseTTL) }
+
+func (n *Node) grant(now time.Time, u *upstream, router string, slots int) {
+	l := n.linkTo(router)
+	u.book.Grant(router, n.view.Incarnation(router), slots, l.heardAt.Add(n.cfg.LeaseTTL))
+	l.grants[u.ID] = true
+}
+
+// reportSelf passes this router's own returns and claims to its own book.
+func (n *Node) reportSelf(u *upstream) {
+	r, ok := u.holding.Report()
+	if !ok {
+		return
+	}
+	if g, answered := u.book.Report(n.cfg.Router, n.cfg.Incarnation, r, n.ownLease()); answered {
+		u.holding.Apply(g)
+		u.holding.Extend(n.ownLease())
+	}
+}
+
+// park spreads free slots that nobody waits for over the live routers, so that
+// a request that meets no contention finds an idle slot without a round trip.
+func (n *Node) park(now time.Time, p *pool) {
+	for _, u := range p.upstreams {
+		if u.book == nil || u.Leaving {
+			continue
+		}
+		for u.book.Free(now) > 0 {
+			router := n.fewestSlots(p, u.book)
+			if router == n.cfg.Router {
+				n.grantSelf(now, u, 1)
+			} else {
+				n.grant(now, u, router, 1)
+			}
+		}
+	}
+}
+
+// fewestSlots is the live router with fewest slots of the upstream.
+func (n *Node) fewestSlots(p *pool, b *lease.Book) string {
+	router, fewest := n.cfg.Router, b.Held(n.cfg.Router)
+	for _, name := range n.live {
+		if held := b.Held(name); held < fewest {
+			router, fewest = name, held
+		}
+	}
+	return router
+}
+
+// Load takes in an upstream's own report. Only the upstream's home asks for it.
+func (n *Node) Load(now time.Time, poolID, upstreamID int, l limits.Load) {
+	p, ok := n.pools[poolID]
+	if !ok {
+		return
+	}
+	u := n.upstreamOf(p, upstreamID)
+	if u == nil {
+		return
+	}
+	u.load = l
+	u.limit.Observe(l)
+	n.setLimit(now, u)
+	n.wake(now, p)
+	n.flush(now)
+}
+
+// setLimit brings the book's limit up to date with what is learned and with the
+// part of the fleet that is visible.
+func (n *Node) setLimit(now time.Time, u *upstream) {
+	if u.book == nil {
+		return
+	}
+	visible, listed := n.view.Visible(now)
+	foreign := max(u.load.Running+u.load.Queued-u.book.Granted(), 0)
+	u.book.SetLimit(u.limit.Share(visible, listed, foreign))
+	for _, router := range u.book.Recall() {
+		n.tellRecall(u, router)
+	}
+}
+
+func (n *Node) tellRecall(u *upstream, router string) {
+	if router != n.cfg.Router {
+		n.linkTo(router).grants[u.ID] = true
+		return
+	}
+	if g, ok := u.book.Current(router, n.cfg.Incarnation); ok {
+		u.holding.Apply(g)
+	}
+}
+
+// Homes returns the upstreams that this router is the home of.
+func (n *Node) Homes() []Upstream {
+	var homes []Upstream
+	for _, p := range n.pools {
+		for _, u := range p.upstreams {
+			if u.book != nil {
+				homes = append(homes, u.Upstream)
+			}
+		}
+	}
+	return homes
+}
+
+// Waiting counts a team's waiting requests here.
+func (n *Node) Waiting(poolID int, team fairness.TeamID) int {
+	if p, ok := n.pools[poolID]; ok {
+		return p.queue.Waiting(team)
+	}
+	return 0
+}
--- /dev/null
+++ b/sched/requests.go
@@ -0,0 +1,149 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/fairness"
+)
+
+// minRetryAfter and maxRetryAfter bound what a refused caller is told.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = time.Minute
+)
+
+// Arrive takes in a caller's request. It is dispatched, queued or refused.
+func (n *Node) Arrive(now time.Time, r Request) {
+	p, ok := n.pools[r.Pool]
+	if !ok {
+		n.do(Refuse{Request: r.ID, Reason: NoPool, RetryAfter: minRetryAfter})
+		return
+	}
+	if reason, refused := n.refusal(now, p, &r); refused {
+		n.do(Refuse{Request: r.ID, Reason: reason, RetryAfter: n.retryAfter(p, r.Team)})
+		return
+	}
+	p.accounts.Arrive(now, r.Team)
+	n.requests[r.ID] = &r
+	p.queue.Push(r.Team, r.ID)
+	p.accounts.SetWaiting(r.Team, p.queue.Waiting(r.Team))
+	n.wake(now, p)
+	n.ask(now, p, r.Team)
+	n.flush(now)
+}
+
+// refusal tells whether the request must be refused at once.
+func (n *Node) refusal(now time.Time, p *pool, r *Request) (Reason, bool) {
+	switch {
+	case n.leaving:
+		return Leaving, true
+	case p.queue.Waiting(r.Team) >= n.cfg.QueuePerTeam:
+		return QueueFull, true
+	case !r.Deadline.IsZero() && now.Add(n.drainTime(p, r.Team)).After(r.Deadline):
+		return TooLate, true
+	}
+	return "", false
+}
+
+// drainTime is how long the requests of the team that wait here are expected to
+// take to begin, at the measured rate and an equal turn for each waiting team.
+func (n *Node) drainTime(p *pool, team fairness.TeamID) time.Duration {
+	ahead := p.queue.Waiting(team) * p.queue.Teams()
+	return time.Duration(float64(ahead) * p.interval * float64(time.Second))
+}
+
+func (n *Node) retryAfter(p *pool, team fairness.TeamID) time.Duration {
+	return min(max(n.drainTime(p, team), minRetryAfter), maxRetryAfter)
+}
+
+// Cancel forgets a waiting request whose caller left. It returns false if the
+// request does not wait here any more.
+func (n *Node) Cancel(now time.Time, id RequestID) bool {
+	r, ok := n.requests[id]
+	if !ok {
+		return false
+	}
+	p := n.pools[r.Pool]
+	delete(n.requests, id)
+	p.queue.Remove(r.Team, id)
+	p.accounts.SetWaiting(r.Team, p.queue.Waiting(r.Team))
+	n.wake(now, p)
+	n.flush(now)
+	return true
+}
+
+// Finish ends a running request and frees its slot.
+func (n *Node) Finish(now time.Time, id RequestID) {
+	r, p := n.end(now, id)
+	if r == nil {
+		return
+	}
+	p.accounts.Learn(now.Sub(r.started))
+	p.ended(now)
+	n.wake(now, p)
+	n.flush(now)
+}
+
+// Fail ends a running request that the upstream did not serve. The upstream is
+// avoided for a while.
+func (n *Node) Fail(now time.Time, id RequestID, avoid time.Duration) {
+	r, p := n.end(now, id)
+	if r == nil {
+		return
+	}
+	if u := n.upstreamOf(p, r.upstream); u != nil {
+		u.avoidUntil = now.Add(avoid)
+	}
+	n.wake(now, p)
+	n.flush(now)
+}
+
+func (n *Node) end(now time.Time, id RequestID) (*running, *pool) {
+	r, ok := n.running[id]
+	if !ok {
+		return nil, nil
+	}
+	delete(n.running, id)
+	p := n.pools[r.Pool]
+	p.accounts.End(now, r.Team, r.started)
+	if u := n.upstreamOf(p, r.upstream); u != nil {
+		u.holding.Done()
+	}
+	return r, p
+}
+
+// Leave begins a graceful shutdown: waiting requests are refused, running ones
+// end, idle slots go back, and the peers are told.
+func (n *Node) Leave(now time.Time) {
+	n.leaving = true
+	n.view.Leave()
+	for id, r := range n.requests {
+		p := n.pools[r.Pool]
+		delete(n.requests, id)
+		p.queue.Remove(r.Team, id)
+		p.accounts.SetWaiting(r.Team, p.queue.Waiting(r.Team))
+		n.do(Refuse{Request: id, Reason: Leaving, RetryAfter: minRetryAfter})
+	}
+	n.refresh(now)
+	n.giveBack(now)
+	n.urgentAll()
+	n.flush(now)
+}
+
+// giveBack returns every idle slot to its home.
+func (n *Node) giveBack(now time.Time) {
+	for _, p := range n.pools {
+		for _, u := range p.upstreams {
+			n.giveUp(u, u.holding.Idle(now))
+		}
+	}
+}
+
+// Running counts the requests that hold a slot.
+func (n *Node) Running() int { return len(n.running) }
+
+// SetQueueLimit changes how many requests of one team may wait here.
+func (n *Node) SetQueueLimit(most int) { n.cfg.QueuePerTeam = most }
+
+// Live returns the live routers, this one included.
+func (n *Node) Live(now time.Time) []string { return n.view.Live(now) }
--- /dev/null
+++ b/sched/settings.go
@@ -0,0 +1,25 @@
+package sched
+
+import "github.com/aspenswitch/aspenswitch/fairness"
+
+// Settings is the part of the bundle that the core decides by.
+type Settings struct {
+	Pools     []int
+	Teams     []TeamShare
+	Upstreams []Upstream
+}
+
+// TeamShare is a team and the share it is owed; shares are relative.
+type TeamShare struct {
+	Team  fairness.TeamID
+	Share float64
+}
+
+// Upstream is one upstream of a pool.
+type Upstream struct {
+	ID    int
+	Pool  int
+	Slots int
+	// Leaving upstreams get no new work; their running requests end.
+	Leaving bool
+}
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,232 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+
+	"github.com/aspenswitch/aspenswitch/limits"
+)
+
+// EngineConfig says how an engine behaves.
+type EngineConfig struct {
+	Slots int
+	// FirstToken and PerToken are how long a prompt and each token take.
+	FirstToken, PerToken time.Duration
+	// CachedPrompts is how many prompt starts the prefix cache holds; a hit
+	// halves the time to the first token.
+	CachedPrompts int
+	// ChecksOrders refuses an order with an old fencing number.
+	ChecksOrders bool
+	// ReportLag is how old load reports are.
+	ReportLag time.Duration
+	// BreakAfter cuts a stream's connection after so many events; 0 never.
+	BreakAfter int
+}
+
+// Engine is a model engine: it admits requests as they come, up to its slots,
+// and queues the others. Streams go on without their reader until cancelled.
+type Engine struct {
+	cfg     EngineConfig
+	slots   chan struct{}
+	running atomic.Int64
+	queued  atomic.Int64
+	mu      sync.Mutex
+	streams map[string]*generation
+	runs    map[string]int
+	cache   []uint64
+	report  limits.Load
+	fence   uint64
+	orders  []Order
+}
+
+// Order tells an engine what to load or which role to play.
+type Order struct {
+	Fence uint64 `json:"fence"`
+	Load  string `json:"load,omitempty"`
+	Role  string `json:"role,omitempty"`
+}
+
+// NewEngine returns an engine.
+func NewEngine(cfg EngineConfig) *Engine {
+	return &Engine{
+		cfg: cfg, slots: make(chan struct{}, cfg.Slots),
+		streams: map[string]*generation{}, runs: map[string]int{},
+	}
+}
+
+// Handler returns the routes.
+func (g *Engine) Handler() http.Handler {
+	e := echo.New()
+	e.POST("/v1/chat/completions", g.complete)
+	e.POST("/v1/completions", g.complete)
+	e.GET("/v1/streams/:id", g.resume)
+	e.DELETE("/v1/streams/:id", g.cancel)
+	e.GET("/load", g.load)
+	e.GET("/runs", func(c echo.Context) error { return c.JSON(http.StatusOK, g.Runs()) })
+	e.POST("/orders", g.order)
+	e.GET("/orders", func(c echo.Context) error { return c.JSON(http.StatusOK, g.Orders()) })
+	return e
+}
+
+// engineRequest is what the engine reads of a completion.
+type engineRequest struct {
+	Model     string          `json:"model"`
+	Stream    bool            `json:"stream"`
+	MaxTokens int             `json:"max_tokens"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Messages  json.RawMessage `json:"messages"`
+}
+
+func (r engineRequest) text() []byte {
+	if len(r.Messages) > 0 {
+		return r.Messages
+	}
+	return r.Prompt
+}
+
+// Token is the i-th token that engines answer a prompt with. Callers check
+// answers by it.
+func Token(prompt []byte, i int) string {
+	return fmt.Sprintf("%08x.%d ", uint32(xxhash.Sum64(prompt)), i)
+}
+
+const defaultTokens = 16
+
+func (g *Engine) complete(c echo.Context) error {
+	var req engineRequest
+	if err := json.NewDecoder(c.Request().Body).Decode(&req); err != nil {
+		return c.JSON(http.StatusBadRequest, map[string]any{"error": map[string]string{"message": err.Error(), "type": "invalid_request_error"}})
+	}
+	if req.MaxTokens == 0 {
+		req.MaxTokens = defaultTokens
+	}
+	ctx, cancel := context.WithCancel(context.WithoutCancel(c.Request().Context()))
+	s := &generation{id: uuid.NewString(), req: req, cancel: cancel, more: make(chan struct{})}
+	g.mu.Lock()
+	g.streams[s.id] = s
+	g.runs[c.Request().Header.Get("X-Request-Id")]++
+	g.mu.Unlock()
+	go g.generate(ctx, s)
+	if !req.Stream {
+		return g.whole(c, s)
+	}
+	c.Response().Header().Set("Stream-Id", s.id)
+	return g.write(c, s, 0)
+}
+
+// generate runs a request when a slot is free.
+func (g *Engine) generate(ctx context.Context, s *generation) {
+	g.queued.Add(1)
+	select {
+	case g.slots <- struct{}{}:
+		g.queued.Add(-1)
+	case <-ctx.Done():
+		g.queued.Add(-1)
+		s.finish()
+		return
+	}
+	g.running.Add(1)
+	defer func() {
+		g.running.Add(-1)
+		<-g.slots
+		s.finish()
+	}()
+	if !pause(ctx, g.firstToken(s.req.text())) {
+		return
+	}
+	for i := range s.req.MaxTokens {
+		s.add(Token(s.req.text(), i))
+		if !pause(ctx, g.cfg.PerToken) {
+			return
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// prefixBytes is how much of a prompt the cache is keyed by.
+const prefixBytes = 512
+
+// firstToken is shorter for a prompt whose start is cached.
+func (g *Engine) firstToken(prompt []byte) time.Duration {
+	start := xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, cached := range g.cache {
+		if cached == start {
+			return g.cfg.FirstToken / 2
+		}
+	}
+	g.cache = append(g.cache, start)
+	if len(g.cache) > g.cfg.CachedPrompts {
+		g.cache = g.cache[1:]
+	}
+	return g.cfg.FirstToken
+}
+
+// Runs counts the runs by request id.
+func (g *Engine) Runs() map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	runs := map[string]int{}
+	for id, n := range g.runs {
+		runs[id] = n
+	}
+	return runs
+}
+
+// load reports what was true ReportLag ago.
+func (g *Engine) load(c echo.Context) error {
+	now := limits.Load{Running: int(g.running.Load()), Queued: int(g.queued.Load())}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cfg.ReportLag == 0 {
+		g.report = now
+	}
+	time.AfterFunc(g.cfg.ReportLag, func() {
+		g.mu.Lock()
+		g.report = now
+		g.mu.Unlock()
+	})
+	return c.JSON(http.StatusOK, g.report)
+}
+
+// order takes an order. An engine that checks refuses an old fencing number.
+func (g *Engine) order(c echo.Context) error {
+	var o Order
+	if err := c.Bind(&o); err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cfg.ChecksOrders && o.Fence < g.fence {
+		return echo.NewHTTPError(http.StatusConflict, "old fencing number, the last was "+strconv.FormatUint(g.fence, 10))
+	}
+	g.fence = max(g.fence, o.Fence)
+	g.orders = append(g.orders, o)
+	return c.NoContent(http.StatusNoContent)
+}
+
+// Orders returns the orders that took effect, oldest first.
+func (g *Engine) Orders() []Order {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]Order{}, g.orders...)
+}
--- /dev/null
+++ b/standin/generation.go
@@ -0,0 +1,193 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/labstack/echo/v4"
+)
+
+// generation is one request's tokens as they come.
+type generation struct {
+	id     string
+	req    engineRequest
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	tokens []string
+	done   bool
+	// more is closed and made anew at each token.
+	more chan struct{}
+}
+
+func (s *generation) add(token string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tokens = append(s.tokens, token)
+	close(s.more)
+	s.more = make(chan struct{})
+}
+
+func (s *generation) finish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.done = true
+	close(s.more)
+	s.more = make(chan struct{})
+}
+
+// next waits for the i-th token; ok is false when there will be none.
+func (s *generation) next(ctx context.Context, i int) (token string, ok bool) {
+	for {
+		s.mu.Lock()
+		done, more := s.done, s.more
+		if i < len(s.tokens) {
+			token = s.tokens[i]
+			s.mu.Unlock()
+			return token, true
+		}
+		s.mu.Unlock()
+		if done {
+			return "", false
+		}
+		select {
+		case <-more:
+		case <-ctx.Done():
+			return "", false
+		}
+	}
+}
+
+// chunk is one event of a chat completion stream.
+type chunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int     `json:"index"`
+	Delta        *delta  `json:"delta,omitempty"`
+	Message      *delta  `json:"message,omitempty"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// write streams a generation's events from the given one on.
+func (g *Engine) write(c echo.Context, s *generation, from int) error {
+	out := c.Response()
+	out.Header().Set(echo.HeaderContentType, "text/event-stream")
+	out.WriteHeader(http.StatusOK)
+	out.Flush()
+	for i := from; ; i++ {
+		if g.cfg.BreakAfter > 0 && i-from >= g.cfg.BreakAfter {
+			panic(http.ErrAbortHandler)
+		}
+		token, ok := s.next(c.Request().Context(), i)
+		if !ok {
+			break
+		}
+		if err := writeEvent(out, i, s.chunk(token)); err != nil {
+			return nil
+		}
+	}
+	if c.Request().Context().Err() == nil {
+		_, _ = fmt.Fprint(out, "data: [DONE]\n\n")
+	}
+	return nil
+}
+
+func (s *generation) chunk(token string) chunk {
+	return chunk{
+		ID: s.id, Object: "chat.completion.chunk", Model: s.req.Model,
+		Choices: []choice{{Delta: &delta{Role: "assistant", Content: token}}},
+	}
+}
+
+func writeEvent(out *echo.Response, i int, ch chunk) error {
+	data, err := json.Marshal(ch)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "id: %d\ndata: %s\n\n", i, data)
+	out.Flush()
+	return err
+}
+
+// whole answers in one piece.
+func (g *Engine) whole(c echo.Context, s *generation) error {
+	var text strings.Builder
+	n := 0
+	for {
+		token, ok := s.next(c.Request().Context(), n)
+		if !ok {
+			break
+		}
+		text.WriteString(token)
+		n++
+	}
+	if c.Request().Context().Err() != nil {
+		s.cancel()
+		return nil
+	}
+	stop := "stop"
+	return c.JSON(http.StatusOK, chunk{
+		ID: s.id, Object: "chat.completion", Model: s.req.Model,
+		Choices: []choice{{Message: &delta{Role: "assistant", Content: text.String()}, FinishReason: &stop}},
+		Usage:   &usage{CompletionTokens: n, TotalTokens: n},
+	})
+}
+
+func (g *Engine) streamOf(c echo.Context) (*generation, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s, ok := g.streams[c.Param("id")]
+	if !ok {
+		return nil, echo.NewHTTPError(http.StatusNotFound, "no such stream")
+	}
+	return s, nil
+}
+
+// resume streams on after a given event.
+func (g *Engine) resume(c echo.Context) error {
+	s, err := g.streamOf(c)
+	if err != nil {
+		return err
+	}
+	from := 0
+	if after := c.QueryParam("after"); after != "" {
+		last, err := strconv.Atoi(after)
+		if err != nil {
+			return echo.NewHTTPError(http.StatusBadRequest, "after must be an event's id")
+		}
+		from = last + 1
+	}
+	return g.write(c, s, from)
+}
+
+// cancel ends a generation.
+func (g *Engine) cancel(c echo.Context) error {
+	s, err := g.streamOf(c)
+	if err != nil {
+		return err
+	}
+	s.cancel()
+	return c.NoContent(http.StatusNoContent)
+}
--- /dev/null
+++ b/upstream/idle.go
@@ -0,0 +1,39 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+)
+
+// ErrSilent ends the body of an answer that stopped coming.
+var ErrSilent = errors.New("upstream: connection went silent")
+
+// idleBody ends an answer that has been silent for too long. Only time spent
+// waiting for the upstream counts, so a slow caller cuts nothing.
+type idleBody struct {
+	body   io.ReadCloser
+	idle   time.Duration
+	timer  *time.Timer
+	cancel context.CancelCauseFunc
+}
+
+func newIdleBody(body io.ReadCloser, idle time.Duration, cancel context.CancelCauseFunc) *idleBody {
+	timer := time.AfterFunc(idle, func() { cancel(ErrSilent) })
+	timer.Stop()
+	return &idleBody{body: body, idle: idle, timer: timer, cancel: cancel}
+}
+
+func (b *idleBody) Read(p []byte) (int, error) {
+	b.timer.Reset(b.idle)
+	n, err := b.body.Read(p)
+	b.timer.Stop()
+	return n, err
+}
+
+func (b *idleBody) Close() error {
+	b.timer.Stop()
+	b.cancel(nil)
+	return b.body.Close()
+}
