Fair scheduling over the fleet, measured against its rivals

Cause: the first cut served teams by charges ahead of a whole mean cost, lifted returning teams by those charges, and told every change of a queue at once.

--- a/Makefile
+++ b/Makefile
@@ -18,5 +18,11 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+bench: build
+	$(BIN)/aspenswitch-load bench --bounds bench/bounds.json --out out
+
+bench-quick: build
+	$(BIN)/aspenswitch-load bench --quick --bounds bench/bounds.json --out out
+
 clean:
 	rm -rf $(BIN)
--- a/cmd/aspenswitch-load/main.go
+++ b/cmd/aspenswitch-load/main.go
@@ -2,13 +2,17 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"os"
+	"path/filepath"
+	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/aspenswitch/aspenswitch/experiment"
 	"github.com/aspenswitch/aspenswitch/load"
 	"github.com/aspenswitch/aspenswitch/version"
 )
@@ -19,12 +23,62 @@
 	run := app.Command("run", "Send a plan's load, check every answer, print a table.")
 	plan := run.Arg("plan", "Plan file, JSON with comments.").Required().ExistingFile()
 	out := run.Flag("out", "File for the report as JSON.").String()
+	bench := app.Command("bench", "Measure the scheduler core against its rivals, seeded, in virtual time.")
+	quick := bench.Flag("quick", "Fewer seeds, shorter loads.").Bool()
+	bounds := bench.Flag("bounds", "Regression bounds; a figure beyond its bound fails.").ExistingFile()
+	dir := bench.Flag("out", "Folder for results.").Default("out").String()
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case run.FullCommand():
 		app.FatalIfError(runPlan(*plan, *out), "")
+	case bench.FullCommand():
+		app.FatalIfError(runBench(*quick, *bounds, *dir), "bench")
 	}
 }
 
+func runBench(quick bool, boundsFile, dir string) error {
+	all := experiment.Suite(quick)
+	experiment.Print(os.Stdout, all)
+	if err := writeBench(dir, all); err != nil {
+		return err
+	}
+	if boundsFile == "" {
+		return nil
+	}
+	bounds, err := experiment.ReadBounds(boundsFile)
+	if err != nil {
+		return err
+	}
+	beyond, err := bounds.Beyond(all)
+	if err != nil {
+		return err
+	}
+	if len(beyond) > 0 {
+		return fmt.Errorf("%d figures beyond their bounds:\n%s", len(beyond), strings.Join(beyond, "\n"))
+	}
+	return nil
+}
+
+func writeBench(dir string, all []experiment.Comparison) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	data, err := json.MarshalIndent(all, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "bench.json"), append(data, '\n'), 0o644); err != nil {
+		return err
+	}
+	for _, c := range all {
+		var plot bytes.Buffer
+		c.Plot(&plot)
+		if err := os.WriteFile(filepath.Join(dir, c.Load+".svg"), plot.Bytes(), 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func runPlan(file, out string) error {
 	p, err := load.ReadPlan(file)
 	if err != nil {
--- a/fairness/accounts.go
+++ b/fairness/accounts.go
@@ -6,8 +6,9 @@
 	"time"
 )
 
-// costWindow is the weight of one more request in the learned mean cost: an exponential average over the last fifty or so.
-const costWindow = 0.02
+// costWindow is the weight of one more request in the learned mean cost: an exponential average over the last few hundred. Shorter windows
+// follow the noise of heavy-tailed costs, and routers' keys drift apart.
+const costWindow = 0.002
 
 // account is one team in one pool.
 type account struct {
@@ -18,7 +19,9 @@
 	// lift is credit that takes a returning or lagging team to the floor. It is
 	// merged over routers by maximum, so two routers that lift at once don't add up.
 	lift float64
-	own  Tally
+	// lag is how far the team was behind the floor when it last ceased to wait here.
+	lag float64
+	own Tally
 	// pending is the sum over own running requests of when each started, in
 	// seconds since the epoch of Accounts. It gives the time that all of them
 	// have run in one subtraction.
@@ -39,7 +42,7 @@
 	peers map[string]*peer
 	// meanCost is learned from requests that ended here, in slot seconds.
 	meanCost float64
-	// virtualTime is the key of the team served last, as in start-time fair
+	// virtualTime is the level of the team served last, as in start-time fair
 	// queueing.
 	virtualTime float64
 	// epoch is the time that pending sums count from.
@@ -87,13 +90,10 @@
 // on: thresholds in Config are multiples of it.
 func (a *Accounts) unit() float64 { return a.meanCost }
 
-// SetWaiting tells how many requests of the team wait here.
-func (a *Accounts) SetWaiting(id TeamID, n int) { a.teams[id].own.Waiting = n }
-
 // Start notes that a request was sent to an upstream.
 func (a *Accounts) Start(now time.Time, id TeamID) {
 	acc := a.teams[id]
-	a.virtualTime = max(a.virtualTime, a.key(now, acc))
+	a.virtualTime = max(a.virtualTime, a.level(now, acc))
 	acc.own.Running++
 	acc.pending += a.seconds(now)
 }
@@ -125,23 +125,38 @@
 	return acc.own.Service + max(uncharged, 0)
 }
 
-// key is the team's weighted service over the fleet: the least goes next.
+// level is the team's weighted service over the fleet, lifts included. Levels of
+// teams that wait are what fairness keeps together.
+func (a *Accounts) level(now time.Time, acc *account) float64 {
+	sum, _ := a.sum(now, acc)
+	return sum / acc.share
+}
+
+// key is the level with the running requests charged ahead: the least goes next.
+// Charging ahead is what keeps a team that is behind from taking every slot
+// until its charges catch up.
 func (a *Accounts) key(now time.Time, acc *account) float64 {
-	sum := acc.base + acc.lift + a.ownService(now, acc)
-	running := acc.own.Running
+	sum, running := a.sum(now, acc)
+	return (sum + float64(running)*a.residual()) / acc.share
+}
+
+// sum adds the team's service and running requests over the fleet.
+func (a *Accounts) sum(now time.Time, acc *account) (service float64, running int) {
+	service = acc.base + acc.lift + a.ownService(now, acc)
+	running = acc.own.Running
 	for _, p := range a.peers {
 		v, ok := p.views[acc.id]
 		if !ok {
 			continue
 		}
 		if p.gone {
-			sum += v.tally.Service
+			service += v.tally.Service
 			continue
 		}
-		sum += v.service(now, a.cfg.ExtrapolateFor)
-		running += v.tally.Running
+		service += v.service(now, a.cfg.ExtrapolateFor)
+		running += v.tally.Running + min(v.assumed, v.tally.Waiting)
 	}
-	return (sum + float64(running)*a.residual()) / acc.share
+	return service, running
 }
 
 // Key is the team's weighted service over the fleet in slot seconds per unit
--- a/fairness/lift.go
+++ b/fairness/lift.go
@@ -5,25 +5,46 @@
 	"time"
 )
 
-// Arrive lifts a team that begins to wait to the floor: the least weighted
-// service among the teams that wait, or the virtual time where none does. What
-// a team could have used and did not is no credit. Call it before the request
-// is counted as waiting.
+// Arrive lifts a team that begins to wait to the floor, less what it was behind
+// the floor when it last ceased to wait here. What a team could have used and
+// did not is no credit; what it was owed while it waited stays owed. Call it
+// before the request is counted as waiting.
+//
+// Levels are compared, not keys: a team with nothing running must get its share
+// of the slots beside the others, and not wait until they are ahead by as much.
+//
+// Without the second part a team whose queue empties for a moment would lose
+// what it is behind, and its gap would grow each time.
 func (a *Accounts) Arrive(now time.Time, id TeamID) {
 	acc := a.teams[id]
 	if a.waits(acc) {
 		return
 	}
+	a.raise(now, acc, a.floor(now, acc)-acc.lag)
+}
+
+// floor is the least weighted service among the other teams that wait, or the
+// virtual time where none does.
+func (a *Accounts) floor(now time.Time, but *account) float64 {
 	floor := math.Inf(1)
 	for _, other := range a.order {
-		if other != acc && a.waits(other) {
-			floor = min(floor, a.key(now, other))
+		if other != but && a.waits(other) {
+			floor = min(floor, a.level(now, other))
 		}
 	}
 	if math.IsInf(floor, 1) {
-		floor = a.virtualTime
+		return a.virtualTime
+	}
+	return floor
+}
+
+// SetWaiting tells how many requests of the team wait here.
+func (a *Accounts) SetWaiting(now time.Time, id TeamID, n int) {
+	acc := a.teams[id]
+	if n == 0 && acc.own.Waiting > 0 {
+		acc.lag = max(a.floor(now, acc)-a.level(now, acc), 0)
 	}
-	a.raise(now, acc, floor)
+	acc.own.Waiting = n
 }
 
 // ClampLag lifts every waiting team that is more than MaxLag behind the best
@@ -35,7 +56,7 @@
 	top := math.Inf(-1)
 	for _, acc := range a.order {
 		if a.waits(acc) {
-			top = max(top, a.key(now, acc))
+			top = max(top, a.level(now, acc))
 		}
 	}
 	floor := top - a.cfg.MaxLag*a.unit()
@@ -46,9 +67,9 @@
 	}
 }
 
-// raise takes the team's key up to floor; it never lowers it.
+// raise takes the team's level up to floor; it never lowers it.
 func (a *Accounts) raise(now time.Time, acc *account, floor float64) {
-	if missing := floor - a.key(now, acc); missing > 0 {
+	if missing := floor - a.level(now, acc); missing > 0 {
 		acc.lift += missing * acc.share
 	}
 }
--- a/fairness/report.go
+++ b/fairness/report.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -17,8 +18,9 @@
 	Lift float64
 }
 
-// serviceScale is the precision of service on the wire: milliseconds of slot time.
-const serviceScale = 1000
+// serviceScale is the precision of service on the wire: hundredths of a slot
+// second, far below what a report may be off anyway.
+const serviceScale = 100
 
 // entryFields is the number of array items of a whole Entry.
 const entryFields = 5
@@ -63,29 +65,57 @@
 	return nil
 }
 
+// Stalled reports whether a team waits here that the peers don't know of and that
+// is behind the best served waiting team by more than lag (slot seconds
+// per unit of share): a holder elsewhere would give up a slot for them. Others
+// get the next slot that falls idle here, and a report would bring them nothing.
+func (a *Accounts) Stalled(now time.Time, lag float64) bool {
+	least, top := math.Inf(1), math.Inf(-1)
+	for _, acc := range a.order {
+		if !a.waits(acc) {
+			continue
+		}
+		key := a.key(now, acc)
+		top = max(top, key)
+		if acc.own.Waiting > 0 && acc.sent.tally.Waiting == 0 {
+			least = min(least, key)
+		}
+	}
+	return top-least > lag
+}
+
 // Due returns the teams whose accounts have left the line that peers
-// extrapolate, and marks them as sent. They must be sent to every peer.
-func (a *Accounts) Due(now time.Time) []Entry {
+// extrapolate, with those that began or ceased to wait, and marks them as sent.
+// They must be sent to every peer. Where no account diverged, teams that only
+// began or ceased to wait are left for later unless force is set.
+func (a *Accounts) Due(now time.Time, force bool) []Entry {
+	if !force && !slices.ContainsFunc(a.order, func(acc *account) bool { return a.diverged(now, acc) }) {
+		return nil
+	}
 	var due []Entry
 	for _, acc := range a.order {
-		if a.diverged(now, acc) {
+		if a.diverged(now, acc) || acc.turned() {
 			due = append(due, a.report(now, acc))
 		}
 	}
 	return due
 }
 
-// diverged reports whether peers would err by more than ReportError.
+// turned reports whether the team began or ceased to wait since the last report.
+func (acc *account) turned() bool {
+	return (acc.own.Waiting > 0) != (acc.sent.tally.Waiting > 0)
+}
+
+// diverged reports whether peers would err by more than ReportError. That a
+// team waits or no longer does is told along with what diverged; see Stalled.
 func (a *Accounts) diverged(now time.Time, acc *account) bool {
-	if (acc.own.Waiting > 0) != (acc.sent.tally.Waiting > 0) {
-		return true
-	}
 	limit := a.cfg.ReportError * a.unit()
 	if (acc.lift-acc.sentLift)/acc.share > limit {
 		return true
 	}
-	actual := a.ownService(now, acc) + float64(acc.own.Running)*a.residual()
-	believed := acc.sent.service(now, a.cfg.ExtrapolateFor) + float64(acc.sent.tally.Running)*a.residual()
+	// A running request that the peers don't know of will cost about a mean cost.
+	actual := a.ownService(now, acc) + float64(acc.own.Running)*a.meanCost
+	believed := acc.sent.service(now, a.cfg.ExtrapolateFor) + float64(acc.sent.tally.Running)*a.meanCost
 	return math.Abs(actual-believed)/acc.share > limit
 }
 
@@ -97,11 +127,26 @@
 
 // report returns the team's entry and notes it as sent.
 func (a *Accounts) report(now time.Time, acc *account) Entry {
-	tally := acc.own
-	tally.Service = a.ownService(now, acc)
-	acc.sent = view{tally: tally, at: now}
-	acc.sentLift = acc.lift
-	return Entry{Team: acc.id, Tally: tally, Lift: acc.lift}
+	e := a.entry(now, acc)
+	acc.sent = view{tally: e.Tally, at: now}
+	if e.Lift == acc.sentLift {
+		// Lifts merge by maximum, so one that was told need not be told again.
+		e.Lift = 0
+		return e
+	}
+	acc.sentLift = e.Lift
+	return e
+}
+
+// entry is the team's account as it goes on the wire. How many wait matters
+// roughly, and a power of two takes fewer bytes.
+func (a *Accounts) entry(now time.Time, acc *account) Entry {
+	e := Entry{Team: acc.id, Tally: acc.own, Lift: acc.lift}
+	e.Service = a.ownService(now, acc)
+	if e.Waiting > 0 {
+		e.Waiting = 1 << (bits.Len(uint(e.Waiting)) - 1)
+	}
+	return e
 }
 
 // Full returns an entry for every team with anything to tell.
@@ -109,9 +154,7 @@
 	var all []Entry
 	for _, acc := range a.order {
 		if acc.own != (Tally{}) || acc.lift > 0 {
-			tally := acc.own
-			tally.Service = a.ownService(now, acc)
-			all = append(all, Entry{Team: acc.id, Tally: tally, Lift: acc.lift})
+			all = append(all, a.entry(now, acc))
 		}
 	}
 	return all
--- a/fairness/tally.go
+++ b/fairness/tally.go
@@ -16,9 +16,3 @@
 	// Waiting counts the requests in the router's queue.
 	Waiting int
 }
-
-// charged is the service plus what the running requests are expected to
-// cost still, in slot seconds.
-func (t Tally) charged(residual float64) float64 {
-	return t.Service + float64(t.Running)*residual
-}
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -36,6 +36,10 @@
 	return n, err
 }
 
+// CompressionLevel is the effort for messages between routers. Small messages
+// that repeat most of their bytes gain much from it.
+const CompressionLevel = 6
+
 // flateConn compresses one stream in each direction. Messages repeat most of
 // their bytes, so a window over the stream saves far more than one a message.
 type flateConn struct {
@@ -45,7 +49,7 @@
 }
 
 func newFlateConn(conn net.Conn) (*flateConn, error) {
-	w, err := flate.NewWriter(conn, flate.BestSpeed)
+	w, err := flate.NewWriter(conn, CompressionLevel)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/router/config.go
+++ b/router/config.go
@@ -39,6 +39,7 @@
 	core := sched.DefaultConfig(s.Name, incarnation)
 	core.Hysteresis = s.Scheduler.Hysteresis
 	core.Fairness.ReportError = s.Scheduler.ReportError
+	core.ReportEvery = time.Duration(s.Scheduler.ReportEvery)
 	core.Heartbeat = time.Duration(s.Scheduler.Heartbeat)
 	core.LeaseTTL = time.Duration(s.Scheduler.LeaseTTL)
 	core.SuspectAfter = time.Duration(s.Scheduler.SuspectAfter)
--- a/sched/config.go
+++ b/sched/config.go
@@ -19,6 +19,9 @@
 	// slot moves there. Lower narrows the fairness gap; higher saves control
 	// bytes and the round trip that a moving slot is idle.
 	Hysteresis float64
+	// ReportEvery is the shortest time between two reports of accounts. Longer
+	// gathers more into one message; the accounts are extrapolated meanwhile.
+	ReportEvery time.Duration
 	// Heartbeat is the longest time between two messages to a peer. A lease
 	// lives for LeaseTTL after one, so it must be a small part of that.
 	Heartbeat time.Duration
@@ -40,7 +43,8 @@
 		Router:       router,
 		Incarnation:  incarnation,
 		Fairness:     fairness.DefaultConfig(),
-		Hysteresis:   1.5,
+		Hysteresis:   1,
+		ReportEvery:  250 * time.Millisecond,
 		Heartbeat:    time.Second,
 		LeaseTTL:     3 * time.Second,
 		SuspectAfter: 2500 * time.Millisecond,
--- a/sched/node.go
+++ b/sched/node.go
@@ -24,7 +24,7 @@
 	live     []string
 	lastTerm uint64
 	// startedAt opens the first books; tickedAt tells a pause from a tick.
-	startedAt, tickedAt time.Time
+	startedAt, tickedAt, reportedAt time.Time
 	// joined is set once a peer's snapshot came, or when nobody has one.
 	joined  bool
 	leaving bool
--- a/sched/requests.go
+++ b/sched/requests.go
@@ -26,7 +26,7 @@
 	p.accounts.Arrive(now, r.Team)
 	n.requests[r.ID] = &r
 	p.queue.Push(r.Team, r.ID)
-	p.accounts.SetWaiting(r.Team, p.queue.Waiting(r.Team))
+	p.accounts.SetWaiting(now, r.Team, p.queue.Waiting(r.Team))
 	n.wake(now, p)
 	n.ask(now, p, r.Team)
 	n.flush(now)
@@ -66,7 +66,7 @@
 	p := n.pools[r.Pool]
 	delete(n.requests, id)
 	p.queue.Remove(r.Team, id)
-	p.accounts.SetWaiting(r.Team, p.queue.Waiting(r.Team))
+	p.accounts.SetWaiting(now, r.Team, p.queue.Waiting(r.Team))
 	n.wake(now, p)
 	n.flush(now)
 	return true
@@ -121,7 +121,7 @@
 		p := n.pools[r.Pool]
 		delete(n.requests, id)
 		p.queue.Remove(r.Team, id)
-		p.accounts.SetWaiting(r.Team, p.queue.Waiting(r.Team))
+		p.accounts.SetWaiting(now, r.Team, p.queue.Waiting(r.Team))
 		n.do(Refuse{Request: id, Reason: Leaving, RetryAfter: minRetryAfter})
 	}
 	n.refresh(now)
--- a/sched/sync.go
+++ b/sched/sync.go
@@ -9,24 +9,26 @@
 	"github.com/aspenswitch/aspenswitch/lease"
 )
 
-// ask tells the peers at once that a team has begun to wait, if one of them may
-// have an idle slot. Where every peer has waiting requests of its own, none is
-// idle, and the next report is soon enough.
+// ask tells the peers at once that a team has begun to wait, if one of them has
+// reason to act: it may have an idle slot, or the team is behind the others by so
+// much that a holder would give up a slot for it. Else a slot that falls idle
+// here is as good, and the next report soon enough.
 func (n *Node) ask(now time.Time, p *pool, team fairness.TeamID) {
 	if !p.accounts.Turned(team) {
 		return
 	}
-	if p.accounts.AllPeersWait() && p.running() > 0 {
+	if p.accounts.AllPeersWait() && p.running() > 0 && !n.stalled(now, p) {
 		return
 	}
-	n.report(now)
+	n.report(now, true)
 }
 
 // report queues the accounts that have left the line the peers extrapolate.
-func (n *Node) report(now time.Time) {
+func (n *Node) report(now time.Time, force bool) {
+	n.reportedAt = now
 	for _, id := range slices.Sorted(maps.Keys(n.pools)) {
 		p := n.pools[id]
-		due := p.accounts.Due(now)
+		due := p.accounts.Due(now, force)
 		if len(due) == 0 {
 			continue
 		}
@@ -52,11 +54,36 @@
 		n.tickPool(now, p)
 	}
 	n.dropLate(now)
-	n.report(now)
+	n.reportDue(now)
 	n.flush(now)
 	n.redialSilent(now)
 }
 
+// reportDue reports at most every ReportEvery: what diverged, and at once what a
+// peer would act on. What only ceased to wait goes with the next heartbeat.
+func (n *Node) reportDue(now time.Time) {
+	since := now.Sub(n.reportedAt)
+	if since < n.cfg.ReportEvery {
+		return
+	}
+	n.report(now, since >= n.cfg.Heartbeat || n.anyStalled(now))
+}
+
+func (n *Node) anyStalled(now time.Time) bool {
+	for _, p := range n.pools {
+		if n.stalled(now, p) {
+			return true
+		}
+	}
+	return false
+}
+
+// stalled reports whether a team waits here that a holder elsewhere would give
+// up a slot for, if it knew.
+func (n *Node) stalled(now time.Time, p *pool) bool {
+	return p.accounts.Stalled(now, n.cfg.Hysteresis*p.accounts.MeanCost())
+}
+
 // redialSilent asks for a new connection to each peer that has not acknowledged
 // a message for more than a heartbeat. A connection that has gone silent looks
 // like a dead peer; a new one tells them apart before the peer is suspected.
@@ -126,7 +153,7 @@
 		p := n.pools[r.Pool]
 		delete(n.requests, id)
 		p.queue.Remove(r.Team, id)
-		p.accounts.SetWaiting(r.Team, p.queue.Waiting(r.Team))
+		p.accounts.SetWaiting(now, r.Team, p.queue.Waiting(r.Team))
 		n.do(Refuse{Request: id, Reason: TooLate, RetryAfter: n.retryAfter(p, r.Team)})
 	}
 }
--- a/sched/wake.go
+++ b/sched/wake.go
@@ -40,7 +40,7 @@
 // dispatch sends the team's oldest request to an upstream.
 func (n *Node) dispatch(now time.Time, p *pool, c fairness.Candidate) {
 	id, _ := p.queue.Pop(c.Team)
-	p.accounts.SetWaiting(c.Team, p.queue.Waiting(c.Team))
+	p.accounts.SetWaiting(now, c.Team, p.queue.Waiting(c.Team))
 	r := n.requests[id]
 	delete(n.requests, id)
 	u := p.pick(now, r)
--- a/settings/check.go
+++ b/settings/check.go
@@ -113,6 +113,7 @@
 		doc.Add("/scheduler/reportError", "must be more than 0")
 	}
 	positive(doc, "/scheduler/tick", s.Tick)
+	positive(doc, "/scheduler/reportEvery", s.ReportEvery)
 	positive(doc, "/scheduler/heartbeat", s.Heartbeat)
 	if s.LeaseTTL < minHeartbeats*s.Heartbeat {
 		doc.Add("/scheduler/leaseTTL", "must be at least %d heartbeats", minHeartbeats)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -59,6 +59,7 @@
 	Hysteresis   float64        `json:"hysteresis"`
 	ReportError  float64        `json:"reportError"`
 	Tick         jsonc.Duration `json:"tick"`
+	ReportEvery  jsonc.Duration `json:"reportEvery"`
 	Heartbeat    jsonc.Duration `json:"heartbeat"`
 	LeaseTTL     jsonc.Duration `json:"leaseTTL"`
 	SuspectAfter jsonc.Duration `json:"suspectAfter"`
@@ -72,9 +73,10 @@
 			WatchersPerDomain: 1,
 		},
 		Scheduler: Scheduler{
-			Hysteresis:   1.5,
-			ReportError:  1,
+			Hysteresis:   1,
+			ReportError:  0.3,
 			Tick:         jsonc.Duration(100 * time.Millisecond),
+			ReportEvery:  jsonc.Duration(250 * time.Millisecond),
 			Heartbeat:    jsonc.Duration(time.Second),
 			LeaseTTL:     jsonc.Duration(3 * time.Second),
 			SuspectAfter: jsonc.Duration(2500 * time.Millisecond),
