--- a/cmd/aspenswitchd/main.go
+++ b/cmd/aspenswitchd/main.go
@@ -39,7 +39,7 @@
 // run serves until a signal. The first SIGTERM or SIGINT drains, a second ends.
 func run(s settings.Settings) error {
 	log := obs.NewLog(os.Stderr, s.LogLevel, s.Name)
-	d, err := daemon.New(s, log)
+	d, err := daemon.New(s, log, nil)
 	if err != nil {
 		return err
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -34,22 +34,28 @@
 	callers  *http.Server
 	admin    *http.Server
 	listen   [2]net.Listener
+	peers    net.Addr
 	drain    chan struct{}
 	once     sync.Once
 }
 
-// New opens the listeners. Run serves.
-func New(s settings.Settings, log zerolog.Logger) (*Daemon, error) {
+// New opens the listeners. Run serves. tune, if not nil, changes what settings
+// leave fixed.
+func New(s settings.Settings, log zerolog.Logger, tune func(*router.Config)) (*Daemon, error) {
 	d := &Daemon{settings: s, log: log, metrics: obs.NewMetrics("aspenswitch"), drain: make(chan struct{})}
 	peers, err := net.Listen("tcp", s.Peers.Listen)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	d.peers = peers.Addr()
 	peerTLS, err := peerTLS(s.Peers)
 	if err != nil {
 		return nil, err
 	}
 	cfg := router.NewConfig(s, router.NewIncarnation(time.Now()))
+	if tune != nil {
+		tune(&cfg)
+	}
 	d.router = router.New(cfg, router.Deps{
 		Log: log, Metrics: d.metrics, Peers: peers, PeerTLS: peerTLS,
 		Platform: platform.NewClient(s.Platform.URL, cfg.WatchWait),
@@ -87,6 +93,18 @@
 	return router.PeerTLS{Server: server, Client: client}, err
 }
 
+// Addresses are where the daemon listens, for settings with port 0.
+type Addresses struct{ Callers, Admin, Peers string }
+
+// Addresses returns where the daemon listens.
+func (d *Daemon) Addresses() Addresses {
+	return Addresses{
+		Callers: d.listen[0].Addr().String(),
+		Admin:   d.listen[1].Addr().String(),
+		Peers:   d.peers.String(),
+	}
+}
+
 // Drain begins a graceful shutdown.
 func (d *Daemon) Drain() { d.once.Do(func() { close(d.drain) }) }
 
--- a/jsonc/walk.go
+++ b/jsonc/walk.go
@@ -11,8 +11,12 @@
 
 var unmarshaler = reflect.TypeFor[json.Unmarshaler]()
 
-// walk decodes one value into target and notes what doesn't fit.
+// walk decodes one value into target and notes what doesn't fit. null is as good
+// as a field that is not there.
 func (d *Document) walk(v *hujson.Value, target reflect.Value, path string) {
+	if literal, ok := v.Value.(hujson.Literal); ok && string(literal) == "null" {
+		return
+	}
 	if target.CanAddr() && target.Addr().Type().Implements(unmarshaler) {
 		d.leaf(v, target, path)
 		return
