--- a/jsonc/document.go
+++ b/jsonc/document.go
@@ -58,7 +58,14 @@
 	d.addAt(offset, path, fmt.Sprintf(format, args...))
 }
 
+// maxFindings bounds the report: a file with more is not a bundle that somebody
+// wrote, and looking for each place would take a time that grows with its square.
+const maxFindings = 200
+
 func (d *Document) addAt(offset int, path, message string) {
+	if len(d.findings) >= maxFindings {
+		return
+	}
 	before := d.raw[:min(offset, len(d.raw))]
 	d.findings = append(d.findings, Finding{
 		File:    d.file,
