--- a/Makefile
+++ b/Makefile
@@ -24,5 +24,8 @@
 bench-quick: build
 	$(BIN)/aspenswitch-load bench --quick --bounds bench/bounds.json --out out
 
+bench-capacity: build
+	$(BIN)/aspenswitch-load capacity
+
 clean:
 	rm -rf $(BIN)
--- a/cmd/aspenswitch-load/main.go
+++ b/cmd/aspenswitch-load/main.go
@@ -12,8 +12,10 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/aspenswitch/aspenswitch/capacity"
 	"github.com/aspenswitch/aspenswitch/experiment"
 	"github.com/aspenswitch/aspenswitch/load"
+	"github.com/aspenswitch/aspenswitch/overhead"
 	"github.com/aspenswitch/aspenswitch/version"
 )
 
@@ -27,9 +29,26 @@
 	quick := bench.Flag("quick", "Fewer seeds, shorter loads.").Bool()
 	bounds := bench.Flag("bounds", "Regression bounds; a figure beyond its bound fails.").ExistingFile()
 	dir := bench.Flag("out", "Folder for results.").Default("out").String()
+	over := app.Command("overhead", "Measure what one router adds to a stream, on loopback.")
+	size := overhead.Config{}
+	over.Flag("streams", "Streams to send each way.").Default("20000").IntVar(&size.Streams)
+	over.Flag("callers", "Streams at once.").Default("4").IntVar(&size.Callers)
+	over.Flag("tokens", "Events of each stream.").Default("16").IntVar(&size.Tokens)
+	slopes := app.Command("capacity", "Measure how control grows, and write it into the capacity page.")
+	page := slopes.Flag("page", "Page with the marks.").Default("docs/CAPACITY.md").String()
+	figures := slopes.Flag("out", "File for the figures as JSON.").Default("docs/capacity.json").String()
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case run.FullCommand():
 		app.FatalIfError(runPlan(*plan, *out), "")
+	case over.FullCommand():
+		r, err := overhead.Measure(size)
+		app.FatalIfError(err, "")
+		r.Print(os.Stdout)
+	case slopes.FullCommand():
+		r := capacity.Measure()
+		fmt.Print(r.Table())
+		app.FatalIfError(r.Write(*figures), "")
+		app.FatalIfError(r.WritePage(*page), "")
 	case bench.FullCommand():
 		app.FatalIfError(runBench(*quick, *bounds, *dir), "bench")
 	}
--- a/experiment/bench.go
+++ b/experiment/bench.go
@@ -87,6 +87,7 @@
 	return []Comparison{
 		Compare(func(s uint64) Load { return Midlands(s, duration) }, seeds),
 		Compare(func(s uint64) Load { return Vilaine(s, duration) }, seeds),
+		Compare(func(s uint64) Load { return JustFull(s, duration) }, seeds),
 	}
 }
 
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -49,6 +49,7 @@
 	largeShare = 4
 	// halfLoad is the part of the peak demand in the quiet phases.
 	halfLoad = 0.4
+	justFull = 0.98
 )
 
 // smallDemands are the offered loads of the small teams, in turn: two stay
@@ -76,6 +77,18 @@
 	}
 }
 
+// JustFull is the Midlands fleet whose teams together ask for a little less than
+// there is: slots fall idle now and then beside a router with waiting requests.
+// It is the worst case for control traffic.
+func JustFull(seed uint64, duration time.Duration) Load {
+	l := Midlands(seed, duration)
+	l.Name, l.Phase = "just-full", 0
+	for i := range l.Teams {
+		l.Teams[i].Demand = justFull
+	}
+	return l
+}
+
 // Vilaine is the brief's second fleet: 15 runners, longer delays.
 func Vilaine(seed uint64, duration time.Duration) Load {
 	return Load{
--- a/sched/node.go
+++ b/sched/node.go
@@ -28,7 +28,7 @@
 	liveHash uint32
 	lastTerm uint64
 	// startedAt opens the first books; tickedAt tells a pause from a tick.
-	startedAt, tickedAt, reportedAt time.Time
+	startedAt, tickedAt, reportedAt, askedAt time.Time
 	// joined is set once a peer's snapshot came, or when nobody has one.
 	joined  bool
 	leaving bool
--- a/sched/sync.go
+++ b/sched/sync.go
@@ -17,18 +17,26 @@
 	if !p.accounts.Unasked(team) {
 		return
 	}
-	if p.accounts.AllPeersWait() && p.running() > 0 && !n.stalled(now, p) {
+	if n.askTooSoon(now, p) || (p.accounts.AllPeersWait() && p.running() > 0 && !n.stalled(now, p)) {
 		return
 	}
+	n.askedAt = now
 	n.report(now, true)
 }
 
+// askTooSoon spaces asks where slots of this router's own fall idle now and then
+// anyway. A fleet that is just full would otherwise ask all peers for each request.
+func (n *Node) askTooSoon(now time.Time, p *pool) bool {
+	return p.running() > 0 && now.Sub(n.askedAt) < n.cfg.AskEvery
+}
+
 // askAgain asks for every team that began to wait unseen, once a peer may have
 // an idle slot after all.
 func (n *Node) askAgain(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(n.pools)) {
 		p := n.pools[id]
-		if p.accounts.AnyUnasked() && !p.accounts.AllPeersWait() {
+		if p.accounts.AnyUnasked() && !p.accounts.AllPeersWait() && !n.askTooSoon(now, p) {
+			n.askedAt = now
 			n.report(now, true)
 			return
 		}
@@ -74,6 +82,7 @@
 		n.tickPool(now, p)
 	}
 	n.dropLate(now)
+	n.askAgain(now)
 	n.reportDue(now)
 	n.flush(now)
 	n.redialSilent(now)
