Properties of the whole scheduler, and a proof that each failure test can fail

A mutation that could not bite (a timer that is reset anyway) was replaced.

Change: GapBound with thirty seeded random loads, no starvation, idle slot time; prove takes 38 safeguards out one at a time; idle slots are parked where the work is and given up by halves. Fields of orders, which did nothing, are gone.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build demo test bench bench-quick bench-capacity lint clean
+.PHONY: build demo test bench bench-quick bench-capacity prove lint clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -27,5 +27,8 @@
 bench-capacity: build
 	$(BIN)/aspenswitch-load capacity
 
+prove:
+	$(GO) run ./prove
+
 clean:
 	rm -rf $(BIN)
--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -37,8 +37,6 @@
 	// Service is the name of a plain service, with its routes.
 	Service string  `json:"service"`
 	Routes  []Route `json:"routes"`
-	// Orders are what the pool's engines are told to load.
-	Orders []string `json:"orders"`
 }
 
 // Route says how requests of a plain service are to be treated.
@@ -73,8 +71,6 @@
 	Slots int `json:"slots"`
 	// Resumable engines continue a broken stream from a given event.
 	Resumable bool `json:"resumable"`
-	// ChecksOrders is set if the engine refuses an order with an old fencing number.
-	ChecksOrders bool `json:"checksOrders"`
 	// Leaving upstreams get no new work.
 	Leaving bool `json:"leaving"`
 }
@@ -85,8 +81,6 @@
 	BodyBytes int64 `json:"bodyBytes"`
 	// QueuePerTeam is how many requests of a team may wait at one router.
 	QueuePerTeam int `json:"queuePerTeam"`
-	// OrdersPerMinute bounds loads from the weight store over the whole fleet.
-	OrdersPerMinute int `json:"ordersPerMinute"`
 }
 
 // PoolNamed returns the pool with the name.
--- a/bundle/bundle_suite_test.go
+++ b/bundle/bundle_suite_test.go
@@ -9,5 +9,8 @@
 
 func TestBundle(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "Bundle")
+	// The same order of specs in every run.
+	suite, reporter := GinkgoConfiguration()
+	suite.RandomSeed = 1
+	RunSpecs(t, "Bundle", suite, reporter)
 }
--- a/bundle/check.go
+++ b/bundle/check.go
@@ -14,7 +14,6 @@
 	maxSlots        = 4096
 	defaultBody     = 1 << 20
 	defaultQueue    = 1000
-	defaultOrders   = 6
 	maxBundleBytes  = 1 << 20
 	maxShare        = 1e6
 	minShare        = 1e-3
@@ -47,9 +46,6 @@
 	if l.QueuePerTeam == 0 {
 		l.QueuePerTeam = defaultQueue
 	}
-	if l.OrdersPerMinute == 0 {
-		l.OrdersPerMinute = defaultOrders
-	}
 }
 
 // checker collects the findings about a bundle's values.
@@ -167,8 +163,8 @@
 	if (u.Kind == Service) != (p.Service != "") {
 		c.doc.Add(at+"/kind", "pool %q is not for upstreams of kind %q", u.Pool, u.Kind)
 	}
-	if u.Kind == Service && (u.Resumable || u.ChecksOrders) {
-		c.doc.Add(at, "only engines are resumable or check orders")
+	if u.Kind == Service && u.Resumable {
+		c.doc.Add(at+"/resumable", "only engines are resumable")
 	}
 }
 
@@ -180,9 +176,6 @@
 	if l.QueuePerTeam < 0 {
 		c.doc.Add("/limits/queuePerTeam", "must not be negative")
 	}
-	if l.OrdersPerMinute < 0 {
-		c.doc.Add("/limits/ordersPerMinute", "must not be negative")
-	}
 }
 
 func (c *checker) id(seen unique[int], at string, id int) {
--- a/cmd/aspenswitch-standin/main.go
+++ b/cmd/aspenswitch-standin/main.go
@@ -29,7 +29,6 @@
 	engine.Flag("first-token", "Time to the first token.").Default("20ms").DurationVar(&cfg.FirstToken)
 	engine.Flag("per-token", "Time for each token.").Default("5ms").DurationVar(&cfg.PerToken)
 	engine.Flag("cached-prompts", "Prompt starts in the prefix cache.").Default("32").IntVar(&cfg.CachedPrompts)
-	engine.Flag("checks-orders", "Refuse orders with an old fencing number.").BoolVar(&cfg.ChecksOrders)
 	engine.Flag("report-lag", "Age of load reports.").Default("200ms").DurationVar(&cfg.ReportLag)
 	engine.Flag("break-after", "Cut each stream after so many events; 0 never.").IntVar(&cfg.BreakAfter)
 	service := app.Command("service", "A plain service that counts its runs by key.")
--- a/daemon/suite_test.go
+++ b/daemon/suite_test.go
@@ -9,5 +9,8 @@
 
 func TestDaemon(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "Daemon")
+	// The same order of specs in every run.
+	suite, reporter := GinkgoConfiguration()
+	suite.RandomSeed = 1
+	RunSpecs(t, "Daemon", suite, reporter)
 }
--- a/experiment/meter.go
+++ b/experiment/meter.go
@@ -19,6 +19,9 @@
 	// startSum is the sum of the running requests' start times in seconds.
 	startSum float64
 	waits    []float64
+	// quiet is how long the team has waited without any request being served,
+	// longest the longest time that was so.
+	quiet, longest time.Duration
 }
 
 // service is the team's slot time so far, in seconds.
@@ -26,6 +29,16 @@
 	return t.done + float64(t.running)*now.Seconds() - t.startSum
 }
 
+// wait adds a sample to the time without service.
+func (t *teamMeter) wait() {
+	if t.waiting == 0 {
+		t.quiet = 0
+		return
+	}
+	t.quiet += sampleEvery
+	t.longest = max(t.longest, t.quiet)
+}
+
 // meter measures what the brief asks for.
 type meter struct {
 	slots   int
@@ -66,6 +79,7 @@
 	m.waiting--
 	t.running++
 	t.startSum += now.Seconds()
+	t.quiet = 0
 	t.waits = append(t.waits, waited.Seconds())
 	m.busy++
 }
@@ -106,6 +120,9 @@
 			m.window.observe(i, j, both, m.weights[i]-m.weights[j])
 		}
 	}
+	for i := range m.teams {
+		m.teams[i].wait()
+	}
 	if now%gapWindow == 0 {
 		m.windowSum += m.window.gap
 		m.windows++
@@ -124,7 +141,7 @@
 
 // point adds the teams' service to the plot's series.
 func (m *meter) point(now time.Duration) {
-	row := []float64{now.Seconds()}
+	row := []float64{(now - warmUp).Seconds()}
 	for i := range m.teams {
 		row = append(row, m.teams[i].service(now)/m.teams[i].share)
 	}
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -98,7 +98,7 @@
 func (r *run) sample() {
 	r.meter.sample(r.now)
 	if r.now%(250*time.Millisecond) == 0 {
-		r.meter.point(r.now - warmUp)
+		r.meter.point(r.now)
 	}
 	r.after(sampleEvery, r.sample)
 }
--- a/fairness/accounts.go
+++ b/fairness/accounts.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -42,7 +43,8 @@
 	cfg   Config
 	teams map[TeamID]*account
 	order []*account
-	peers map[string]*peer
+	// peers are sorted by name, so that sums add up alike in every run.
+	peers []*peer
 	// meanCost is learned from requests that ended here, in slot seconds.
 	meanCost float64
 	learned  int
@@ -59,7 +61,6 @@
 	return &Accounts{
 		cfg:      cfg,
 		teams:    map[TeamID]*account{},
-		peers:    map[string]*peer{},
 		meanCost: meanCost,
 	}
 }
@@ -176,6 +177,17 @@
 	return a.key(now, acc)
 }
 
+// peerNamed finds the views of a router.
+func (a *Accounts) peerNamed(name string) (*peer, bool) {
+	i, ok := slices.BinarySearchFunc(a.peers, name, func(p *peer, name string) int {
+		return strings.Compare(p.name, name)
+	})
+	if !ok {
+		return nil, false
+	}
+	return a.peers[i], true
+}
+
 // remoteWaiting is the number of the team's requests that wait at other routers.
 func (a *Accounts) remoteWaiting(id TeamID) int {
 	n := 0
--- a/fairness/next.go
+++ b/fairness/next.go
@@ -52,17 +52,17 @@
 }
 
 // longestQueue is the live router with most waiting requests of the team; the
-// name breaks ties, so that every router picks the same one.
+// first by name where several are.
 func (a *Accounts) longestQueue(id TeamID) string {
 	router, most := "", 0
-	for name, p := range a.peers {
+	for _, p := range a.peers {
 		v, ok := p.views[id]
 		if p.gone || !ok {
 			continue
 		}
 		w := v.waiting()
-		if w > most || (w == most && w > 0 && name < router) {
-			router, most = name, w
+		if w > most {
+			router, most = p.name, w
 		}
 	}
 	return router
@@ -71,18 +71,27 @@
 // Assume notes that n slots were given up for the team's requests that wait at
 // router, until its next report tells what came of it.
 func (a *Accounts) Assume(router string, id TeamID, n int) {
-	if p, ok := a.peers[router]; ok {
+	if p, ok := a.peerNamed(router); ok {
 		if v, ok := p.views[id]; ok {
 			v.assumed += n
 		}
 	}
 }
 
-// RemoteWaiting is the number of requests known to wait at other routers.
-func (a *Accounts) RemoteWaiting() int {
+// Activity is the number of requests that run and wait at a router, as far as is
+// known; "" names this one.
+func (a *Accounts) Activity(router string) int {
 	n := 0
-	for _, acc := range a.order {
-		n += a.remoteWaiting(acc.id)
+	if router == "" {
+		for _, acc := range a.order {
+			n += acc.own.Running + acc.own.Waiting
+		}
+		return n
+	}
+	if p, ok := a.peerNamed(router); ok && !p.gone {
+		for _, v := range p.views {
+			n += v.tally.Running + v.tally.Waiting
+		}
 	}
 	return n
 }
--- a/fairness/peer.go
+++ b/fairness/peer.go
@@ -2,6 +2,7 @@
 
 // peer holds the reports of one incarnation of another router.
 type peer struct {
+	name        string
 	incarnation uint64
 	// gone is set while the router is not live: its service still counts, its
 	// running and waiting requests don't.
--- a/fairness/report.go
+++ b/fairness/report.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/bits"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -214,15 +215,18 @@
 // earlier incarnation moves to the base, so that a restart neither resets a
 // team's account nor counts it twice.
 func (a *Accounts) peerOf(router string, incarnation uint64) *peer {
-	p, ok := a.peers[router]
+	p, ok := a.peerNamed(router)
 	if ok && p.incarnation == incarnation {
 		return p
 	}
 	if ok {
 		a.fold(p)
+	} else {
+		p = &peer{name: router}
+		a.peers = append(a.peers, p)
+		slices.SortFunc(a.peers, func(x, y *peer) int { return strings.Compare(x.name, y.name) })
 	}
-	p = &peer{incarnation: incarnation, views: map[TeamID]*view{}}
-	a.peers[router] = p
+	*p = peer{name: router, incarnation: incarnation, views: map[TeamID]*view{}}
 	return p
 }
 
@@ -237,7 +241,7 @@
 
 // SetGone tells whether a router is no longer live.
 func (a *Accounts) SetGone(router string, gone bool) {
-	if p, ok := a.peers[router]; ok {
+	if p, ok := a.peerNamed(router); ok {
 		p.gone = gone
 	}
 }
--- a/fairness/snapshot.go
+++ b/fairness/snapshot.go
@@ -26,8 +26,8 @@
 			s.Base = append(s.Base, Entry{Team: acc.id, Tally: Tally{Service: acc.base}, Lift: acc.lift})
 		}
 	}
-	for name, p := range a.peers {
-		ps := PeerSnapshot{Router: name, Incarnation: p.incarnation}
+	for _, p := range a.peers {
+		ps := PeerSnapshot{Router: p.name, Incarnation: p.incarnation}
 		for _, acc := range a.order {
 			if v, ok := p.views[acc.id]; ok {
 				tally := v.tally
@@ -51,7 +51,7 @@
 		}
 	}
 	for _, ps := range s.Peers {
-		if _, known := a.peers[ps.Router]; known || ps.Router == self {
+		if _, known := a.peerNamed(ps.Router); known || ps.Router == self {
 			continue
 		}
 		a.Merge(now, ps.Router, ps.Incarnation, ps.Entries)
--- a/sched/home.go
+++ b/sched/home.go
@@ -83,7 +83,7 @@
 			continue
 		}
 		for u.book.Free(now) > 0 {
-			router := n.fewestSlots(p, u.book)
+			router := n.parkAt(p, u.book)
 			if router == n.cfg.Router {
 				n.grantSelf(now, u, 1)
 			} else {
@@ -93,17 +93,27 @@
 	}
 }
 
-// fewestSlots is the live router with fewest slots of the upstream.
-func (n *Node) fewestSlots(p *pool, b *lease.Book) string {
-	router, fewest := n.cfg.Router, b.Held(n.cfg.Router)
+// parkAt is the live router that has the most work in the pool for each slot of
+// the upstream that it holds, so that idle slots lie where requests come.
+func (n *Node) parkAt(p *pool, b *lease.Book) string {
+	router, most := n.cfg.Router, workPerSlot(p, b, n.cfg.Router, "")
 	for _, name := range n.live {
-		if held := b.Held(name); held < fewest {
-			router, fewest = name, held
+		if name == n.cfg.Router {
+			continue
+		}
+		if work := workPerSlot(p, b, name, name); work > most {
+			router, most = name, work
 		}
 	}
 	return router
 }
 
+// workPerSlot counts one more request and slot each, so that a router without
+// work gets slots too.
+func workPerSlot(p *pool, b *lease.Book, router, account string) float64 {
+	return float64(p.accounts.Activity(account)+1) / float64(b.Held(router)+1)
+}
+
 // reportFresh is how long an upstream's load report is believed.
 const reportFresh = 2 * time.Second
 
--- a/sched/requests.go
+++ b/sched/requests.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/fairness"
@@ -117,7 +119,8 @@
 func (n *Node) Leave(now time.Time) {
 	n.leaving = true
 	n.view.Leave()
-	for id, r := range n.requests {
+	for _, id := range slices.Sorted(maps.Keys(n.requests)) {
+		r := n.requests[id]
 		p := n.pools[r.Pool]
 		delete(n.requests, id)
 		p.queue.Remove(r.Team, id)
--- a/sched/sync.go
+++ b/sched/sync.go
@@ -24,12 +24,16 @@
 	n.report(now, true)
 }
 
-// askTooSoon spaces asks where slots of this router's own fall idle now and then
-// anyway. A fleet that is just full would otherwise ask all peers for each request.
+// askTooSoon spaces asks for a request or two where slots of this router's own
+// fall idle now and then anyway. A fleet that is just full would otherwise ask
+// all peers for each request. A burst is asked for at once.
 func (n *Node) askTooSoon(now time.Time, p *pool) bool {
-	return p.running() > 0 && now.Sub(n.askedAt) < n.cfg.AskEvery
+	return p.running() > 0 && p.queue.Len() <= fewWaiting && now.Sub(n.askedAt) < n.cfg.AskEvery
 }
 
+// fewWaiting is how many waiting requests are no burst.
+const fewWaiting = 2
+
 // askAgain asks for every team that began to wait unseen, once a peer may have
 // an idle slot after all.
 func (n *Node) askAgain(now time.Time) {
@@ -78,8 +82,8 @@
 	n.refresh(now)
 	// Where every router starts at once nobody has a snapshot to give.
 	n.joined = n.joined || now.Sub(n.startedAt) > 2*n.cfg.Heartbeat
-	for _, p := range n.pools {
-		n.tickPool(now, p)
+	for _, id := range slices.Sorted(maps.Keys(n.pools)) {
+		n.tickPool(now, n.pools[id])
 	}
 	n.dropLate(now)
 	n.askAgain(now)
@@ -176,7 +180,8 @@
 
 // dropLate refuses waiting requests whose deadline has passed.
 func (n *Node) dropLate(now time.Time) {
-	for id, r := range n.requests {
+	for _, id := range slices.Sorted(maps.Keys(n.requests)) {
+		r := n.requests[id]
 		if r.Deadline.IsZero() || now.Before(r.Deadline) {
 			continue
 		}
--- a/sched/wake.go
+++ b/sched/wake.go
@@ -23,7 +23,7 @@
 		}
 		local, waits := p.accounts.NextLocal(now)
 		remote, elsewhere := p.accounts.NextRemote(now)
-		if elsewhere && n.ahead(p, local, waits, remote) && n.pass(now, p, u, remote) {
+		if elsewhere && n.ahead(p, local, waits, remote) && n.pass(now, p, u, remote, waits) {
 			continue
 		}
 		if !waits {
@@ -58,10 +58,16 @@
 	n.do(Dispatch{Request: id, Upstream: u.ID, Until: u.holding.Until()})
 }
 
-// pass gives one idle slot up for the remote candidate. It returns false if the
-// slot can't go back, since its home has not taken in the claim yet.
-func (n *Node) pass(now time.Time, p *pool, u *upstream, remote fairness.Candidate) bool {
-	if !n.giveUp(u, 1) {
+// pass gives an idle slot up for the remote candidate, and half of the upstream's
+// idle ones where no work waits here: a router that had to ask is short of them.
+// It returns false if slots can't go back, since their home has not taken in the
+// claim yet.
+func (n *Node) pass(now time.Time, p *pool, u *upstream, remote fairness.Candidate, waits bool) bool {
+	slots := 1
+	if !waits {
+		slots = (u.idle(now) + 1) / 2
+	}
+	if !n.giveUp(u, slots) {
 		return false
 	}
 	if u.book == nil {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,8 +24,6 @@
 	// CachedPrompts is how many prompt starts the prefix cache holds; a hit
 	// halves the time to the first token.
 	CachedPrompts int
-	// ChecksOrders refuses an order with an old fencing number.
-	ChecksOrders bool
 	// ReportLag is how old load reports are.
 	ReportLag time.Duration
 	// BreakAfter cuts a stream's connection after so many events; 0 never.
@@ -45,15 +42,6 @@
 	runs    map[string]int
 	cache   []uint64
 	report  limits.Load
-	fence   uint64
-	orders  []Order
-}
-
-// Order tells an engine what to load or which role to play.
-type Order struct {
-	Fence uint64 `json:"fence"`
-	Load  string `json:"load,omitempty"`
-	Role  string `json:"role,omitempty"`
 }
 
 // NewEngine returns an engine.
@@ -73,8 +61,6 @@
 	e.DELETE("/v1/streams/:id", g.cancel)
 	e.GET("/load", g.load)
 	e.GET("/runs", func(c echo.Context) error { return c.JSON(http.StatusOK, g.Runs()) })
-	e.POST("/orders", g.order)
-	e.GET("/orders", func(c echo.Context) error { return c.JSON(http.StatusOK, g.Orders()) })
 	return e
 }
 
@@ -207,26 +193,3 @@
 	})
 	return c.JSON(http.StatusOK, g.report)
 }
-
-// order takes an order. An engine that checks refuses an old fencing number.
-func (g *Engine) order(c echo.Context) error {
-	var o Order
-	if err := c.Bind(&o); err != nil {
-		return err
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.cfg.ChecksOrders && o.Fence < g.fence {
-		return echo.NewHTTPError(http.StatusConflict, "old fencing number, the last was "+strconv.FormatUint(g.fence, 10))
-	}
-	g.fence = max(g.fence, o.Fence)
-	g.orders = append(g.orders, o)
-	return c.NoContent(http.StatusNoContent)
-}
-
-// Orders returns the orders that took effect, oldest first.
-func (g *Engine) Orders() []Order {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return append([]Order{}, g.orders...)
-}
