--- a/prove/main.go
+++ b/prove/main.go
@@ -90,7 +90,8 @@
 	return nil
 }
 
-// withoutIt runs the test on the copy without the safeguard.
+// withoutIt runs the test on the copy without the safeguard. A test that hangs
+// fails too: its caller would wait for good.
 func (s safeguard) withoutIt(dir string) (failed bool, err error) {
 	file := filepath.Join(dir, s.File)
 	raw, err := os.ReadFile(file)
@@ -105,7 +106,7 @@
 		return false, err
 	}
 	defer func() { _ = os.WriteFile(file, raw, 0o644) }()
-	args := []string{"test", "-count=1", s.Package, "-run", s.Test}
+	args := []string{"test", "-count=1", "-timeout", "60s", s.Package, "-run", s.Test}
 	if s.Focus != "" {
 		args = append(args, "-ginkgo.focus", s.Focus)
 	}
--- a/sched/failure_test.go
+++ b/sched/failure_test.go
@@ -79,6 +79,20 @@
 	g.Expect(f.busy(0)).To(Equal(f.slots()))
 }
 
+// One router gets one request after another, each longer than the test, while all
+// other routers are idle. It must ask for every one that finds no slot here, and
+// not only for the first: the others wait beside idle slots otherwise.
+func TestEveryFurtherRequestFindsAnIdleSlot(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, 4, 4, 4)
+	f.settle()
+	for n := range f.slots() {
+		id := f.arrive(0, 1)
+		f.run(sched.DefaultConfig("", 0).AskEvery + 50*time.Millisecond)
+		g.Expect(f.running[id].at.IsZero()).To(BeFalse(), "request %d waits beside idle slots", n+1)
+	}
+}
+
 // A router is killed under load. The others' slots go on, its homes move, and
 // within one lease time and the time to suspect it every slot is in use again.
 func TestKilledRoutersSlotsComeBackWithinALease(t *testing.T) {
