--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build demo test bench bench-quick bench-capacity prove lint clean
+.PHONY: build demo demo-freeze test bench bench-quick bench-capacity prove lint clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -10,6 +10,10 @@
 demo: build
 	./demo/run.sh $(BIN)
 
+# The same with a router that is stopped and woken late.
+demo-freeze: build
+	./demo/run.sh $(BIN) freeze
+
 test:
 	$(GO) test -race ./...
 
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -1,9 +1,11 @@
 #!/bin/sh
 # Runs the whole path on loopback as separate processes: a platform, four
 # engines, a plain service and three routers, with callers that check every
-# answer while one router is killed. Ends with what aspenswitch-load says.
+# answer while one router is killed, or with "freeze" as second argument stopped for
+# six seconds and woken. Ends with what aspenswitch-load says.
 set -eu
 bin=$1
+fault=${2:-kill}
 here=$(dirname "$0")
 dir=$(mktemp -d)
 pids=""
@@ -79,12 +81,24 @@
 	sleep 0.1
 done
 status
-echo "sending requests; vm3 is killed after 4 seconds"
-(sleep 4 && kill -9 "$pid_vm3") &
+case $fault in
+kill)
+	echo "sending requests; vm3 is killed after 4 seconds"
+	(sleep 4 && kill -9 "$pid_vm3") &
+	;;
+freeze)
+	echo "sending requests; vm3 is stopped after 2 seconds and woken after 8"
+	(sleep 2 && kill -STOP "$pid_vm3" && sleep 6 && kill -CONT "$pid_vm3") &
+	;;
+*)
+	echo "the fault must be kill or freeze" >&2
+	exit 2
+	;;
+esac
 pids="$pids $!"
 result=0
 "$bin/aspenswitch-load" run --out "$dir/result.json" "$here/plan.json" || result=$?
-echo "after the run (vm3 was killed and does not answer):"
+echo "after the run:"
 status 2>/dev/null || true
 if [ -n "${DEMO_LOGS:-}" ]; then
 	mkdir -p "$DEMO_LOGS"
