--- a/sched/failure_test.go
+++ b/sched/failure_test.go
@@ -88,7 +88,7 @@
 	f.settle()
 	for n := range f.slots() {
 		id := f.arrive(0, 1)
-		f.run(sched.DefaultConfig("", 0).AskEvery + 50*time.Millisecond)
+		f.run(100 * time.Millisecond)
 		g.Expect(f.running[id].at.IsZero()).To(BeFalse(), "request %d waits beside idle slots", n+1)
 	}
 }
--- /dev/null
+++ b/sched/tick.go
@@ -0,0 +1,105 @@
+package sched
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Tick does what time alone brings about. Call it every 50 to 100 ms.
+func (n *Node) Tick(now time.Time) {
+	if now.Sub(n.tickedAt) >= n.cfg.LeaseTTL {
+		n.woke(now)
+	}
+	n.tickedAt = now
+	for _, name := range n.view.Peers(now) {
+		n.linkTo(name)
+	}
+	n.refresh(now)
+	// Where every router starts at once nobody has a snapshot to give.
+	n.joined = n.joined || now.Sub(n.startedAt) > 2*n.cfg.Heartbeat
+	for _, id := range slices.Sorted(maps.Keys(n.pools)) {
+		n.tickPool(now, n.pools[id])
+	}
+	n.dropLate(now)
+	n.askAgain(now)
+	n.reportDue(now)
+	n.flush(now)
+	n.redialSilent(now)
+}
+
+// redialSilent asks for a new connection to each peer that has not acknowledged
+// a message for more than a heartbeat. A connection that has gone silent looks
+// like a dead peer; a new one tells them apart before the peer is suspected.
+func (n *Node) redialSilent(now time.Time) {
+	patience := n.cfg.Heartbeat + n.cfg.Heartbeat/2
+	for _, name := range slices.Sorted(maps.Keys(n.links)) {
+		l := n.links[name]
+		oldest, waits := l.oldestUnacked()
+		if !waits || now.Sub(oldest) < patience || now.Sub(l.redialedAt) < patience {
+			continue
+		}
+		l.redialedAt = now
+		l.urgent = true
+		n.do(Redial{To: name})
+	}
+}
+
+// woke begins again after a pause of a lease time or more. The peers have
+// re-homed this router's upstreams and may have granted every slot, so its own
+// books are void like its leases; without this a paused home would send on
+// slots that it granted itself before the pause.
+func (n *Node) woke(now time.Time) {
+	n.tickedAt = now
+	for _, p := range n.pools {
+		for _, u := range p.upstreams {
+			u.holding.Expire(now)
+			n.dropBook(u)
+		}
+	}
+	n.unsettleAll()
+	n.rehome(now)
+}
+
+func (n *Node) tickPool(now time.Time, p *pool) {
+	p.accounts.ClampLag(now)
+	for _, u := range p.upstreams {
+		if u.book != nil {
+			u.book.Renew(n.cfg.Router, n.cfg.Incarnation, n.ownLease())
+			u.holding.Extend(n.ownLease())
+			u.book.Expire(now)
+			n.setLimit(now, u)
+			if u.holding.Claiming() {
+				n.reportSelf(u)
+			}
+			continue
+		}
+		if u.holding.Expire(now) || u.holding.Claiming() {
+			n.claim(u)
+		}
+	}
+	n.wake(now, p)
+	n.park(now, p)
+	n.wake(now, p)
+}
+
+func (n *Node) claim(u *upstream) {
+	if home := u.holding.Home(); home != "" && n.view.Incarnation(home) != 0 {
+		n.linkTo(home).reports[u.ID] = true
+	}
+}
+
+// dropLate refuses waiting requests whose deadline has passed.
+func (n *Node) dropLate(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(n.requests)) {
+		r := n.requests[id]
+		if r.Deadline.IsZero() || now.Before(r.Deadline) {
+			continue
+		}
+		p := n.pools[r.Pool]
+		delete(n.requests, id)
+		p.queue.Remove(r.Team, id)
+		p.accounts.SetWaiting(now, r.Team, p.queue.Waiting(r.Team))
+		n.do(Refuse{Request: id, Reason: TooLate, RetryAfter: n.retryAfter(p, r.Team)})
+	}
+}
