--- a/experiment/bound_test.go
+++ b/experiment/bound_test.go
@@ -37,7 +37,7 @@
 		}
 		r := newRun(l, Fleet(nil))
 		r.run()
-		if bound := GapBound(l, sched.DefaultConfig("", 0), largest); r.meter.whole.gap > bound {
+		if bound := gapBound(l, sched.DefaultConfig("", 0), largest); r.meter.whole.gap > bound {
 			t.Errorf("load %d: gap %g is beyond the bound %g", seed, r.meter.whole.gap, bound)
 		}
 		starves := time.Duration(2*largest*float64(time.Second)) + time.Second
@@ -60,3 +60,18 @@
 		t.Fatalf("two runs of one seed: gaps %g and %g, bytes %g and %g", a.Gap, b.Gap, a.ControlBytes, b.ControlBytes)
 	}
 }
+
+// gapBound is the largest weighted service gap, in slot seconds per unit of share,
+// that the design allows between two backlogged teams; docs/FAIRNESS.md derives
+// it. largest is the cost of the load's largest request. It is loose: it lets
+// every slot be wrong at once.
+func gapBound(l Load, cfg sched.Config, largest float64) float64 {
+	least := l.Teams[0].Share
+	for _, t := range l.Teams {
+		least = min(least, t.Share)
+	}
+	slots := float64(l.Slots())
+	unseen := cfg.ReportEvery.Seconds() + tickEvery.Seconds() + 2*l.OneWay.Seconds()
+	known := (cfg.Hysteresis + float64(l.Routers)*cfg.Fairness.ReportError) * l.MeanCost
+	return known + slots/least*(unseen+cfg.Fairness.Residual*l.MeanCost+largest)
+}
--- a/experiment/outcome.go
+++ b/experiment/outcome.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"sync"
-	"time"
 )
 
 // Outcome is what one design made of one load.
@@ -111,9 +110,3 @@
 	l.Teams[0].Demand *= times
 	return l
 }
-
-// Shorter returns the load with another duration.
-func (l Load) Shorter(d time.Duration) Load {
-	l.Duration = d
-	return l
-}
--- a/fairness/accounts.go
+++ b/fairness/accounts.go
@@ -80,21 +80,9 @@
 // MeanCost is the learned cost of a request, in slot seconds.
 func (a *Accounts) MeanCost() float64 { return a.meanCost }
 
-// Own returns the router's own tally of a team.
-func (a *Accounts) Own(id TeamID) Tally {
-	if acc, ok := a.teams[id]; ok {
-		return acc.own
-	}
-	return Tally{}
-}
-
 // residual is what a running request is charged ahead, in slot seconds.
 func (a *Accounts) residual() float64 { return a.cfg.Residual * a.meanCost }
 
-// unit is one mean cost per unit of the smallest scale that keys are compared
-// on: thresholds in Config are multiples of it.
-func (a *Accounts) unit() float64 { return a.meanCost }
-
 // Start notes that a request was sent to an upstream.
 func (a *Accounts) Start(now time.Time, id TeamID) {
 	acc := a.teams[id]
--- a/fairness/doc.go
+++ b/fairness/doc.go
@@ -10,6 +10,6 @@
 // token counter (Sheng et al., OSDI 2024). Service is counted in slot seconds:
 // slots are what is scarce, their time is measured here and not told by anybody,
 // and it is charged while a request runs. What each router tells the others is
-// dead reckoned: a report carries a rate beside a value, and is sent again only
-// when the value has left the line that readers draw through it.
+// dead reckoned: a report carries the running requests beside the service, and is
+// sent again only when the service has left the line that readers draw with them.
 package fairness
--- a/fairness/lift.go
+++ b/fairness/lift.go
@@ -59,7 +59,7 @@
 			top = max(top, a.level(now, acc))
 		}
 	}
-	floor := top - a.cfg.MaxLag*a.unit()
+	floor := top - a.cfg.MaxLag*a.meanCost
 	for _, acc := range a.order {
 		if a.waits(acc) {
 			a.raise(now, acc, floor)
--- a/fairness/report.go
+++ b/fairness/report.go
@@ -110,7 +110,7 @@
 // diverged reports whether peers would err by more than ReportError. That a
 // team waits or no longer does is told along with what diverged; see Stalled.
 func (a *Accounts) diverged(now time.Time, acc *account) bool {
-	limit := a.cfg.ReportError * a.unit()
+	limit := a.cfg.ReportError * a.meanCost
 	if (acc.lift-acc.sentLift)/acc.share > limit {
 		return true
 	}
--- a/load/attempt.go
+++ b/load/attempt.go
@@ -28,7 +28,6 @@
 
 // caller sends one team's requests.
 type caller struct {
-	plan *Plan
 	team Team
 	http *http.Client
 	// routers are the base URLs in the order in which they are tried.
--- a/load/run.go
+++ b/load/run.go
@@ -44,7 +44,7 @@
 func (p *Plan) runTeam(ctx context.Context, team int, result *Result) {
 	t := p.Teams[team]
 	rng := rand.New(rand.NewPCG(p.Seed, uint64(team)))
-	c := &caller{plan: p, team: t, routers: p.Routers, http: &http.Client{
+	c := &caller{team: t, routers: p.Routers, http: &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: 256},
 	}}
 	if t.Router > 0 {
--- a/membership/view.go
+++ b/membership/view.go
@@ -127,15 +127,3 @@
 	}
 	return visible, listed
 }
-
-// Listed returns the VMs on the platform's list and this one, sorted.
-func (v *View) Listed() []string {
-	names := []string{v.self}
-	for name, m := range v.members {
-		if m.listed {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
--- a/overhead/overhead.go
+++ b/overhead/overhead.go
@@ -37,13 +37,13 @@
 
 // Path is what one way to the engine took.
 type Path struct {
-	Name               string        `json:"name"`
-	FirstP50, FirstP99 time.Duration `json:"-"`
-	WholeP50, WholeP99 time.Duration `json:"-"`
+	Name               string
+	FirstP50, FirstP99 time.Duration
+	WholeP50, WholeP99 time.Duration
 	// CPU is the process's processor time, callers and engine included.
-	CPU time.Duration `json:"-"`
+	CPU time.Duration
 	// Allocs counts allocations of the process.
-	Allocs uint64 `json:"-"`
+	Allocs uint64
 }
 
 // Result is both ways and what the router adds.
