--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -11,6 +11,7 @@
 	"github.com/aspenswitch/aspenswitch/experiment"
 	"github.com/aspenswitch/aspenswitch/fairness"
 	"github.com/aspenswitch/aspenswitch/membership"
+	"github.com/aspenswitch/aspenswitch/overhead"
 	"github.com/aspenswitch/aspenswitch/sched"
 )
 
@@ -65,7 +66,17 @@
 		func(x float64) experiment.Load { return load(7, int(x), 1.3, true) })...)
 	r.Series = append(r.Series, outcomes("request rate", "requests a second a node", []float64{10, 20, 40, 80},
 		func(x float64) experiment.Load { return load(7, 16, 192/(7*x), true) })...)
+	r.Series = append(r.Series, outcomes("backlogged teams of 160", "backlogged teams", []float64{4, 16, 64, 156},
+		func(x float64) experiment.Load { return backlogged(int(x)) })...)
+	r.Series = append(r.Series, outcomes("upstreams, the same slots", "upstreams", []float64{12, 24, 48, 96},
+		func(x float64) experiment.Load {
+			l := load(7, 16, 1.3, true)
+			l.Upstreams, l.SlotsPerUpstream = int(x), 192/int(x)
+			return l
+		})...)
 	r.Series = append(r.Series, gapByReports())
+	r.Series = append(r.Series, tokenSeries())
+	r.Series = append(r.Series, changeSeries())
 	r.Series = append(r.Series, bundleSeries()...)
 	r.Series = append(r.Series, memorySeries()...)
 	r.Series = append(r.Series, entryBytes())
@@ -159,32 +170,106 @@
 func memorySeries() []Series {
 	teams := Series{Name: "core memory by teams", XName: "teams", YName: "megabytes of heap"}
 	for _, x := range []float64{1000, 2000, 4350, 8700} {
-		teams.Points = append(teams.Points, Point{x, nodeHeap(int(x), 0)})
+		teams.Points = append(teams.Points, Point{x, nodeHeap(int(x), 0, 950)})
 	}
 	peers := Series{Name: "core memory by peers", XName: "peers that report 100 teams each", YName: "megabytes of heap"}
 	for _, x := range []float64{10, 50, 150, 330} {
-		peers.Points = append(peers.Points, Point{x, nodeHeap(1000, int(x))})
+		peers.Points = append(peers.Points, Point{x, nodeHeap(1000, int(x), 950)})
 	}
-	return []Series{teams, peers}
+	upstreams := Series{Name: "core memory by upstreams", XName: "upstreams", YName: "megabytes of heap"}
+	for _, x := range []float64{100, 300, 600, 950} {
+		upstreams.Points = append(upstreams.Points, Point{x, nodeHeap(1000, 0, int(x))})
+	}
+	waiting := Series{Name: "core memory by waiting requests", XName: "waiting requests of 870 teams", YName: "megabytes of heap"}
+	for _, x := range []float64{1000, 5000, 20000, 50000} {
+		waiting.Points = append(waiting.Points, Point{x, queueHeap(int(x))})
+	}
+	return []Series{teams, peers, upstreams, waiting}
 }
 
-func nodeHeap(teams, peers int) float64 {
+// queueHeap is the heap of a core whose queue holds so many requests.
+func queueHeap(requests int) float64 {
 	before := heap()
 	now := time.Unix(1_700_000_000, 0)
-	n := sched.NewNode(now, sched.DefaultConfig("vm0", 1))
-	var list []membership.Listed
-	for i := range peers {
-		list = append(list, membership.Listed{Name: fmt.Sprint("vm", i+1)})
+	cfg := sched.DefaultConfig("vm0", 1)
+	cfg.QueuePerTeam = requests
+	n := sched.NewNode(now, cfg)
+	n.Configure(now, settingsOf(870, 1))
+	for i := range requests {
+		n.Arrive(now, sched.Request{ID: sched.RequestID(i + 1), Team: fairness.TeamID(i%870 + 1), Pool: 1})
 	}
-	n.SetList(now, list)
+	n.Actions()
+	after := heap()
+	runtime.KeepAlive(n)
+	return max(after-before, 0)
+}
+
+// backlogged is a load of 160 teams of which some want more than they are owed.
+func backlogged(n int) experiment.Load {
+	l := load(7, 160, 1.3, false)
+	for i := range l.Teams {
+		l.Teams[i] = experiment.Team{Share: 1, Demand: 0.5, Router: i % 7}
+		if i < n {
+			l.Teams[i].Demand = 2
+		}
+	}
+	return l
+}
+
+// tokenSeries is the processor time that a router adds to a stream, callers and
+// engine taken off, by its length.
+func tokenSeries() Series {
+	s := Series{Name: "a stream through a router", XName: "tokens", YName: "microseconds of processor added"}
+	for _, x := range []float64{16, 64, 128, 256} {
+		r, err := overhead.Measure(overhead.Config{Streams: 3000, Callers: 4, Tokens: int(x)})
+		if err != nil {
+			panic(err)
+		}
+		s.Points = append(s.Points, Point{x, float64(r.CPUPerStream.Nanoseconds()) / 1000})
+	}
+	return s
+}
+
+// changeSeries is the processor time in which a core takes in a new bundle, by
+// its teams: what each change of configuration costs beside its parsing.
+func changeSeries() Series {
+	s := Series{Name: "a change of configuration in the core", XName: "teams (950 upstreams)", YName: "milliseconds"}
+	now := time.Unix(1_700_000_000, 0)
+	for _, x := range []float64{1000, 2000, 4350, 8700} {
+		n := sched.NewNode(now, sched.DefaultConfig("vm0", 1))
+		settings := settingsOf(int(x), 950)
+		n.Configure(now, settings)
+		const times = 20
+		began := time.Now()
+		for range times {
+			n.Configure(now, settings)
+		}
+		s.Points = append(s.Points, Point{x, float64(time.Since(began).Microseconds()) / 1000 / times})
+	}
+	return s
+}
+
+func settingsOf(teams, upstreams int) sched.Settings {
 	s := sched.Settings{Pools: []int{1}}
 	for i := range teams {
 		s.Teams = append(s.Teams, sched.TeamShare{Team: fairness.TeamID(i + 1), Share: 1})
 	}
-	for i := range 950 {
+	for i := range upstreams {
 		s.Upstreams = append(s.Upstreams, sched.Upstream{ID: i + 1, Pool: 1, Slots: 8})
 	}
-	n.Configure(now, s)
+	return s
+}
+
+func nodeHeap(teams, peers, upstreams int) float64 {
+	before := heap()
+	now := time.Unix(1_700_000_000, 0)
+	n := sched.NewNode(now, sched.DefaultConfig("vm0", 1))
+	var list []membership.Listed
+	for i := range peers {
+		list = append(list, membership.Listed{Name: fmt.Sprint("vm", i+1)})
+	}
+	n.SetList(now, list)
+	n.Configure(now, settingsOf(teams, upstreams))
 	for i := range peers {
 		sync := sched.Sync{From: fmt.Sprint("vm", i+1), Incarnation: 1, Seq: 1}
 		part := sched.PoolSync{Pool: 1}
--- a/idempotency/claim.go
+++ b/idempotency/claim.go
@@ -92,5 +92,8 @@
 // moment before sending: a process frozen after its claim could wake when the
 // voters have long forgotten it and another router has run the key.
 func (c *Claim) Usable(now time.Time) bool {
-	return !c.wonAt.IsZero() && now.Sub(c.wonAt) <= c.cfg.ClaimFor
+	// The monotonic clock may stand still while a whole VM is suspended; the wall
+	// clock shows that time once it is set right.
+	age := max(now.Sub(c.wonAt), now.Round(0).Sub(c.wonAt.Round(0)))
+	return !c.wonAt.IsZero() && age <= c.cfg.ClaimFor
 }
--- a/overhead/overhead.go
+++ b/overhead/overhead.go
@@ -174,9 +174,12 @@
 	return r, nil
 }
 
+const settleTime = 6 * time.Second
+
 func resources() (goroutines int, heapMB float64) {
 	http.DefaultClient.CloseIdleConnections()
-	time.Sleep(500 * time.Millisecond)
+	// The stand-in engine forgets finished streams after five seconds.
+	time.Sleep(settleTime)
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -39,7 +39,6 @@
 	queued  atomic.Int64
 	mu      sync.Mutex
 	streams map[string]*generation
-	runs    map[string]int
 	cache   []uint64
 	report  limits.Load
 }
@@ -48,7 +47,7 @@
 func NewEngine(cfg EngineConfig) *Engine {
 	return &Engine{
 		cfg: cfg, slots: make(chan struct{}, cfg.Slots),
-		streams: map[string]*generation{}, runs: map[string]int{},
+		streams: map[string]*generation{},
 	}
 }
 
@@ -60,7 +59,6 @@
 	e.GET("/v1/streams/:id", g.resume)
 	e.DELETE("/v1/streams/:id", g.cancel)
 	e.GET("/load", g.load)
-	e.GET("/runs", func(c echo.Context) error { return c.JSON(http.StatusOK, g.Runs()) })
 	return e
 }
 
@@ -86,7 +84,17 @@
 	return fmt.Sprintf("%08x.%d ", uint32(xxhash.Sum64(prompt)), i)
 }
 
-const defaultTokens = 16
+const (
+	defaultTokens = 16
+	// keepFinished is how long a finished stream may still be resumed.
+	keepFinished = 5 * time.Second
+)
+
+func (g *Engine) forget(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.streams, id)
+}
 
 func (g *Engine) complete(c echo.Context) error {
 	var req engineRequest
@@ -100,9 +108,12 @@
 	s := &generation{id: uuid.NewString(), req: req, cancel: cancel, more: make(chan struct{})}
 	g.mu.Lock()
 	g.streams[s.id] = s
-	g.runs[c.Request().Header.Get("X-Request-Id")]++
 	g.mu.Unlock()
-	go g.generate(ctx, s)
+	go func() {
+		g.generate(ctx, s)
+		cancel()
+		time.AfterFunc(keepFinished, func() { g.forget(s.id) })
+	}()
 	if !req.Stream {
 		return g.whole(c, s)
 	}
@@ -167,17 +178,6 @@
 	return g.cfg.FirstToken
 }
 
-// Runs counts the runs by request id.
-func (g *Engine) Runs() map[string]int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	runs := map[string]int{}
-	for id, n := range g.runs {
-		runs[id] = n
-	}
-	return runs
-}
-
 // load reports what was true ReportLag ago.
 func (g *Engine) load(c echo.Context) error {
 	now := limits.Load{Running: int(g.running.Load()), Queued: int(g.queued.Load())}
