--- a/platform/client.go
+++ b/bundlefeed/client.go
@@ -1,4 +1,4 @@
-package platform
+package bundlefeed
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 )
 
 // Error is the class of this package's errors.
-var Error = errs.Class("platform")
+var Error = errs.Class("bundlefeed")
 
 // maxValue bounds what is read: the platform holds values up to a megabyte, and
 // the envelope of a signed bundle escapes its text.
--- /dev/null
+++ b/cmd/aspenswitchd/fleet.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/aspenswitch/aspenswitch/daemon"
+	"github.com/aspenswitch/aspenswitch/obs"
+	"github.com/aspenswitch/aspenswitch/settings"
+)
+
+// serveFleet serves until SIGTERM, then lets answers end. A second SIGTERM
+// changes nothing: the platform ends a process that takes too long.
+func serveFleet(file string, s settings.Fleet) error {
+	out := obs.NewAsync(os.Stdout)
+	log := obs.NewLog(out, s.LogLevel, s.Name)
+	d, err := daemon.NewFleet(s, log)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	drained := make(chan struct{})
+	go func() {
+		draining := false
+		for sig := range signals {
+			switch {
+			case sig == syscall.SIGHUP:
+				d.Reload(file)
+			case !draining:
+				draining = true
+				go func() {
+					d.Drain()
+					close(drained)
+				}()
+			}
+		}
+	}()
+	go d.WatchSettings(file)
+	err = d.Run(context.Background())
+	if err == nil {
+		<-drained
+	}
+	log.Info().Str("event", "stop").Err(err).Msg("stopped")
+	if closeErr := out.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
--- a/cmd/aspenswitchd/main.go
+++ b/cmd/aspenswitchd/main.go
@@ -5,13 +5,9 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/aspenswitch/aspenswitch/daemon"
-	"github.com/aspenswitch/aspenswitch/obs"
 	"github.com/aspenswitch/aspenswitch/settings"
 	"github.com/aspenswitch/aspenswitch/version"
 )
@@ -19,40 +15,47 @@
 func main() {
 	app := kingpin.New("aspenswitchd", "Router of the aspenswitch fleet.")
 	app.Version(version.String())
-	file := app.Flag("settings", "File of settings, JSON with comments.").Short('s').Default("aspenswitch.json").String()
+	file := app.Flag("settings", "File of settings, JSON with comments.").Short('s').
+		Envar("ASPENSWITCH_SETTINGS").Default("aspenswitch.json").String()
 	check := app.Flag("check", "Check the settings, print all findings, and end.").Bool()
-	example := app.Flag("print-defaults", "Print a settings file with comments, and end.").Bool()
-	kingpin.MustParse(app.Parse(os.Args[1:]))
-	if *example {
+	serve := app.Command("serve", "Serve the product's own API with signed bundles.").Default()
+	example := serve.Flag("print-defaults", "Print a settings file with comments, and end.").Bool()
+	onPlatform := app.Command("platform", "Serve on a platform that publishes configuration and upstreams.")
+	command := kingpin.MustParse(app.Parse(os.Args[1:]))
+	var err error
+	switch {
+	case command == onPlatform.FullCommand():
+		err = runFleet(*file, *check)
+	case *example:
 		fmt.Print(settings.Example)
-		return
+	default:
+		err = runOwn(*file, *check)
 	}
-	s, err := settings.Load(*file)
-	app.FatalIfError(err, "settings")
-	if *check {
+	app.FatalIfError(err, "")
+}
+
+// runOwn serves the product's own API until a signal.
+func runOwn(file string, check bool) error {
+	s, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	if check {
 		fmt.Println("no findings")
-		return
+		return nil
 	}
-	app.FatalIfError(run(s), "")
+	return serveOwn(context.Background(), s)
 }
 
-// run serves until a signal. The first SIGTERM or SIGINT drains, a second ends.
-func run(s settings.Settings) error {
-	log := obs.NewLog(os.Stderr, s.LogLevel, s.Name)
-	d, err := daemon.New(s, log, nil)
+// runFleet serves on the platform until a signal.
+func runFleet(file string, check bool) error {
+	s, err := settings.LoadFleet(file)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-signals
-		d.Drain()
-		<-signals
-		log.Error().Msg("second signal: ending at once")
-		cancel()
-	}()
-	return d.Run(ctx)
+	if check {
+		fmt.Println("no findings")
+		return nil
+	}
+	return serveFleet(file, s)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,10 +14,10 @@
 	"github.com/zeebo/errs"
 
 	"github.com/aspenswitch/aspenswitch/admin"
+	"github.com/aspenswitch/aspenswitch/bundlefeed"
 	"github.com/aspenswitch/aspenswitch/callers"
 	"github.com/aspenswitch/aspenswitch/certs"
 	"github.com/aspenswitch/aspenswitch/obs"
-	"github.com/aspenswitch/aspenswitch/platform"
 	"github.com/aspenswitch/aspenswitch/router"
 	"github.com/aspenswitch/aspenswitch/settings"
 )
@@ -58,7 +58,7 @@
 	}
 	d.router = router.New(cfg, router.Deps{
 		Log: log, Metrics: d.metrics, Peers: peers, PeerTLS: peerTLS,
-		Platform: platform.NewClient(s.Platform.URL, cfg.WatchWait),
+		Platform: bundlefeed.NewClient(s.Platform.URL, cfg.WatchWait),
 	})
 	d.callers = callers.NewHTTPServer(callers.New(d.router, log).Handler())
 	d.admin = callers.NewHTTPServer(admin.New(d.router, s.Admin.TokenHash, d.Drain).Handler())
--- /dev/null
+++ b/daemon/fleet.go
@@ -0,0 +1,211 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+
+	"github.com/aspenswitch/aspenswitch/boottime"
+	"github.com/aspenswitch/aspenswitch/feed"
+	"github.com/aspenswitch/aspenswitch/fleet"
+	"github.com/aspenswitch/aspenswitch/gateway"
+	"github.com/aspenswitch/aspenswitch/obs"
+	"github.com/aspenswitch/aspenswitch/platform"
+	"github.com/aspenswitch/aspenswitch/retry"
+	"github.com/aspenswitch/aspenswitch/settings"
+	"github.com/aspenswitch/aspenswitch/upstream"
+)
+
+// Fleet is a router process on a platform that publishes configuration and
+// upstreams.
+type Fleet struct {
+	settings  settings.Fleet
+	log       zerolog.Logger
+	metrics   *obs.Metrics
+	node      *fleet.Node
+	feed      *feed.Feed
+	pool      *upstream.Pool
+	gateway   *gateway.Server
+	listeners fleetListeners
+}
+
+type fleetListeners struct{ callers, readiness, control, metrics net.Listener }
+
+// NewFleet opens the listeners. Run serves.
+func NewFleet(s settings.Fleet, log zerolog.Logger) (*Fleet, error) {
+	// The limit makes the collector work harder before the process is killed
+	// for its memory; a quarter is left for what it doesn't count.
+	debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * 3 / 4)
+	d := &Fleet{settings: s, log: log, metrics: obs.NewMetrics("aspenswitch"), pool: upstream.NewPool(upstream.DefaultPoolConfig())}
+	if err := d.open(); err != nil {
+		return nil, err
+	}
+	node, err := fleet.New(nodeConfig(s), boottime.Now, log)
+	if err != nil {
+		return nil, err
+	}
+	d.node = node
+	source := platform.NewSource(s.Platform, platformClient(), log)
+	d.feed = feed.New(feed.DefaultConfig(s.Bounds.Revoke()), source, boottime.Now, log, node.Reads, node.Changed)
+	node.Attach(d.feed)
+	cfg := gateway.DefaultConfig()
+	cfg.Names = platform.Names()
+	cfg.Grace = s.Bounds.Grace()
+	cfg.Linger = min(cfg.Linger, cfg.Grace/2)
+	budget := retry.Budget{Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance, Window: s.Bounds.RetryWindow()}
+	d.gateway = gateway.New(cfg, d.feed, node, d.pool, budget, obs.NewLimited(log, s.LogLines), d.metrics)
+	return d, nil
+}
+
+func nodeConfig(s settings.Fleet) fleet.Config {
+	cfg := fleet.DefaultConfig()
+	cfg.IP, cfg.Port, cfg.Domain, cfg.Weight = s.Peers.IP, s.Peers.Port, s.FailureDomain, s.Processor
+	cfg.Seeds = seedIPs(s.Peers.Seeds)
+	cfg.Engine.ShareWindow = time.Duration(s.Bounds.ShareWindowS * float64(time.Second))
+	return cfg
+}
+
+// platformClient keeps one connection for the watch. Calls carry deadlines.
+func platformClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     10 * time.Second,
+		DisableCompression:  true,
+	}}
+}
+
+func (d *Fleet) open() error {
+	ip, _, err := net.SplitHostPort(d.settings.Control)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	for _, l := range []struct {
+		to      *net.Listener
+		address string
+	}{
+		{&d.listeners.callers, d.settings.Callers},
+		{&d.listeners.readiness, d.settings.Readiness},
+		{&d.listeners.control, d.settings.Control},
+		{&d.listeners.metrics, net.JoinHostPort(ip, strconv.Itoa(d.settings.Metrics))},
+	} {
+		if *l.to, err = net.Listen("tcp4", l.address); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// Run serves until ctx ends or Drain's grace is over.
+func (d *Fleet) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go d.node.Run(ctx)
+	go d.feed.Run(ctx)
+	go d.sweep(ctx)
+	go d.side(d.listeners.readiness, d.readiness())
+	go d.side(d.listeners.control, d.control())
+	go d.side(d.listeners.metrics, d.metrics.Handler)
+	d.log.Info().Str("event", "start").Str("callers", d.settings.Callers).Str("failure_domain", d.settings.FailureDomain).Msg("serving")
+	return d.gateway.Serve(d.listeners.callers)
+}
+
+// side serves one of the small listeners; it ends with the process.
+func (d *Fleet) side(l net.Listener, h http.Handler) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: sideTimeout, IdleTimeout: sideIdle}
+	if err := server.Serve(l); err != nil {
+		d.log.Error().Str("event", "listener").Stringer("address", l.Addr()).Err(err).Msg("listener ended")
+	}
+}
+
+const (
+	sideTimeout = 3 * time.Second
+	sideIdle    = 20 * time.Second
+	// sweepEvery is how often idle connections are looked at: well within the
+	// margin by which they close before the upstream does.
+	sweepEvery = 300 * time.Millisecond
+)
+
+func (d *Fleet) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			d.pool.Sweep(now)
+		}
+	}
+}
+
+// Ready reports whether the balancer should send connections here: not while
+// stopping, and not while this router's view is too old to serve.
+func (d *Fleet) Ready() bool {
+	return !d.gateway.Stopping() && d.feed.Snapshot() != nil && d.feed.Authorized()
+}
+
+func (d *Fleet) readiness() http.Handler {
+	e := quietEcho()
+	e.GET(platform.ReadyPath, func(c echo.Context) error {
+		if !d.Ready() {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	return e
+}
+
+// control serves operators.
+func (d *Fleet) control() http.Handler {
+	e := quietEcho()
+	e.GET("/dump", func(c echo.Context) error { return c.JSON(http.StatusOK, d.dump()) })
+	e.GET("/metrics", echo.WrapHandler(d.metrics.Handler))
+	return e
+}
+
+// fleetDump is a process's state on request.
+type fleetDump struct {
+	Ready         bool       `json:"ready"`
+	Stopping      bool       `json:"stopping"`
+	ConfigVersion int64      `json:"configVersion"`
+	PlatformCalls int64      `json:"platformCalls"`
+	Connections   int64      `json:"upstreamConnectionsOpened"`
+	Datagrams     int64      `json:"datagramsSent"`
+	Node          fleet.Dump `json:"node"`
+}
+
+func (d *Fleet) dump() fleetDump {
+	return fleetDump{
+		Ready: d.Ready(), Stopping: d.gateway.Stopping(), ConfigVersion: d.feed.Snapshot().ConfigVersion(),
+		PlatformCalls: d.feed.Calls(), Connections: d.pool.Dials(), Datagrams: d.node.Datagrams(), Node: d.node.Dump(),
+	}
+}
+
+func quietEcho() *echo.Echo {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	return e
+}
+
+// stopMargin is left of the grace for the process to end by itself.
+const stopMargin = 400 * time.Millisecond
+
+// Drain ends the process without cutting answers, within the grace.
+func (d *Fleet) Drain() {
+	grace := d.settings.Bounds.Grace() - stopMargin
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	d.log.Info().Str("event", "stop").Dur("grace", grace).Msg("stopping")
+	d.node.Leave()
+	if err := d.gateway.Shutdown(ctx); err != nil {
+		d.log.Error().Str("event", "stop").Err(err).Msg("grace is over: answers are cut")
+	}
+	d.gateway.Close()
+}
--- /dev/null
+++ b/dispatch/cache.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import "container/list"
+
+// cache models which prompt parts an engine keeps. Parts yield least recently
+// used first, as they do in the engine.
+type cache struct {
+	entries map[uint64]*list.Element
+	// order has the most recently used entry first.
+	order  list.List
+	tokens int
+}
+
+type cached struct {
+	chain  uint64
+	tokens int
+}
+
+func newCache() *cache { return &cache{entries: map[uint64]*list.Element{}} }
+
+// chainSeed and chainPrime fold parts into a chain (FNV-1a): a part is only of
+// use if all parts before it are kept too.
+const (
+	chainSeed  = 14695981039346656037
+	chainPrime = 1099511628211
+)
+
+func chainOf(before, part uint64) uint64 { return (before ^ part) * chainPrime }
+
+// kept is how many tokens of a prompt's start are cached.
+func (c *cache) kept(parts []Part) int {
+	chain, tokens := uint64(chainSeed), 0
+	for _, p := range parts {
+		chain = chainOf(chain, p.ID)
+		if _, found := c.entries[chain]; !found {
+			return tokens
+		}
+		tokens += p.Tokens
+	}
+	return tokens
+}
+
+// read notes that a prompt has been read and makes room within capacity.
+func (c *cache) read(parts []Part, capacity int) {
+	chain := uint64(chainSeed)
+	for _, p := range parts {
+		chain = chainOf(chain, p.ID)
+		if e, found := c.entries[chain]; found {
+			c.order.MoveToFront(e)
+			continue
+		}
+		c.entries[chain] = c.order.PushFront(cached{chain: chain, tokens: p.Tokens})
+		c.tokens += p.Tokens
+	}
+	for c.tokens > capacity && c.order.Len() > 0 {
+		last := c.order.Back()
+		e := c.order.Remove(last).(cached)
+		delete(c.entries, e.chain)
+		c.tokens -= e.tokens
+	}
+}
--- /dev/null
+++ b/dispatch/config.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import "time"
+
+// Config tunes a Core. The defaults come from the engines' data sheet and from
+// runs of whole days; each says which load it answers.
+type Config struct {
+	// Engine is set for model engines, whose cost is in tokens.
+	Engine bool
+	// TokensPerMs is an engine's prefill rate before it has been measured: 38.7
+	// on the data sheet.
+	TokensPerMs float64
+	// PairsPerMs is how many pairs of tokens attention takes in a millisecond:
+	// 0.737 ms for a million on the data sheet. It makes long prompts dearer.
+	PairsPerMs float64
+	// ChunkTokens are prefilled in a step; StepMs is what a step costs besides.
+	ChunkTokens int
+	StepMs      float64
+	// Window is how much unread work an engine is given ahead. Less leaves it
+	// idle for a message's way; more takes the order out of our hands, as the
+	// engine serves first come first served.
+	Window time.Duration
+	// Reread weighs the work that a placing repeats because the prompt's parts
+	// are cached elsewhere. It costs the fleet's capacity, not only this
+	// request's time, and pushes others' parts out of the cache.
+	Reread float64
+	// Spread is added for an upstream that has been busy all the time. It sends
+	// new sessions to where there will be room for the sessions' next requests.
+	Spread time.Duration
+	// TargetUse is the part of the target that may be predicted to pass before
+	// the first byte; the rest covers the error of the prediction.
+	TargetUse float64
+	// OverUse is the same for teams above their share: they take what is spare.
+	OverUse float64
+	// KVUse is the part of the KV cache that running requests may take.
+	KVUse float64
+	// ShareWindow is the span over which teams' service is averaged.
+	ShareWindow time.Duration
+	// FailurePenalty is added, times the rate of failures, to an upstream's time.
+	FailurePenalty time.Duration
+	// BanMin and BanMax bound how long an upstream that can't be reached gets
+	// no work.
+	BanMin, BanMax time.Duration
+}
+
+// DefaultConfig returns settings for model engines or for plain services.
+func DefaultConfig(engine bool) Config {
+	return Config{
+		Engine:         engine,
+		TokensPerMs:    38.7,
+		PairsPerMs:     1e6 / 0.737,
+		ChunkTokens:    2048,
+		StepMs:         8,
+		Window:         120 * time.Millisecond,
+		Reread:         3,
+		Spread:         60 * time.Millisecond,
+		TargetUse:      0.9,
+		OverUse:        0.4,
+		KVUse:          0.85,
+		ShareWindow:    3 * time.Second,
+		FailurePenalty: 400 * time.Millisecond,
+		BanMin:         500 * time.Millisecond,
+		BanMax:         4 * time.Second,
+	}
+}
--- /dev/null
+++ b/dispatch/core.go
@@ -0,0 +1,382 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// Core decides for one group of upstreams. It isn't safe for concurrent use.
+type Core struct {
+	cfg       Config
+	upstreams []*upstream
+	byID      map[string]*upstream
+	jobs      map[Ticket]*job
+	teams     *shares
+	out       []Decision
+	sweepAt   time.Duration
+}
+
+// New returns a core without upstreams.
+func New(cfg Config) *Core {
+	return &Core{cfg: cfg, byID: map[string]*upstream{}, jobs: map[Ticket]*job{}, teams: newShares(cfg.ShareWindow)}
+}
+
+// SetCapacity sets what the group's upstreams yield, in tokens a second.
+func (c *Core) SetCapacity(tokensPerSecond float64) { c.teams.capacity = tokensPerSecond }
+
+// SetMembers replaces the group's upstreams. What waits for one that has gone
+// is placed anew.
+func (c *Core) SetMembers(now time.Duration, members []Member) []Decision {
+	next := make([]*upstream, 0, len(members))
+	byID := make(map[string]*upstream, len(members))
+	for i, m := range members {
+		u := c.byID[m.ID]
+		if u == nil {
+			u = newUpstream(m, &c.cfg)
+			u.useAt = now
+		}
+		u.Member, u.order = m, i
+		next = append(next, u)
+		byID[m.ID] = u
+	}
+	old := c.upstreams
+	c.upstreams, c.byID = next, byID
+	for _, u := range old {
+		if byID[u.ID] != nil {
+			continue
+		}
+		for _, j := range u.queue {
+			j.upstream = nil
+			c.place(now, j)
+		}
+		u.queue = nil
+	}
+	return c.take()
+}
+
+// take returns the decisions made since the last call.
+func (c *Core) take() []Decision {
+	out := c.out
+	c.out = nil
+	return out
+}
+
+// Ask decides on a request. Asking again for one that is known changes nothing
+// and repeats the decision: the answer may have been lost.
+func (c *Core) Ask(now time.Duration, r Request) []Decision {
+	if j := c.jobs[r.Ticket]; j != nil {
+		d := Decision{Ticket: r.Ticket, Verdict: Wait}
+		if j.state != waiting {
+			d.Verdict, d.Upstream = Send, j.upstream.ID
+		}
+		c.out = append(c.out, d)
+		return c.take()
+	}
+	j := &job{Request: r, targetAt: now + r.Target, expires: now + r.Left + time.Second}
+	j.memory = r.Output
+	c.warm(&j.Request)
+	c.charge(now, j)
+	j.over = c.teams.over(now, r.Team)
+	c.jobs[r.Ticket] = j
+	c.place(now, j)
+	return c.take()
+}
+
+// charge notes what a request asks for: the tokens that some upstream must
+// read, and twice those that may be generated.
+func (c *Core) charge(now time.Duration, j *job) {
+	kept := 0
+	for _, u := range c.upstreams {
+		kept = max(kept, u.cache.kept(j.Parts))
+	}
+	unread := max(j.Prompt-kept, 0)
+	j.tokens = float64(unread) + 2*float64(j.Output)
+	j.memory = unread + j.Output
+	c.teams.ask(now, j.Team, j.tokens)
+}
+
+// warm believes the asker about where parts are cached if this core knows
+// nothing of them.
+func (c *Core) warm(r *Request) {
+	u := c.byID[r.Warm]
+	if u == nil || len(r.Parts) == 0 {
+		return
+	}
+	for _, any := range c.upstreams {
+		if any.cache.kept(r.Parts) > 0 {
+			return
+		}
+	}
+	// The last part is this request's own; it isn't there yet.
+	u.cache.read(r.Parts[:len(r.Parts)-1], u.KVTokens)
+}
+
+// choice is a possible upstream of a job.
+type choice struct {
+	u *upstream
+	// first is the predicted time to the first byte; wait the part of it before
+	// the upstream begins.
+	first, wait time.Duration
+	score       time.Duration
+}
+
+// place finds the best upstream and sends, queues or refuses.
+func (c *Core) place(now time.Duration, j *job) {
+	best, ok := c.best(now, j)
+	if !ok {
+		c.refuse(j, choice{first: time.Second})
+		return
+	}
+	if !c.admit(j, best) {
+		c.refuse(j, best)
+		return
+	}
+	if c.ready(best.u, j, now) && !c.aheadOf(best.u, j, now) {
+		c.send(now, best.u, j, best.first)
+		return
+	}
+	j.upstream = best.u
+	j.cost = best.u.cost(&j.Request)
+	best.u.queue = append(best.u.queue, j)
+	c.out = append(c.out, Decision{Ticket: j.Ticket, Verdict: Wait, Wait: best.first})
+}
+
+// best scores the upstreams.
+func (c *Core) best(now time.Duration, j *job) (choice, bool) {
+	costs := make([]time.Duration, len(c.upstreams))
+	least := time.Duration(0)
+	for i, u := range c.upstreams {
+		costs[i] = u.cost(&j.Request)
+		if i == 0 || costs[i] < least {
+			least = costs[i]
+		}
+	}
+	var found choice
+	ok := false
+	for i, u := range c.upstreams {
+		if now < u.banned || slices.Contains(j.Avoid, u.ID) {
+			continue
+		}
+		u.touch(now)
+		ch := c.weigh(now, u, j, costs[i], costs[i]-least)
+		if !ok || ch.score < found.score {
+			found, ok = ch, true
+		}
+	}
+	return found, ok
+}
+
+func (c *Core) weigh(now time.Duration, u *upstream, j *job, cost, reread time.Duration) choice {
+	wait := u.remaining(now) + c.queued(u, j, cost, now)
+	if !c.cfg.Engine {
+		wait = c.plainWait(u)
+	} else if u.full(j.memory) {
+		wait += slotWait
+	}
+	ch := choice{u: u, wait: wait, first: wait + cost}
+	ch.score = ch.first +
+		time.Duration(c.cfg.Reread*float64(reread)) +
+		time.Duration(u.use*float64(c.cfg.Spread)) +
+		time.Duration(u.failing*float64(c.cfg.FailurePenalty)) +
+		time.Duration(float64(u.running)/float64(max(u.Slots, 1))*float64(c.cfg.Spread))
+	return ch
+}
+
+// slotWait is the wait for a running request to end at a full engine. Streams
+// run for seconds, and dozens run at once.
+const slotWait = 100 * time.Millisecond
+
+// queued is the work that waits at the upstream and goes before the job.
+func (c *Core) queued(u *upstream, j *job, cost, now time.Duration) time.Duration {
+	if len(u.queue) == 0 {
+		return 0
+	}
+	probe := *j
+	probe.cost = cost
+	sum := time.Duration(0)
+	for _, q := range u.queue {
+		if c.before(q, &probe, now) {
+			sum += q.cost
+		}
+	}
+	return sum
+}
+
+// plainWait is the wait for a slot of a plain service.
+func (c *Core) plainWait(u *upstream) time.Duration {
+	over := u.running + len(u.queue) - u.Slots + 1
+	if over <= 0 {
+		return 0
+	}
+	return time.Duration(over) * u.serviceTime / time.Duration(max(u.Slots, 1))
+}
+
+// admit decides whether a request that would wait so long is taken. One that
+// would miss its target is refused at once, while its caller can still go
+// elsewhere or come back. A prompt that takes most of the target by itself is
+// judged by its wait alone: no waiting makes it shorter.
+func (c *Core) admit(j *job, ch choice) bool {
+	use := c.cfg.TargetUse
+	if j.over {
+		use = c.cfg.OverUse
+	}
+	limit := time.Duration(use * float64(j.Target))
+	cost := ch.first - ch.wait
+	if cost > limit/2 {
+		return ch.wait <= limit/2 && ch.first < j.Left
+	}
+	return ch.first <= limit
+}
+
+// minRetryAfter keeps callers from asking in a tight loop.
+const minRetryAfter = 100 * time.Millisecond
+
+func (c *Core) refuse(j *job, ch choice) {
+	delete(c.jobs, j.Ticket)
+	after := max(ch.first-j.Target/2, minRetryAfter)
+	c.out = append(c.out, Decision{Ticket: j.Ticket, Verdict: Refuse, RetryAfter: after, Wait: ch.first, Over: j.over})
+}
+
+// ready reports whether the upstream takes a job now.
+func (c *Core) ready(u *upstream, j *job, now time.Duration) bool {
+	if u.full(j.memory) {
+		return false
+	}
+	return !c.cfg.Engine || u.remaining(now) < c.cfg.Window
+}
+
+// aheadOf reports whether a waiting job goes before j.
+func (c *Core) aheadOf(u *upstream, j *job, now time.Duration) bool {
+	for _, q := range u.queue {
+		if c.before(q, j, now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) send(now time.Duration, u *upstream, j *job, wait time.Duration) {
+	u.take(j, now)
+	c.teams.serve(now, j.Team, j.tokens)
+	c.out = append(c.out, Decision{Ticket: j.Ticket, Verdict: Send, Upstream: u.ID, Wait: wait, Over: j.over})
+}
+
+// Started notes that the first byte of an answer came.
+func (c *Core) Started(now time.Duration, t Ticket) []Decision {
+	j := c.jobs[t]
+	if j == nil || j.state == waiting {
+		return nil
+	}
+	j.upstream.started(j, now)
+	c.drain(now, j.upstream)
+	return c.take()
+}
+
+// Done notes that a request ended, wherever it was. took is the time from
+// sending to the answer's end.
+func (c *Core) Done(now time.Duration, t Ticket, o Outcome, took time.Duration) []Decision {
+	c.done(now, t, o, took)
+	return c.take()
+}
+
+func (c *Core) done(now time.Duration, t Ticket, o Outcome, took time.Duration) {
+	j := c.jobs[t]
+	if j == nil {
+		return
+	}
+	delete(c.jobs, t)
+	u := j.upstream
+	if j.state == waiting {
+		u.queue = slices.DeleteFunc(u.queue, func(q *job) bool { return q == j })
+		return
+	}
+	u.ended(j, now, o, took)
+	c.drain(now, u)
+}
+
+// Held takes in a request that a router sent before this core was its home.
+func (c *Core) Held(now time.Duration, r Request, upstreamID string, begun bool) {
+	u := c.byID[upstreamID]
+	if u == nil || c.jobs[r.Ticket] != nil {
+		return
+	}
+	j := &job{Request: r, targetAt: now + r.Target, expires: now + r.Left + time.Second}
+	j.memory = r.Output + max(r.Prompt-u.cache.kept(r.Parts), 0)
+	c.jobs[r.Ticket] = j
+	u.take(j, now)
+	if begun {
+		u.read(j, now)
+		j.state = started
+	}
+}
+
+// Drop forgets the requests of a router that is gone.
+func (c *Core) Drop(now time.Duration, router uint64) []Decision {
+	for t := range c.jobs {
+		if t.Router == router {
+			c.done(now, t, Cancelled, 0)
+		}
+	}
+	return c.take()
+}
+
+// drain sends what waits for an upstream, as far as it has room.
+func (c *Core) drain(now time.Duration, u *upstream) {
+	for len(u.queue) > 0 {
+		next := 0
+		for i := range u.queue {
+			if c.before(u.queue[i], u.queue[next], now) {
+				next = i
+			}
+		}
+		j := u.queue[next]
+		if !c.ready(u, j, now) {
+			return
+		}
+		u.queue = slices.Delete(u.queue, next, next+1)
+		c.send(now, u, j, 0)
+	}
+}
+
+// sweepEvery is how often expired tickets are looked for: those whose end was
+// lost on the way.
+const sweepEvery = time.Second
+
+// Tick sends what has become due and gives up what can't be served any more.
+func (c *Core) Tick(now time.Duration) []Decision {
+	for _, u := range c.upstreams {
+		c.abandon(now, u)
+		c.drain(now, u)
+	}
+	if now >= c.sweepAt {
+		c.sweepAt = now + sweepEvery
+		for t, j := range c.jobs {
+			if now > j.expires {
+				c.done(now, t, Cancelled, 0)
+			}
+		}
+	}
+	return c.take()
+}
+
+// abandon refuses waiting jobs whose target has passed: callers that can still
+// be served in time go before them, so they would only wait longer.
+func (c *Core) abandon(now time.Duration, u *upstream) {
+	u.queue = slices.DeleteFunc(u.queue, func(j *job) bool {
+		if now < j.targetAt {
+			return false
+		}
+		c.refuse(j, choice{first: j.Target + u.remaining(now)})
+		return true
+	})
+}
+
+// Waiting reports whether any request waits, so that Tick is of use.
+func (c *Core) Waiting() bool {
+	for _, u := range c.upstreams {
+		if len(u.queue) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/dispatch/job.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import "time"
+
+// job is a request that waits or runs.
+type job struct {
+	Request
+	upstream *upstream
+	state    state
+	// cost is the predicted time that the upstream works on it alone.
+	cost time.Duration
+	// tokens is what it is charged, in tokens read and twice those generated.
+	tokens float64
+	// memory is the KV cache that it takes while it runs.
+	memory   int
+	targetAt time.Duration
+	expires  time.Duration
+	over     bool
+}
+
+type state uint8
+
+const (
+	waiting state = iota
+	// sent to the upstream, which hasn't answered with a first byte.
+	sent
+	// started to answer.
+	started
+)
+
+// before reports whether a goes to an upstream before b: by rank; teams within
+// their share first; those above it by who had least; then by who must start
+// soonest (earliest deadline first).
+func (c *Core) before(a, b *job, now time.Duration) bool {
+	if a.Rank != b.Rank {
+		return a.Rank < b.Rank
+	}
+	if a.over != b.over {
+		return b.over
+	}
+	if aLate, bLate := a.targetAt < now, b.targetAt < now; aLate != bLate {
+		return bLate
+	}
+	if a.over && a.Team != b.Team {
+		return c.teams.served(a.Team) < c.teams.served(b.Team)
+	}
+	return a.targetAt-a.cost < b.targetAt-b.cost
+}
--- /dev/null
+++ b/dispatch/request.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import "time"
+
+// Ticket names a request over the whole fleet.
+type Ticket struct {
+	// Router is the incarnation of the router that holds the request.
+	Router uint64
+	Seq    uint64
+}
+
+// Request is what the core knows of a request.
+type Request struct {
+	Ticket Ticket
+	Team   string
+	// Rank is the priority; 0 goes first.
+	Rank int
+	// Prompt and Output are tokens; Output is the most that may be generated.
+	// Both are 0 for plain services.
+	Prompt, Output int
+	// Parts of the prompt in order, as far as they may be cached.
+	Parts []Part
+	// Target is the time left to the first byte; Left the time to the deadline.
+	Target, Left time.Duration
+	// Warm is the upstream that the asking router last used for these parts. A
+	// new home has no memory; this keeps sessions where their parts are cached.
+	Warm string
+	// Avoid are upstreams that this request has been to.
+	Avoid []string
+}
+
+// Part is a piece of a prompt.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Verdict is what becomes of a request.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Wait: a later decision follows.
+	Wait Verdict = iota
+	// Send: the request goes to the upstream now.
+	Send
+	// Refuse: the request can't be served in time.
+	Refuse
+)
+
+// Decision is the core's answer to a request.
+type Decision struct {
+	Ticket   Ticket
+	Verdict  Verdict
+	Upstream string
+	// RetryAfter is when a request like this one would be served.
+	RetryAfter time.Duration
+	// Wait is the time to the first byte that was predicted.
+	Wait time.Duration
+	// Over is set if the team had more than its share.
+	Over bool
+}
+
+// Outcome is how a request ended at its upstream.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// Served: a whole answer came.
+	Served Outcome = iota
+	// Failed: the upstream answered with a failure or broke off.
+	Failed
+	// Rejected: the upstream said that it didn't run the request.
+	Rejected
+	// Unreachable: no connection, or it went silent.
+	Unreachable
+	// Cancelled: the caller left or the request was given up; it says nothing of
+	// the upstream.
+	Cancelled
+)
--- /dev/null
+++ b/dispatch/shares.go
@@ -0,0 +1,109 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// shares keeps what teams asked for and got, as decaying averages, and the
+// max-min fair share: the level up to which every team is served in full.
+type shares struct {
+	window time.Duration
+	// capacity is what the upstreams yield, in tokens a second; 0 is not known.
+	capacity float64
+	teams    map[string]*account
+	level    float64
+	levelAt  time.Duration
+}
+
+// account is a team's. Both are sums that decay over the window, in tokens.
+type account struct {
+	asked, served float64
+	at            time.Duration
+}
+
+// levelEvery is how often the level is computed anew; it changes with the
+// window, which is thirty times longer.
+const levelEvery = 100 * time.Millisecond
+
+func newShares(window time.Duration) *shares {
+	return &shares{window: window, teams: map[string]*account{}, level: math.Inf(1)}
+}
+
+func (s *shares) account(now time.Duration, team string) *account {
+	a := s.teams[team]
+	if a == nil {
+		a = &account{at: now}
+		s.teams[team] = a
+	}
+	s.decay(a, now)
+	return a
+}
+
+func (s *shares) decay(a *account, now time.Duration) {
+	if now <= a.at {
+		return
+	}
+	f := math.Exp(-float64(now-a.at) / float64(s.window))
+	a.asked *= f
+	a.served *= f
+	a.at = now
+}
+
+func (s *shares) ask(now time.Duration, team string, tokens float64) {
+	s.account(now, team).asked += tokens
+}
+
+func (s *shares) serve(now time.Duration, team string, tokens float64) {
+	s.account(now, team).served += tokens
+}
+
+func (s *shares) served(team string) float64 {
+	if a := s.teams[team]; a != nil {
+		return a.served
+	}
+	return 0
+}
+
+// over reports whether a team has had its share.
+func (s *shares) over(now time.Duration, team string) bool {
+	if now-s.levelAt >= levelEvery {
+		s.levelAt = now
+		s.compute(now)
+	}
+	return s.account(now, team).served > s.level
+}
+
+// idleAccount is the size below which an account is forgotten, in tokens.
+const idleAccount = 1
+
+// compute fills the capacity from the least asking team up (max-min fairness).
+func (s *shares) compute(now time.Duration) {
+	s.level = math.Inf(1)
+	asked := make([]float64, 0, len(s.teams))
+	total := 0.0
+	for name, a := range s.teams {
+		s.decay(a, now)
+		if a.asked < idleAccount && a.served < idleAccount {
+			delete(s.teams, name)
+			continue
+		}
+		asked = append(asked, a.asked)
+		total += a.asked
+	}
+	left := s.capacity * s.window.Seconds()
+	if s.capacity <= 0 || total <= left {
+		return
+	}
+	slices.SortFunc(asked, cmp.Compare[float64])
+	for i, want := range asked {
+		share := left / float64(len(asked)-i)
+		if want > share {
+			s.level = share
+			return
+		}
+		left -= want
+	}
+}
--- /dev/null
+++ b/feed/config.go
@@ -0,0 +1,39 @@
+package feed
+
+import "time"
+
+// Config tunes a Feed.
+type Config struct {
+	// WatchWait is how long one watch waits. A connection that has gone silent
+	// looks like a watch with nothing to tell, so it must be short against
+	// Authority; each watch is a call that the platform counts.
+	WatchWait time.Duration
+	// CallMargin is how much longer than its wait a call may take. It answers a
+	// platform that is sixty times slower than its usual 4 ms.
+	CallMargin time.Duration
+	// StaleAfter is the age of the newest confirmed state from which a router
+	// that relies on its peers reads by itself.
+	StaleAfter time.Duration
+	// Authority is how long a confirmed state may be acted upon: until then a
+	// key that has been taken away may still be served.
+	Authority time.Duration
+	// BackoffMin and BackoffMax bound the pause between failed reads.
+	BackoffMin, BackoffMax time.Duration
+}
+
+// DefaultConfig returns a configuration for keys that must end within revoke of
+// being taken away. 0 means that there is no such bound.
+func DefaultConfig(revoke time.Duration) Config {
+	if revoke <= 0 {
+		revoke = 10 * time.Second
+	}
+	return Config{
+		WatchWait:  min(revoke/5, 3*time.Second),
+		CallMargin: 700 * time.Millisecond,
+		StaleAfter: revoke * 2 / 5,
+		// The last tenth is left for requests that wait in an upstream's queue.
+		Authority:  revoke * 9 / 10,
+		BackoffMin: 50 * time.Millisecond,
+		BackoffMax: 800 * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/feed/feed.go
@@ -0,0 +1,199 @@
+package feed
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/aspenswitch/aspenswitch/boottime"
+	"github.com/aspenswitch/aspenswitch/registry"
+	"github.com/aspenswitch/aspenswitch/routing"
+)
+
+// Feed follows a Source. Its methods may be called by many goroutines.
+type Feed struct {
+	cfg    Config
+	source Source
+	now    boottime.Clock
+	log    zerolog.Logger
+	// reads reports whether this router is one of those that read the platform.
+	reads func() bool
+	// onChange is told of a new snapshot.
+	onChange func()
+
+	snapshot atomic.Pointer[Snapshot]
+	// fresh is the moment as of which the snapshot is known to be the newest.
+	fresh atomic.Int64
+	calls atomic.Int64
+
+	// mu guards what follows.
+	mu       sync.Mutex
+	upstream *registry.Registry
+	table    *routing.Table
+	revision int64
+	// regained is when the platform answered again after a failure.
+	regained boottime.Time
+	failing  bool
+}
+
+// New returns a feed that Run starts.
+func New(cfg Config, source Source, now boottime.Clock, log zerolog.Logger, reads func() bool, onChange func()) *Feed {
+	return &Feed{cfg: cfg, source: source, now: now, log: log, reads: reads, onChange: onChange, upstream: registry.New()}
+}
+
+// Snapshot returns the newest state, nil if none is known yet.
+func (f *Feed) Snapshot() *Snapshot {
+	s := f.snapshot.Load()
+	if s == nil || s.Table == nil {
+		return nil
+	}
+	return s
+}
+
+// Calls is the number of calls made to the platform.
+func (f *Feed) Calls() int64 { return f.calls.Load() }
+
+// FreshAt is the moment as of which the snapshot was confirmed, 0 if never.
+func (f *Feed) FreshAt() boottime.Time { return boottime.Time(f.fresh.Load()) }
+
+// Age is how long ago the snapshot was confirmed.
+func (f *Feed) Age() time.Duration {
+	at := f.FreshAt()
+	if at == 0 {
+		return time.Hour
+	}
+	return f.now().Sub(at)
+}
+
+// Authorized reports whether the snapshot is fresh enough to act upon.
+//
+// A key that was taken away must not be served for longer than the operators'
+// bound. A router that no longer hears of changes can't know, so its right to
+// serve keyed requests ends by itself.
+func (f *Feed) Authorized() bool { return f.Age() < f.cfg.Authority }
+
+// confirm dates the snapshot; a date only moves forward.
+func (f *Feed) confirm(at boottime.Time) {
+	for {
+		old := f.fresh.Load()
+		if old >= int64(at) || f.fresh.CompareAndSwap(old, int64(at)) {
+			return
+		}
+	}
+}
+
+// apply takes in changes that a read sent at a moment confirmed as complete up
+// to a revision.
+func (f *Feed) apply(b Batch, sent boottime.Time) {
+	f.mu.Lock()
+	changed := false
+	for _, c := range b.Changes {
+		changed = f.change(c) || changed
+	}
+	f.revision = max(f.revision, b.Revision)
+	if f.upstream.Expire(f.now()) {
+		changed = true
+	}
+	f.publish(changed)
+	f.mu.Unlock()
+	f.confirm(sent)
+	if changed {
+		f.onChange()
+	}
+}
+
+// change takes in one change and reports whether it had an effect.
+func (f *Feed) change(c Change) bool {
+	switch {
+	case c.Config != nil:
+		return f.adopt(c.Config)
+	case c.Upstream != nil:
+		f.upstream.Put(*c.Upstream)
+		f.log.Info().Str("event", "upstream").Str("upstream", c.Upstream.ID).Str("service", c.Upstream.Service).
+			Str("address", c.Upstream.Address).Bool("draining", c.Upstream.Draining).Int64("revision", c.Revision).Msg("upstream published")
+	default:
+		f.remove(c)
+	}
+	return true
+}
+
+// remove takes out an upstream. Around an outage of the platform entries lapse
+// though their upstreams live; those get the time to come back.
+func (f *Feed) remove(c Change) {
+	now := f.now()
+	if f.regained != 0 && now.Sub(f.regained) < 2*registry.LapseGrace {
+		f.upstream.Lapse(c.Gone, now)
+		f.log.Info().Str("event", "upstream").Str("upstream", c.Gone).Int64("revision", c.Revision).Msg("upstream lapsed")
+		return
+	}
+	f.upstream.Delete(c.Gone, c.Revision)
+	f.log.Info().Str("event", "upstream").Str("upstream", c.Gone).Int64("revision", c.Revision).Msg("upstream gone")
+}
+
+// adopt puts a newer configuration in force. A version never goes back within
+// one process, whatever a late or stale read says.
+func (f *Feed) adopt(c *routing.Config) bool {
+	if f.table != nil && f.table.Config.Version >= c.Version {
+		return false
+	}
+	f.table = routing.NewTable(c)
+	f.log.Info().Str("event", "config").Int64("version", c.Version).Int("routes", len(c.Routes)).
+		Int("teams", len(c.Teams)).Msg("configuration in force")
+	return true
+}
+
+// publish makes the state visible to readers. The caller holds mu.
+func (f *Feed) publish(changed bool) {
+	old := f.snapshot.Load()
+	if !changed && old != nil {
+		if old.Revision == f.revision {
+			return
+		}
+		f.snapshot.Store(&Snapshot{Table: old.Table, View: old.View, Revision: f.revision})
+		return
+	}
+	f.snapshot.Store(&Snapshot{Table: f.table, View: f.upstream.View(), Revision: f.revision})
+}
+
+// expire removes upstreams whose grace is over.
+func (f *Feed) expire() {
+	f.mu.Lock()
+	changed := f.upstream.Expire(f.now())
+	if changed {
+		f.publish(true)
+	}
+	f.mu.Unlock()
+	if changed {
+		f.onChange()
+	}
+}
+
+// Run follows the platform until ctx ends.
+func (f *Feed) Run(ctx context.Context) {
+	backoff := f.cfg.BackoffMin
+	for ctx.Err() == nil {
+		if f.Snapshot() != nil && !f.reads() && f.Age() < f.cfg.StaleAfter {
+			f.expire()
+			pause(ctx, f.cfg.StaleAfter/8)
+			continue
+		}
+		if f.read(ctx) {
+			backoff = f.cfg.BackoffMin
+			continue
+		}
+		pause(ctx, backoff)
+		backoff = min(2*backoff, f.cfg.BackoffMax)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/fleet/beat.go
@@ -0,0 +1,223 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/boottime"
+)
+
+// period is the time between two heartbeats to a peer.
+func (n *Node) period() time.Duration {
+	return max(n.cfg.Beat, time.Duration(len(n.members))*n.cfg.BeatPerPeer)
+}
+
+// silence is how long a peer may be silent and still be used.
+func (n *Node) silence() time.Duration { return time.Duration(n.cfg.Missed) * n.period() }
+
+// heardBeat takes in a heartbeat.
+func (n *Node) heardBeat(now boottime.Time, id uint64, b *beat) {
+	at, ok := n.addrOf(b.IP)
+	if !ok {
+		return
+	}
+	m := n.members[id]
+	if m == nil {
+		m = &member{id: id, addr: at}
+		n.replaceIncarnation(now, m)
+		n.members[id] = m
+		n.log.Info().Str("event", "member").Uint64("router", id).Str("ip", b.IP).Str("domain", b.Domain).
+			Int("members", len(n.members)).Msg("router joined")
+		b.Answer = true
+	}
+	m.domain, m.weight, m.leaving = b.Domain, b.Weight, b.Leaving
+	m.theirs = max(m.theirs, b.Sent)
+	m.heard = now
+	n.vouched(m, b)
+	n.meet(now, b.Peers)
+	if b.Answer {
+		n.beatTo(now, m, false)
+	}
+}
+
+// replaceIncarnation drops an earlier process at the same address.
+func (n *Node) replaceIncarnation(now boottime.Time, m *member) {
+	for id, old := range n.members {
+		if old.addr == m.addr {
+			n.dropMember(now, id, "router replaced")
+		}
+	}
+}
+
+func (n *Node) dropMember(now boottime.Time, id uint64, why string) {
+	delete(n.members, id)
+	n.log.Info().Str("event", "member").Uint64("router", id).Int("members", len(n.members)).Msg(why)
+	for _, g := range n.groups {
+		n.deliver(now, g.core.Drop(time.Duration(now), id))
+	}
+}
+
+// vouched takes the peer's word on how fresh the published state is. The echo
+// dates it on this router's clock: the peer spoke after it had heard this
+// router's heartbeat of that moment, so no delay on the way makes it younger.
+func (n *Node) vouched(m *member, b *beat) {
+	if n.feed == nil || b.Revision == 0 {
+		return
+	}
+	at := boottime.Time(b.Echo - b.AgeNanos)
+	if b.Echo == 0 {
+		at = 0
+	}
+	if n.feed.Vouch(b.Revision, at) {
+		n.pullFrom(m.addr)
+	}
+}
+
+// meet sends a first heartbeat to routers that a peer knows.
+func (n *Node) meet(now boottime.Time, ips []string) {
+	for _, ip := range ips {
+		if ip == n.cfg.IP || n.knows(ip) {
+			continue
+		}
+		if at, ok := n.addrOf(ip); ok {
+			n.send(at, &packet{Beat: n.newBeat(now, 0, true)})
+		}
+	}
+}
+
+func (n *Node) knows(ip string) bool {
+	for _, m := range n.members {
+		if m.addr.Addr().String() == ip {
+			return true
+		}
+	}
+	return false
+}
+
+// peersTold is how many peers a heartbeat names: a few draws spread the whole
+// list within seconds.
+const peersTold = 4
+
+func (n *Node) newBeat(now boottime.Time, echo int64, answer bool) *beat {
+	b := &beat{
+		Sent: int64(now), Echo: echo, IP: n.cfg.IP, Domain: n.cfg.Domain, Weight: n.cfg.Weight,
+		Leaving: n.leaving, Answer: answer,
+	}
+	if n.feed != nil {
+		// The age is read before the revision: a newer state only looks older.
+		b.AgeNanos = int64(n.feed.Age())
+		if s := n.feed.Snapshot(); s != nil {
+			b.Revision = s.Revision
+		}
+	}
+	for _, m := range n.members {
+		if len(b.Peers) == peersTold {
+			break
+		}
+		b.Peers = append(b.Peers, m.addr.Addr().String())
+	}
+	return b
+}
+
+func (n *Node) beatTo(now boottime.Time, m *member, answer bool) {
+	m.beatAt = now
+	n.send(m.addr, &packet{Beat: n.newBeat(now, m.theirs, answer)})
+}
+
+func (n *Node) beatAll(now boottime.Time) {
+	for _, m := range n.members {
+		n.beatTo(now, m, false)
+	}
+}
+
+// tick sends what is due.
+func (n *Node) tick() {
+	now := n.now()
+	period := n.period()
+	for id, m := range n.members {
+		if now.Sub(m.heard) > n.cfg.Forget {
+			n.dropMember(now, id, "router silent")
+			continue
+		}
+		if now.Sub(m.beatAt) >= period {
+			n.beatTo(now, m, false)
+		}
+	}
+	n.seek(now)
+	n.chooseReaders(now)
+	n.retryAsks(now)
+	for _, g := range n.groups {
+		n.deliver(now, g.core.Tick(time.Duration(now)))
+	}
+	n.checkHomes(now)
+	n.pushState(now)
+}
+
+// seekEvery is the mean time between heartbeats to seeds that aren't members:
+// they may have been down, or this router may be cut off with a few others.
+const seekEvery = 500 * time.Millisecond
+
+func (n *Node) seek(now boottime.Time) {
+	chance := float64(slowTick) / float64(seekEvery)
+	for _, ip := range n.cfg.Seeds {
+		if ip == n.cfg.IP || n.knows(ip) || rand.Float64() > chance {
+			continue
+		}
+		if at, ok := n.addrOf(ip); ok {
+			n.send(at, &packet{Beat: n.newBeat(now, 0, true)})
+		}
+	}
+}
+
+// chooseReaders picks who reads the platform for this failure domain, and asks
+// that router how fresh its state is.
+func (n *Node) chooseReaders(now boottime.Time) {
+	key := "reader/" + n.cfg.Domain
+	var best *member
+	score := preference(n.self, n.cfg.Weight, key)
+	if n.leaving {
+		score = 0
+	}
+	live := 1
+	for _, m := range n.members {
+		if !m.usable(now, n.silence()) {
+			continue
+		}
+		live++
+		if m.domain != n.cfg.Domain {
+			continue
+		}
+		if p := preference(m.id, m.weight, key); p > score {
+			best, score = m, p
+		}
+	}
+	// A share of the fleet's allowance stays with routers that may come back.
+	n.most = max(n.most, live)
+	n.routers.Store(int64(n.most))
+	n.reads.Store(best == nil)
+	if best != nil && now.Sub(best.pingAt) >= n.cfg.Ping {
+		best.pingAt = now
+		n.beatTo(now, best, true)
+	}
+}
+
+// pushState tells a change at once to the failure domain, or to all if they are
+// few; the others hear of it with the next heartbeat.
+func (n *Node) pushState(now boottime.Time) {
+	if n.feed == nil {
+		return
+	}
+	s := n.feed.Snapshot()
+	if s == nil || s.Revision == n.pushed {
+		return
+	}
+	n.pushed = s.Revision
+	if !n.reads.Load() {
+		return
+	}
+	for _, m := range n.members {
+		if m.domain == n.cfg.Domain {
+			n.beatTo(now, m, false)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/config.go
@@ -0,0 +1,56 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/dispatch"
+)
+
+// Config tunes a Node.
+type Config struct {
+	// IP and Port are where the router hears its peers; all routers use the same
+	// port.
+	IP   string
+	Port int
+	// Domain is the failure domain.
+	Domain string
+	// Weight is the VM's share of a core: stronger VMs are home to more.
+	Weight float64
+	// Seeds are IPs of routers that may be up.
+	Seeds []string
+	// Beat is the least time between two heartbeats to a peer. BeatPerPeer
+	// stretches it with the fleet, so that a router sends a hundred a second at
+	// most.
+	Beat, BeatPerPeer time.Duration
+	// Ping is how often a router asks those that read the platform how fresh
+	// the state is.
+	Ping time.Duration
+	// Missed is how many heartbeats may fail to come before a peer isn't used.
+	Missed int
+	// Forget is when a silent peer is no longer a member.
+	Forget time.Duration
+	// AskAgain is when an unanswered question is asked again, AskLocal when it is
+	// decided here. A home whose processor share is used up for the moment
+	// answers within a tenth of a second.
+	AskAgain, AskLocal time.Duration
+	// GroupSize is how many upstreams one home decides for, roughly.
+	GroupSize int
+	// Engine and Plain tune the decisions.
+	Engine, Plain dispatch.Config
+}
+
+// DefaultConfig returns the settings that a deployment changes.
+func DefaultConfig() Config {
+	return Config{
+		Beat:        250 * time.Millisecond,
+		BeatPerPeer: 10 * time.Millisecond,
+		Ping:        300 * time.Millisecond,
+		Missed:      4,
+		Forget:      10 * time.Second,
+		AskAgain:    45 * time.Millisecond,
+		AskLocal:    100 * time.Millisecond,
+		GroupSize:   32,
+		Engine:      dispatch.DefaultConfig(true),
+		Plain:       dispatch.DefaultConfig(false),
+	}
+}
--- /dev/null
+++ b/fleet/group.go
@@ -0,0 +1,178 @@
+package fleet
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/aspenswitch/aspenswitch/boottime"
+	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/feed"
+	"github.com/aspenswitch/aspenswitch/registry"
+)
+
+// groupKey names a group of a service's upstreams.
+type groupKey struct {
+	service string
+	index   int
+}
+
+// group is a part of a service's upstreams for which one router decides.
+type group struct {
+	key  string
+	core *dispatch.Core
+	// home is the router that decided last, 0 if none has yet.
+	home uint64
+}
+
+// groupCount divides a service's upstreams. It is a power of two, so that a few
+// upstreams more or less hardly ever change it.
+func (n *Node) groupCount(upstreams int) int {
+	count := 1
+	for upstreams > count*n.cfg.GroupSize {
+		count *= 2
+	}
+	return count
+}
+
+// pickGroup spreads sessions over groups.
+func (n *Node) pickGroup(service string, count int, parts []dispatch.Part, seq uint64) int {
+	if count == 1 {
+		return 0
+	}
+	session := seq
+	if len(parts) > 1 {
+		session = parts[len(parts)-2].ID
+	}
+	return int(xxhash.Sum64String(service+strconv.FormatUint(session, 16)) % uint64(count))
+}
+
+// groupOfUpstream divides upstreams by their IDs.
+func groupOfUpstream(id string, count int) int {
+	return int(xxhash.Sum64String(id) % uint64(count))
+}
+
+// group returns a group of the service, with its present upstreams.
+func (n *Node) group(now boottime.Time, key groupKey) *group {
+	if g := n.groups[key]; g != nil {
+		return g
+	}
+	s := n.feed.Snapshot()
+	if s == nil {
+		return nil
+	}
+	cfg := n.cfg.Plain
+	if svc := s.Table.Service(key.service); svc != nil && svc.Engine != nil {
+		cfg = n.cfg.Engine
+	}
+	g := &group{key: key.service + "/" + strconv.Itoa(key.index), core: dispatch.New(cfg)}
+	n.groups[key] = g
+	n.fill(now, key, g, s)
+	return g
+}
+
+// fill gives a group its upstreams and its part of the engines' yield.
+func (n *Node) fill(now boottime.Time, key groupKey, g *group, s *feed.Snapshot) {
+	ready := s.View.Ready(key.service)
+	svc := s.Table.Service(key.service)
+	count := n.groupCount(len(ready))
+	var members []dispatch.Member
+	for _, u := range ready {
+		if groupOfUpstream(u.ID, count) != key.index {
+			continue
+		}
+		m := dispatch.Member{ID: u.ID, Slots: slots(u)}
+		if svc != nil && svc.Engine != nil {
+			m.KVTokens = svc.Engine.KVTokens
+		}
+		members = append(members, m)
+	}
+	g.core.SetCapacity(yield(s, len(members)))
+	n.deliver(now, g.core.SetMembers(time.Duration(now), members))
+}
+
+func slots(u *registry.Upstream) int { return max(u.Slots, 1) }
+
+// yield is the part of the engines' tokens a second that some of them give.
+func yield(s *feed.Snapshot, some int) float64 {
+	all := 0
+	for i := range s.Table.Config.Services {
+		if svc := &s.Table.Config.Services[i]; svc.Engine != nil {
+			all += len(s.View.Ready(svc.Name))
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return s.Table.Config.Limits.TokensPerSecond * float64(some) / float64(all)
+}
+
+// changed refills the groups.
+func (n *Node) changed(now boottime.Time) {
+	s := n.feed.Snapshot()
+	if s == nil {
+		return
+	}
+	for key, g := range n.groups {
+		n.fill(now, key, g, s)
+	}
+	n.pushState(now)
+}
+
+// homeOf is the router that decides for a group: nil means this one.
+func (n *Node) homeOf(now boottime.Time, g *group) *member {
+	var best *member
+	score := preference(n.self, n.cfg.Weight, g.key)
+	if n.leaving {
+		score = math.Inf(-1)
+	}
+	silence := n.silence()
+	for _, m := range n.members {
+		if !m.usable(now, silence) {
+			continue
+		}
+		if p := preference(m.id, m.weight, g.key); p > score {
+			best, score = m, p
+		}
+	}
+	return best
+}
+
+// checkHomes tells a group's new home what this router has at its upstreams:
+// else it would take them for idle and send them more than they can do.
+func (n *Node) checkHomes(now boottime.Time) {
+	for _, g := range n.groups {
+		home, id := n.homeOf(now, g), n.self
+		if home != nil {
+			id = home.id
+		}
+		if id == g.home {
+			continue
+		}
+		first := g.home == 0
+		g.home = id
+		n.log.Info().Str("event", "home").Str("group", g.key).Uint64("router", id).Bool("self", home == nil).Msg("home of a group")
+		if !first {
+			n.tellHeld(now, g, home)
+		}
+	}
+}
+
+func (n *Node) tellHeld(now boottime.Time, g *group, home *member) {
+	for _, h := range n.held {
+		if h.group != g {
+			continue
+		}
+		if home == nil {
+			r := h.request
+			g.core.Held(time.Duration(now), r, h.upstream, h.begun)
+			continue
+		}
+		n.send(home.addr, &packet{Report: &report{
+			Kind: holds, Seq: h.request.Ticket.Seq, Service: h.key.service, Group: h.key.index,
+			Held: newAsk(h.key, h.request), Upstream: h.upstream, Begun: h.begun,
+		}})
+	}
+}
--- /dev/null
+++ b/fleet/member.go
@@ -0,0 +1,47 @@
+package fleet
+
+import (
+	"math"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/aspenswitch/aspenswitch/boottime"
+)
+
+// member is a peer of which something was heard.
+type member struct {
+	id      uint64
+	addr    netip.AddrPort
+	domain  string
+	weight  float64
+	leaving bool
+	heard   boottime.Time
+	// theirs is the newest Sent of the peer.
+	theirs int64
+	// doubted is set when it left a question unanswered, until it is heard.
+	doubted bool
+	beatAt  boottime.Time
+	pingAt  boottime.Time
+}
+
+// preference is a member's weighted rendezvous score for a key (Thaler and
+// Ravishankar 1998; weights after Schindelhauer and Schomaker 2005). The weight
+// is cubed: a VM with a quarter of the processor should hardly ever be a home.
+func preference(id uint64, weight float64, key string) float64 {
+	var raw [8]byte
+	for i := range raw {
+		raw[i] = byte(id >> (8 * i))
+	}
+	h := xxhash.New()
+	_, _ = h.Write(raw[:])    // a hash can't fail
+	_, _ = h.WriteString(key) // nor here
+	u := (float64(h.Sum64()>>11) + 0.5) / (1 << 53)
+	return weight * weight * weight / -math.Log(u)
+}
+
+// usable reports whether a peer may be a home.
+func (m *member) usable(now boottime.Time, silence time.Duration) bool {
+	return !m.leaving && !m.doubted && now.Sub(m.heard) < silence
+}
--- /dev/null
+++ b/fleet/message.go
@@ -0,0 +1,99 @@
+package fleet
+
+import "github.com/aspenswitch/aspenswitch/dispatch"
+
+// packet is one datagram. Fields are arrays on the wire, for their size.
+type packet struct {
+	_ struct{} `cbor:",toarray"`
+	// From is the sender's incarnation.
+	From   uint64
+	Beat   *beat
+	Ask    *ask
+	Reply  *reply
+	Report *report
+}
+
+// beat is a heartbeat.
+type beat struct {
+	_ struct{} `cbor:",toarray"`
+	// Sent is the sender's boot clock in nanoseconds.
+	Sent int64
+	// Echo is the newest Sent that the sender has from the receiver, 0 if none.
+	// It proves that the sender's other words were said after that moment.
+	Echo   int64
+	IP     string
+	Domain string
+	// Weight is the sender's share of a core.
+	Weight float64
+	// Leaving routers are no home to anything.
+	Leaving bool
+	// Answer asks for a heartbeat in return, at once.
+	Answer bool
+	// Revision of the published state that the sender has, and how long before
+	// Sent it was confirmed.
+	Revision int64
+	AgeNanos int64
+	// Peers are some routers that the sender hears.
+	Peers []string
+}
+
+// ask is a request to be placed.
+type ask struct {
+	_        struct{} `cbor:",toarray"`
+	Seq      uint64
+	Service  string
+	Group    int
+	Team     string
+	Rank     int
+	Prompt   int
+	Output   int
+	Parts    []part
+	TargetMs int32
+	LeftMs   int32
+	Warm     string
+	Avoid    []string
+}
+
+type part struct {
+	_      struct{} `cbor:",toarray"`
+	ID     uint64
+	Tokens int
+}
+
+// reply is a decision.
+type reply struct {
+	_        struct{} `cbor:",toarray"`
+	Seq      uint64
+	Verdict  dispatch.Verdict
+	Upstream string
+	RetryMs  int32
+	WaitMs   int32
+	Over     bool
+}
+
+// reportKind is what a report tells.
+type reportKind uint8
+
+const (
+	// began: the first byte of the answer came.
+	began reportKind = iota
+	// ended: the request is over.
+	ended
+	// holds: the sender has this request at an upstream; told to a new home.
+	holds
+)
+
+// report is what became of a request that was placed.
+type report struct {
+	_       struct{} `cbor:",toarray"`
+	Kind    reportKind
+	Seq     uint64
+	Service string
+	Group   int
+	Outcome dispatch.Outcome
+	TookMs  int32
+	// Held and Upstream are set with holds; Begun if the answer has begun.
+	Held     *ask
+	Upstream string
+	Begun    bool
+}
--- /dev/null
+++ b/fleet/node.go
@@ -0,0 +1,258 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
+
+	"github.com/aspenswitch/aspenswitch/boottime"
+	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/feed"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("fleet")
+
+// Node is one router's part in the fleet. One goroutine owns its state; the
+// others talk to it through events.
+type Node struct {
+	cfg  Config
+	self uint64
+	now  boottime.Clock
+	log  zerolog.Logger
+	feed *feed.Feed
+
+	conn    *net.UDPConn
+	listen  net.Listener
+	events  chan any
+	seq     atomic.Uint64
+	routers atomic.Int64
+	reads   atomic.Bool
+	sent    atomic.Int64
+	pulling atomic.Bool
+
+	// Owned by the control goroutine.
+	members map[uint64]*member
+	groups  map[groupKey]*group
+	pending map[uint64]*pending
+	held    map[uint64]*heldRequest
+	warm    map[uint64]string
+	pushed  int64
+	leaving bool
+	most    int
+}
+
+// New returns a node that hears its peers at the configured address.
+func New(cfg Config, now boottime.Clock, log zerolog.Logger) (*Node, error) {
+	ip, err := netip.ParseAddr(cfg.IP)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	at := netip.AddrPortFrom(ip, uint16(cfg.Port))
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	listen, err := net.Listen("tcp4", at.String())
+	if err != nil {
+		_ = conn.Close()
+		return nil, Error.Wrap(err)
+	}
+	n := &Node{
+		cfg: cfg, self: rand.Uint64(), now: now, log: log, conn: conn, listen: listen,
+		events:  make(chan any, 256),
+		members: map[uint64]*member{}, groups: map[groupKey]*group{},
+		pending: map[uint64]*pending{}, held: map[uint64]*heldRequest{}, warm: map[uint64]string{},
+	}
+	n.routers.Store(1)
+	n.reads.Store(true)
+	return n, nil
+}
+
+// Attach gives the node the feed whose freshness it spreads.
+func (n *Node) Attach(f *feed.Feed) { n.feed = f }
+
+// Reads reports whether this router reads the platform for its failure domain.
+func (n *Node) Reads() bool { return n.reads.Load() }
+
+// Routers is the number of routers heard of lately, this one included.
+func (n *Node) Routers() int { return int(n.routers.Load()) }
+
+// Datagrams is the number of datagrams sent.
+func (n *Node) Datagrams() int64 { return n.sent.Load() }
+
+// NewTicket names a request.
+func (n *Node) NewTicket() dispatch.Ticket {
+	return dispatch.Ticket{Router: n.self, Seq: n.seq.Add(1)}
+}
+
+// Run serves until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	go n.receive()
+	go n.servePulls()
+	n.control(ctx)
+	_ = n.conn.Close()
+	_ = n.listen.Close()
+}
+
+// maxDatagram fits in what the path carries without fragments, with room.
+const maxDatagram = 8 << 10
+
+// receive passes datagrams to the control goroutine.
+func (n *Node) receive() {
+	buf := make([]byte, maxDatagram)
+	for {
+		size, from, err := n.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return // closed
+		}
+		p := &packet{}
+		if err := cbor.Unmarshal(buf[:size], p); err != nil {
+			n.log.Warn().Str("event", "peer").Stringer("from", from).Err(err).Msg("datagram left out")
+			continue
+		}
+		if p.From == n.self {
+			continue
+		}
+		n.events <- received{packet: p, from: from}
+	}
+}
+
+// send writes one datagram. One that can't be sent counts as lost on the way.
+func (n *Node) send(to netip.AddrPort, p *packet) {
+	p.From = n.self
+	raw, err := cbor.Marshal(p)
+	if err != nil {
+		n.log.Error().Str("event", "peer").Err(err).Msg("datagram not encoded")
+		return
+	}
+	n.sent.Add(1)
+	if _, err := n.conn.WriteToUDPAddrPort(raw, to); err != nil {
+		n.log.Debug().Str("event", "peer").Stringer("to", to).Err(err).Msg("datagram not sent")
+	}
+}
+
+func (n *Node) addrOf(ip string) (netip.AddrPort, bool) {
+	at, err := netip.ParseAddrPort(net.JoinHostPort(ip, strconv.Itoa(n.cfg.Port)))
+	return at, err == nil
+}
+
+// Events of the control goroutine.
+type (
+	received struct {
+		packet *packet
+		from   netip.AddrPort
+	}
+	placeEvent struct {
+		service string
+		request dispatch.Request
+		answer  chan dispatch.Decision
+	}
+	reportEvent struct {
+		kind    reportKind
+		seq     uint64
+		outcome dispatch.Outcome
+		took    time.Duration
+	}
+	changeEvent struct{}
+	leaveEvent  struct{}
+	seedsEvent  struct{ ips []string }
+	dumpEvent   struct{ answer chan Dump }
+)
+
+// Changed tells that the published state has changed.
+func (n *Node) Changed() {
+	select {
+	case n.events <- changeEvent{}:
+	default: // the tick finds the change as well
+	}
+}
+
+// SetSeeds replaces the routers that may be up.
+func (n *Node) SetSeeds(ips []string) { n.events <- seedsEvent{ips: ips} }
+
+// Leave tells the peers that this router stops.
+func (n *Node) Leave() { n.events <- leaveEvent{} }
+
+// Ticks of the control goroutine: fast while a request waits for anything, slow
+// otherwise, as each wake-up costs processor time.
+const (
+	fastTick = 10 * time.Millisecond
+	slowTick = 50 * time.Millisecond
+)
+
+func (n *Node) control(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-n.events:
+			n.handle(e)
+		case <-timer.C:
+			n.tick()
+			timer.Reset(n.nextTick())
+		}
+	}
+}
+
+func (n *Node) nextTick() time.Duration {
+	if len(n.pending) > 0 {
+		return fastTick
+	}
+	for _, g := range n.groups {
+		if g.core.Waiting() {
+			return fastTick
+		}
+	}
+	return slowTick
+}
+
+func (n *Node) handle(e any) {
+	now := n.now()
+	switch e := e.(type) {
+	case received:
+		n.receivePacket(now, e)
+	case placeEvent:
+		n.place(now, e)
+	case reportEvent:
+		n.reported(now, e)
+	case changeEvent:
+		n.changed(now)
+	case leaveEvent:
+		n.leaving = true
+		n.beatAll(now)
+	case seedsEvent:
+		n.cfg.Seeds = e.ips
+	case dumpEvent:
+		e.answer <- n.dump(now)
+	}
+}
+
+func (n *Node) receivePacket(now boottime.Time, e received) {
+	p := e.packet
+	if p.Beat != nil {
+		n.heardBeat(now, p.From, p.Beat)
+	}
+	if m := n.members[p.From]; m != nil {
+		m.heard, m.doubted = now, false
+	}
+	if p.Ask != nil {
+		n.asked(now, p.From, e.from, p.Ask)
+	}
+	if p.Reply != nil {
+		n.replied(now, p.Reply)
+	}
+	if p.Report != nil {
+		n.told(now, p.From, p.Report)
+	}
+}
--- /dev/null
+++ b/gateway/deps.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/feed"
+)
+
+// State is what the gateway reads of the platform's published state.
+type State interface {
+	// Snapshot is nil until a configuration is known.
+	Snapshot() *feed.Snapshot
+	// Authorized reports whether the snapshot is fresh enough to act upon.
+	Authorized() bool
+	// Age is how long ago the snapshot was confirmed.
+	Age() time.Duration
+}
+
+// Placer decides where requests go. Place waits until the decision is Send or
+// Refuse, or ctx ends; after a Send, Done must be called once.
+type Placer interface {
+	Place(ctx context.Context, service string, r dispatch.Request) (dispatch.Decision, error)
+	Started(service string, t dispatch.Ticket)
+	Done(service string, t dispatch.Ticket, o dispatch.Outcome, took time.Duration)
+	// NewTicket names a request.
+	NewTicket() dispatch.Ticket
+	// Routers is the number of routers in the fleet.
+	Routers() int
+}
--- /dev/null
+++ b/gateway/record.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// record is what the log tells of a request: the inputs that decided and how
+// old they were.
+type record struct {
+	id, route, team, service string
+	config                   int64
+	age                      time.Duration
+	upstream                 string
+	attempts                 int
+	// predicted is the time to the first byte that placing expected; placed is
+	// how long placing took, first when the first byte came.
+	predicted, placed, first time.Duration
+	over                     bool
+	retryAfter               time.Duration
+	status                   int
+	outcome                  string
+	cause                    string
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (r *record) MarshalZerologObject(e *zerolog.Event) {
+	e.Str("request", r.id).Str("route", r.route).Str("team", r.team).Str("service", r.service).
+		Int64("config", r.config).Int64("age_ms", r.age.Milliseconds()).
+		Str("upstream", r.upstream).Int("attempts", r.attempts).
+		Int64("predicted_ms", r.predicted.Milliseconds()).Int64("placed_ms", r.placed.Milliseconds()).
+		Int64("first_ms", r.first.Milliseconds()).Int("status", r.status).Str("outcome", r.outcome)
+	if r.over {
+		e.Bool("over_share", true)
+	}
+	if r.retryAfter > 0 {
+		e.Int64("retry_after_ms", r.retryAfter.Milliseconds())
+	}
+	if r.cause != "" {
+		e.Str("cause", r.cause)
+	}
+}
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,253 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/retry"
+	"github.com/aspenswitch/aspenswitch/routing"
+	"github.com/aspenswitch/aspenswitch/upstream"
+)
+
+// maxPlaces bounds how often one request is placed: upstreams that can't be
+// reached, or that left meanwhile, don't count as attempts.
+const maxPlaces = 5
+
+// retryLater is told to callers whose request met upstreams that are full or
+// out of reach, of which nothing better is known.
+const retryLater = 400 * time.Millisecond
+
+// serve sends the request until an upstream has answered it or nothing more can
+// be done. cut is set if an answer has begun and can't be completed.
+func (s *Server) serve(w http.ResponseWriter, r *request) (refused *refusal, cut bool) {
+	ctx, cancel := context.WithDeadline(r.ctx, r.deadline)
+	defer cancel()
+	out := newRelay(w, r.route)
+	for {
+		res := s.attempt(ctx, r, out)
+		if res.again && r.places < maxPlaces {
+			continue
+		}
+		if res.refused == nil {
+			return nil, false
+		}
+		if out.started {
+			r.record.outcome, r.record.cause = "cut", join(res.refused.code, r.record.cause)
+			return nil, true
+		}
+		return res.refused, false
+	}
+}
+
+// result of one attempt. refused is nil if the caller has its answer; with
+// again set it is what the caller gets if there is no further attempt.
+type result struct {
+	refused *refusal
+	again   bool
+}
+
+// attempt places the request, sends it once and passes the answer on.
+func (s *Server) attempt(ctx context.Context, r *request, out *relay) result {
+	ticket := s.placer.NewTicket()
+	at := time.Now()
+	d, err := s.placer.Place(ctx, r.service, s.ask(r, ticket))
+	r.places++
+	r.record.placed += time.Since(at)
+	r.record.predicted, r.record.over = d.Wait, d.Over
+	if err != nil {
+		return result{refused: s.unplaced(r, err)}
+	}
+	if d.Verdict == dispatch.Refuse {
+		return result{refused: s.refuse(r, d)}
+	}
+	u, refused := s.mayUse(r, d.Upstream)
+	if refused != nil {
+		s.placer.Done(r.service, ticket, dispatch.Cancelled, 0)
+		return result{refused: refused, again: u}
+	}
+	return s.send(ctx, r, out, ticket, d.Upstream)
+}
+
+// ask describes the request to the placer.
+func (s *Server) ask(r *request, t dispatch.Ticket) dispatch.Request {
+	target := r.route.Target
+	if target <= 0 {
+		target = r.deadline.Sub(r.arrived)
+	}
+	return dispatch.Request{
+		Ticket: t, Team: r.teamName(), Rank: r.rank(), Prompt: r.prompt, Output: r.output, Parts: r.parts,
+		Target: target - time.Since(r.arrived), Left: time.Until(r.deadline), Avoid: r.tried,
+	}
+}
+
+// unplaced is the answer when placing ended without a decision.
+func (s *Server) unplaced(r *request, err error) *refusal {
+	r.record.cause = err.Error()
+	if len(r.tried) > 0 && !r.route.Repeatable() {
+		return unknown(http.StatusGatewayTimeout, "deadline", "no answer came in time; the request may have run")
+	}
+	if errors.Is(err, context.Canceled) {
+		return notRun("caller_left", "the caller left before its request was sent", 0)
+	}
+	return notRun("not_placed", "no upstream could take the request in time", retryLater)
+}
+
+// refuse tells the caller when to come back.
+func (s *Server) refuse(r *request, d dispatch.Decision) *refusal {
+	if d.Over {
+		no := notRun("over_share", "the team has had its share; the request was not run", d.RetryAfter)
+		no.status = http.StatusTooManyRequests
+		return no
+	}
+	return notRun("no_room", "no upstream can answer in time; the request was not run", d.RetryAfter)
+}
+
+// mayUse checks, at the moment of sending, that the request's key, route and
+// upstream are still in force. The decision may have been waited for, and the
+// home that made it may know less than this router.
+func (s *Server) mayUse(r *request, id string) (again bool, refused *refusal) {
+	state := s.state.Snapshot()
+	if refused := s.stillAllowed(r); refused != nil {
+		return false, refused
+	}
+	u := state.View.Upstream(id)
+	if u == nil || u.Service != r.service {
+		r.tried = append(r.tried, id)
+		r.record.cause = "upstream " + id + " has left"
+		return true, notRun("upstream_left", "the upstream left before the request was sent", retryLater)
+	}
+	return false, nil
+}
+
+// stillAllowed checks the key against the newest configuration.
+func (s *Server) stillAllowed(r *request) *refusal {
+	if r.team == nil {
+		return nil
+	}
+	if !s.state.Authorized() {
+		return notRun("stale_view", "this router's view of the keys is too old to decide", time.Second)
+	}
+	if s.state.Snapshot().Table.Team(r.in.Header.Get(s.cfg.Names.Key)) == nil {
+		return bad(http.StatusUnauthorized, "unknown_key", "no team holds this key any more")
+	}
+	return nil
+}
+
+// send sends the request to an upstream and passes the answer on.
+func (s *Server) send(ctx context.Context, r *request, out *relay, t dispatch.Ticket, id string) result {
+	u := s.state.Snapshot().View.Upstream(id)
+	if u == nil {
+		s.placer.Done(r.service, t, dispatch.Cancelled, 0)
+		return result{refused: notRun("upstream_left", "the upstream left before the request was sent", retryLater), again: true}
+	}
+	s.count(r)
+	r.record.upstream = id
+	at := time.Now()
+	a, err := s.pool.Do(ctx, s.call(r, out, u.Address, id))
+	if err != nil {
+		return s.sendFailed(ctx, r, t, id, err)
+	}
+	defer a.Close()
+	r.tried = append(r.tried, id)
+	r.record.attempts++
+	res, o := s.answer(ctx, r, out, a, func() {
+		r.record.first = time.Since(r.arrived)
+		s.placer.Started(r.service, t)
+	})
+	s.placer.Done(r.service, t, o, time.Since(at))
+	return res
+}
+
+// count notes the send in the retry budget.
+func (s *Server) count(r *request) {
+	if len(r.tried) > 0 {
+		return // the budget counted it when it allowed the retry
+	}
+	s.mu.Lock()
+	s.budget.First(time.Since(s.start), r.service)
+	s.mu.Unlock()
+}
+
+// mayRetry reports whether the request may go to one more upstream after one
+// that it was sent to.
+func (s *Server) mayRetry(r *request) bool {
+	if len(r.tried) >= max(r.route.MaxAttempts, 1) || time.Until(r.deadline) < minAttempt {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Retry(time.Since(s.start), r.service, s.placer.Routers())
+}
+
+// minAttempt is the least time left in which an attempt can be of use.
+const minAttempt = 30 * time.Millisecond
+
+// sendFailed decides after a call that got no answer.
+func (s *Server) sendFailed(ctx context.Context, r *request, t dispatch.Ticket, id string, err error) result {
+	r.record.cause = err.Error()
+	if upstream.NotSent(err) {
+		if ctx.Err() != nil {
+			s.placer.Done(r.service, t, dispatch.Cancelled, 0)
+			return result{refused: s.unplaced(r, ctx.Err())}
+		}
+		s.placer.Done(r.service, t, dispatch.Unreachable, 0)
+		r.tried = append(r.tried, id)
+		return result{refused: notRun("unreachable", "the upstream can't be reached; the request was not run", retryLater), again: true}
+	}
+	r.tried = append(r.tried, id)
+	r.record.attempts++
+	if ctx.Err() != nil {
+		o := dispatch.Cancelled
+		if r.ctx.Err() == nil {
+			o = dispatch.Unreachable
+		}
+		s.placer.Done(r.service, t, o, 0)
+		return result{refused: unknown(http.StatusGatewayTimeout, "deadline", "no answer came in time; the request may have run")}
+	}
+	s.placer.Done(r.service, t, dispatch.Unreachable, 0)
+	return s.broken(r, nil)
+}
+
+// broken decides after an upstream that may have run the request and gave no
+// whole answer. last, if given, is what the caller gets without a retry.
+func (s *Server) broken(r *request, last *refusal) result {
+	if last == nil {
+		last = unknown(http.StatusBadGateway, "upstream_failed", "the upstream broke off; the request may have run")
+	}
+	return result{refused: last, again: r.route.Repeatable() && s.mayRetry(r)}
+}
+
+// call is the request as it goes to an upstream.
+func (s *Server) call(r *request, out *relay, address, id string) *upstream.Call {
+	h := r.in.Header.Clone()
+	removeHopByHop(h)
+	n := s.cfg.Names
+	for _, name := range n.Private {
+		h.Del(name)
+	}
+	h.Del(n.Key)
+	h.Del(n.Team)
+	h.Del("Content-Length")
+	h.Del("Expect")
+	if r.team != nil {
+		h.Set(n.Team, r.team.Name)
+	}
+	h.Set(n.Upstream, id)
+	h.Set(n.Deadline, formatMillis(time.Until(r.deadline)))
+	if out.lastID != "" {
+		h.Set("Last-Event-Id", out.lastID)
+	}
+	return &upstream.Call{
+		Address: address, Method: r.in.Method, URI: r.in.RequestURI, Host: r.in.Host, Header: h, Body: r.body,
+		IDHeader: n.RequestID, ID: r.id, Repeatable: r.route.Kind == routing.Safe || r.route.Repeatable(),
+	}
+}
+
+// ran notes that the caller has an upstream's answer.
+func ran(r *request, status int) {
+	r.record.status = status
+	r.record.outcome = string(retry.Ran)
+}
--- /dev/null
+++ b/gateway/server.go
@@ -0,0 +1,170 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/aspenswitch/aspenswitch/obs"
+	"github.com/aspenswitch/aspenswitch/retry"
+	"github.com/aspenswitch/aspenswitch/upstream"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("gateway")
+
+// Server takes callers' requests.
+type Server struct {
+	cfg    Config
+	state  State
+	placer Placer
+	pool   *upstream.Pool
+	log    *obs.Limited
+	stats  *stats
+	start  time.Time
+
+	// mu guards budget.
+	mu     sync.Mutex
+	budget retry.Budget
+
+	stopping atomic.Bool
+	http     *http.Server
+}
+
+// New returns a server.
+func New(cfg Config, state State, placer Placer, pool *upstream.Pool, budget retry.Budget, log *obs.Limited, metrics *obs.Metrics) *Server {
+	return &Server{
+		cfg: cfg, state: state, placer: placer, pool: pool, budget: budget,
+		log: log, stats: newStats(metrics.Scope), start: time.Now(),
+	}
+}
+
+// configWait is how long a new process holds callers back until it knows a
+// configuration: the listener's limits come from it, and a caller that waits
+// this long is better off than one that is turned away.
+const configWait = 500 * time.Millisecond
+
+// Serve takes connections until Shutdown.
+func (s *Server) Serve(l net.Listener) error {
+	until := time.Now().Add(configWait)
+	for s.state.Snapshot() == nil && time.Now().Before(until) {
+		time.Sleep(configWait / 50)
+	}
+	s.mu.Lock()
+	s.http = s.newHTTP()
+	server := s.http
+	s.mu.Unlock()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return Error.Wrap(err)
+	}
+	return nil
+}
+
+func (s *Server) newHTTP() *http.Server {
+	h := &http.Server{
+		Handler:                      s,
+		ReadHeaderTimeout:            s.cfg.HeaderTimeout,
+		IdleTimeout:                  s.cfg.IdleTimeout,
+		MaxHeaderBytes:               s.cfg.MaxHeaderBytes,
+		DisableGeneralOptionsHandler: true,
+		// What it says concerns callers that break off, which the record tells.
+		ErrorLog: stdlog.New(io.Discard, "", 0),
+	}
+	if state := s.state.Snapshot(); state != nil {
+		limits := state.Table.Config.Limits
+		if limits.HeaderTimeout > 0 {
+			h.ReadHeaderTimeout = limits.HeaderTimeout
+		}
+		if limits.IdleTimeout > 0 {
+			h.IdleTimeout = limits.IdleTimeout
+		}
+		if limits.MaxHeaderBytes > 0 {
+			h.MaxHeaderBytes = limits.MaxHeaderBytes
+		}
+	}
+	return h
+}
+
+// Stopping reports whether Shutdown has begun.
+func (s *Server) Stopping() bool { return s.stopping.Load() }
+
+// Shutdown ends the server without cutting an answer. The balancer takes a
+// while to see that the VM isn't ready, and callers keep their connections, so
+// the listener stays open for the linger and each answer closes its connection.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.stopping.Store(true)
+	linger := time.NewTimer(s.cfg.Linger)
+	defer linger.Stop()
+	select {
+	case <-ctx.Done():
+	case <-linger.C:
+	}
+	s.mu.Lock()
+	server := s.http
+	s.mu.Unlock()
+	if server == nil {
+		return nil
+	}
+	return Error.Wrap(server.Shutdown(ctx))
+}
+
+// Close cuts what still runs.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.http != nil {
+		_ = s.http.Close() // connections that are gone already
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	s.stats.begin()
+	r, refused := s.accept(in)
+	cut := false
+	if refused == nil {
+		refused, cut = s.serve(w, r)
+	}
+	if refused != nil {
+		r.record.status = refused.status
+		r.record.outcome = string(refused.outcome)
+		r.record.retryAfter = refused.retryAfter
+		r.record.cause = join(refused.code, r.record.cause)
+		refused.write(w)
+	}
+	s.finish(r)
+	if cut {
+		// The answer has begun and can't be completed: only a connection that
+		// breaks shows the caller that it isn't whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func join(code, cause string) string {
+	if cause == "" {
+		return code
+	}
+	return code + ": " + cause
+}
+
+// finish writes the request's line in the log and counts it.
+func (s *Server) finish(r *request) {
+	took := time.Since(r.arrived)
+	s.stats.end(&r.record, took)
+	if r.record.outcome == string(retry.Ran) && r.record.cause == "" {
+		s.log.Info("served", func(e *obs.Event) { e.EmbedObject(&r.record).Int64("took_ms", took.Milliseconds()).Msg("request") })
+		return
+	}
+	s.log.Warn("failed", func(e *obs.Event) { e.EmbedObject(&r.record).Int64("took_ms", took.Milliseconds()).Msg("request") })
+}
--- /dev/null
+++ b/obs/async.go
@@ -0,0 +1,72 @@
+package obs
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+// Async hands lines to a writer from a goroutine of its own. A pipe that nobody
+// reads would else block the requests that write lines; here lines are dropped
+// and counted.
+type Async struct {
+	to      io.Writer
+	mu      sync.Mutex
+	pending []byte
+	wake    chan struct{}
+	done    chan struct{}
+	dropped atomic.Int64
+}
+
+// maxPending bounds the memory of lines that wait: some two hundred.
+const maxPending = 64 << 10
+
+// NewAsync returns a writer that passes lines on to w until Close.
+func NewAsync(w io.Writer) *Async {
+	a := &Async{to: w, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	go a.run()
+	return a
+}
+
+// Write implements io.Writer. It never blocks and never fails.
+func (a *Async) Write(line []byte) (int, error) {
+	a.mu.Lock()
+	if len(a.pending)+len(line) > maxPending {
+		a.mu.Unlock()
+		a.dropped.Add(1)
+		return len(line), nil
+	}
+	a.pending = append(a.pending, line...)
+	a.mu.Unlock()
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+	return len(line), nil
+}
+
+// Dropped is the number of lines left out.
+func (a *Async) Dropped() int64 { return a.dropped.Load() }
+
+func (a *Async) run() {
+	defer close(a.done)
+	var lines []byte
+	for range a.wake {
+		a.mu.Lock()
+		lines, a.pending = a.pending, lines[:0]
+		a.mu.Unlock()
+		// A log that can't be written has nowhere to say so.
+		_, _ = a.to.Write(lines)
+	}
+}
+
+// Close writes what is pending and ends.
+func (a *Async) Close() error {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+	close(a.wake)
+	<-a.done
+	return nil
+}
--- /dev/null
+++ b/registry/registry.go
@@ -0,0 +1,114 @@
+package registry
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/boottime"
+)
+
+// LapseGrace is how long an entry that went missing around an outage of the
+// platform is still used: upstreams that live register again within two
+// seconds of its return. It is less than the shortest time within which a
+// leaving upstream must get no more work, which is two seconds as well.
+const LapseGrace = 1500 * time.Millisecond
+
+// Registry holds the entries. One goroutine owns it.
+type Registry struct {
+	entries map[string]Upstream
+	// gone has the revision of deletions, so that a late page of a listing
+	// doesn't bring an entry back.
+	gone map[string]int64
+	// lapsed entries are used until the moment given.
+	lapsed map[string]boottime.Time
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{entries: map[string]Upstream{}, gone: map[string]int64{}, lapsed: map[string]boottime.Time{}}
+}
+
+// Put takes an entry in, unless a later change of it is known.
+func (r *Registry) Put(u Upstream) {
+	if r.gone[u.ID] > u.Revision || r.entries[u.ID].Revision > u.Revision {
+		return
+	}
+	delete(r.lapsed, u.ID)
+	r.entries[u.ID] = u
+}
+
+// Delete removes an entry that was deleted at a revision.
+func (r *Registry) Delete(id string, revision int64) {
+	if r.entries[id].Revision > revision {
+		return
+	}
+	delete(r.entries, id)
+	delete(r.lapsed, id)
+	r.gone[id] = max(r.gone[id], revision)
+	r.forget()
+}
+
+// maxGone bounds the memory for deletions; a listing takes seconds, in which no
+// fleet loses as many upstreams.
+const maxGone = 4096
+
+func (r *Registry) forget() {
+	if len(r.gone) <= maxGone {
+		return
+	}
+	clear(r.gone)
+}
+
+// Lapse marks an entry as missing. It is used until LapseGrace is over, and
+// stays if Put brings it back.
+func (r *Registry) Lapse(id string, now boottime.Time) {
+	if _, known := r.entries[id]; !known {
+		return
+	}
+	if _, marked := r.lapsed[id]; !marked {
+		r.lapsed[id] = now.Add(LapseGrace)
+	}
+}
+
+// Keep lapses what is not on a complete listing.
+func (r *Registry) Keep(listed map[string]bool, now boottime.Time) {
+	for id := range r.entries {
+		if !listed[id] {
+			r.Lapse(id, now)
+		}
+	}
+}
+
+// Expire removes lapsed entries whose grace is over. It reports whether any was
+// removed.
+func (r *Registry) Expire(now boottime.Time) bool {
+	removed := false
+	for id, until := range r.lapsed {
+		if now < until {
+			continue
+		}
+		delete(r.lapsed, id)
+		delete(r.entries, id)
+		removed = true
+	}
+	return removed
+}
+
+// Lapsed is how many entries wait for their grace to end.
+func (r *Registry) Lapsed() int { return len(r.lapsed) }
+
+// View returns the present entries.
+func (r *Registry) View() *View {
+	v := &View{byID: make(map[string]*Upstream, len(r.entries)), ready: map[string][]*Upstream{}}
+	for _, u := range r.entries {
+		v.byID[u.ID] = &u
+		if !u.Draining {
+			v.ready[u.Service] = append(v.ready[u.Service], &u)
+		}
+	}
+	for _, list := range v.ready {
+		slices.SortFunc(list, func(a, b *Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return v
+}
--- a/router/router.go
+++ b/router/router.go
@@ -11,9 +11,9 @@
 	"github.com/zeebo/errs"
 
 	"github.com/aspenswitch/aspenswitch/bundle"
+	"github.com/aspenswitch/aspenswitch/bundlefeed"
 	"github.com/aspenswitch/aspenswitch/obs"
 	"github.com/aspenswitch/aspenswitch/peer"
-	"github.com/aspenswitch/aspenswitch/platform"
 	"github.com/aspenswitch/aspenswitch/upstream"
 )
 
@@ -29,7 +29,7 @@
 	log       zerolog.Logger
 	metrics   *obs.Metrics
 	mesh      *peer.Mesh
-	platform  *platform.Client
+	platform  *bundlefeed.Client
 	Upstreams *upstream.Client
 
 	messages chan message
@@ -52,7 +52,7 @@
 	Metrics *obs.Metrics
 	// Peers is where the router listens for its peers.
 	Peers    net.Listener
-	Platform *platform.Client
+	Platform *bundlefeed.Client
 	// PeerTLS is used between routers where it is set.
 	PeerTLS PeerTLS
 }
--- /dev/null
+++ b/upstream/pool.go
@@ -0,0 +1,217 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// PoolConfig tunes a Pool.
+type PoolConfig struct {
+	// DialTimeout bounds a new connection. An upstream without power doesn't
+	// answer at all; one that is only busy accepts within milliseconds.
+	DialTimeout time.Duration
+	// Idle is how long a connection waits for reuse if the upstream doesn't say
+	// for how long it keeps it.
+	Idle time.Duration
+	// Margin is how much sooner than the upstream the pool closes an idle
+	// connection, so that no request is sent into its end.
+	Margin time.Duration
+	// FreshFor is how recently a connection must have been used to carry a
+	// request that must not be repeated. An upstream may drop an idle connection
+	// without notice; what is sent next is lost and nobody knows if it ran.
+	FreshFor time.Duration
+	// Unacked is how long sent bytes may go without acknowledgement before the
+	// connection counts as broken. A path that has gone silent shows no other way.
+	Unacked time.Duration
+	// MaxIdle is how many connections to one upstream wait for reuse.
+	MaxIdle int
+}
+
+// DefaultPoolConfig returns settings for upstreams of the same region.
+func DefaultPoolConfig() PoolConfig {
+	return PoolConfig{
+		DialTimeout: 400 * time.Millisecond,
+		Idle:        3 * time.Second,
+		Margin:      700 * time.Millisecond,
+		FreshFor:    1500 * time.Millisecond,
+		Unacked:     1500 * time.Millisecond,
+		MaxIdle:     64,
+	}
+}
+
+// Pool keeps connections to upstreams. Unlike http.Transport it never sends a
+// request twice, and it tells by bytes whether a request can have left.
+type Pool struct {
+	cfg    PoolConfig
+	dialer net.Dialer
+	mu     sync.Mutex
+	idle   map[string][]*poolConn
+	dials  int64
+}
+
+// NewPool returns a pool. Sweep must be called now and then.
+func NewPool(cfg PoolConfig) *Pool {
+	p := &Pool{cfg: cfg, idle: map[string][]*poolConn{}}
+	p.dialer = net.Dialer{
+		Timeout:         cfg.DialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+		Control:         p.control,
+	}
+	return p
+}
+
+// control sets the bound on unacknowledged bytes.
+func (p *Pool) control(_, _ string, c syscall.RawConn) error {
+	var set error
+	err := c.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(p.cfg.Unacked.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return set
+}
+
+// Dials is the number of connections opened.
+func (p *Pool) Dials() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dials
+}
+
+// poolConn is one connection. It carries one request at a time.
+type poolConn struct {
+	net.Conn
+	br   *bufio.Reader
+	addr string
+	used time.Time
+	// expires is when the connection is closed if it is still idle.
+	expires time.Time
+	reused  bool
+}
+
+// readBuffer is the size of a connection's read buffer: an answer's head and
+// several events fit.
+const readBuffer = 2 << 10
+
+// get returns a connection that was last used within maxIdle, or a new one.
+func (p *Pool) get(ctx context.Context, addr string, maxIdle time.Duration) (*poolConn, error) {
+	for c := p.take(addr); c != nil; c = p.take(addr) {
+		now := time.Now()
+		if now.Before(c.expires) && now.Sub(c.used) < maxIdle && c.quiet() {
+			c.reused = true
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	p.mu.Lock()
+	p.dials++
+	p.mu.Unlock()
+	conn, err := p.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &poolConn{Conn: conn, br: bufio.NewReaderSize(conn, readBuffer), addr: addr}, nil
+}
+
+// take removes the connection that was used last.
+func (p *Pool) take(addr string) *poolConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[addr] = list[:len(list)-1]
+	return c
+}
+
+// put keeps a connection whose last answer ended cleanly.
+func (p *Pool) put(c *poolConn, resp *http.Response) {
+	idle := p.keep(resp)
+	if idle <= 0 {
+		_ = c.Close()
+		return
+	}
+	c.used = time.Now()
+	c.expires = c.used.Add(idle)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.addr]) >= p.cfg.MaxIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle[c.addr] = append(p.idle[c.addr], c)
+}
+
+// keep is how long a connection may wait after an answer.
+func (p *Pool) keep(resp *http.Response) time.Duration {
+	for part := range strings.SplitSeq(resp.Header.Get("Keep-Alive"), ",") {
+		value, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !found {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			return time.Duration(seconds)*time.Second - p.cfg.Margin
+		}
+	}
+	return p.cfg.Idle
+}
+
+// quiet reports whether nothing has arrived on an idle connection. An upstream
+// may send a second answer after the first, or close: both end its use.
+func (c *poolConn) quiet() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	sys, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, peek := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = peek == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Sweep closes connections that have waited long enough.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.expires) {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.Close()
+		}
+		if len(kept) == 0 {
+			delete(p.idle, addr)
+			continue
+		}
+		p.idle[addr] = kept
+	}
+}
+
+// Close ends idle connections.
+func (p *Pool) Close() { p.Sweep(time.Now().Add(time.Hour)) }
