Lapsed entries are told to peers, a stopping router sends late requests on, waits are reviewed

The export now carries the grace that is left. It now sends callers on after 2.5 s, with not-run. Cause 3 (429 after the whole target had passed): waiting requests were given up only when their target had passed; now as soon as others that go first make it certain. Also: a line written while the log closes no longer panics.

--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -58,6 +58,7 @@
 	cfg.Names = platform.Names()
 	cfg.Grace = s.Bounds.Grace()
 	cfg.Linger = min(cfg.Linger, cfg.Grace/2)
+	cfg.Accept = min(cfg.Accept, cfg.Grace/3)
 	budget := retry.Budget{Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance, Window: s.Bounds.RetryWindow()}
 	d.gateway = gateway.New(cfg, d.feed, node, d.pool, budget, obs.NewLimited(log, s.LogLines), d.metrics)
 	return d, nil
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -345,7 +345,7 @@
 // Tick sends what has become due and gives up what can't be served any more.
 func (c *Core) Tick(now time.Duration) []Decision {
 	for _, u := range c.upstreams {
-		c.abandon(now, u)
+		c.review(now, u)
 		c.drain(now, u)
 	}
 	if now >= c.sweepAt {
@@ -359,18 +359,44 @@
 	return c.take()
 }
 
-// abandon refuses waiting jobs whose target has passed: callers that can still
-// be served in time go before them, so they would only wait longer.
-func (c *Core) abandon(now time.Duration, u *upstream) {
+// review refuses waiting jobs that will miss their target after all: jobs that
+// came later and go before them have taken their place. Waiting on would only
+// tell their callers later.
+func (c *Core) review(now time.Duration, u *upstream) {
+	if len(u.queue) == 0 {
+		return
+	}
+	slices.SortStableFunc(u.queue, func(a, b *job) int {
+		switch {
+		case c.before(a, b, now):
+			return -1
+		case c.before(b, a, now):
+			return 1
+		}
+		return 0
+	})
+	start := u.remaining(now)
 	u.queue = slices.DeleteFunc(u.queue, func(j *job) bool {
-		if now < j.targetAt {
-			return false
+		late := now+start > j.targetAt
+		if j.cost < j.Target/2 {
+			late = now+start+j.cost > j.targetAt+lateSlack
 		}
-		c.refuse(j, choice{first: j.Target + u.remaining(now)})
-		return true
+		if !c.cfg.Engine {
+			late = now > j.targetAt
+		}
+		if late {
+			c.refuse(j, choice{first: j.Target + start})
+			return true
+		}
+		start += j.cost
+		return false
 	})
 }
 
+// lateSlack is the error of the prediction that is borne before a waiting job
+// is given up: some steps of an engine.
+const lateSlack = 60 * time.Millisecond
+
 // Waiting reports whether any request waits, so that Tick is of use.
 func (c *Core) Waiting() bool {
 	for _, u := range c.upstreams {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -124,8 +124,8 @@
 // though their upstreams live; those get the time to come back.
 func (f *Feed) remove(c Change) {
 	now := f.now()
-	if f.regained != 0 && now.Sub(f.regained) < 2*registry.LapseGrace {
-		f.upstream.Lapse(c.Gone, now)
+	if f.regained != 0 && now.Sub(f.regained) < returnTime {
+		f.upstream.Lapse(c.Gone, now.Add(registry.LapseGrace))
 		f.log.Info().Str("event", "upstream").Str("upstream", c.Gone).Int64("revision", c.Revision).Msg("upstream lapsed")
 		return
 	}
@@ -133,6 +133,10 @@
 	f.log.Info().Str("event", "upstream").Str("upstream", c.Gone).Int64("revision", c.Revision).Msg("upstream gone")
 }
 
+// returnTime is how long after the platform's return entries may still lapse
+// and come back.
+const returnTime = 2 * time.Second
+
 // adopt puts a newer configuration in force. A version never goes back within
 // one process, whatever a late or stale read says.
 func (f *Feed) adopt(c *routing.Config) bool {
--- a/feed/peer.go
+++ b/feed/peer.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"time"
+
 	"github.com/aspenswitch/aspenswitch/boottime"
 	"github.com/aspenswitch/aspenswitch/registry"
 	"github.com/aspenswitch/aspenswitch/routing"
@@ -14,6 +16,10 @@
 	// Config is left out if the asker has this version.
 	Config    *routing.Config
 	Upstreams []registry.Upstream
+	// Lapsed are upstreams whose entries went missing, with the nanoseconds for
+	// which they may still be used. Without them a peer would keep an upstream
+	// that has left until the next change.
+	Lapsed map[string]int64 `json:",omitempty"`
 }
 
 // Export returns the state for a peer that has a version of the configuration.
@@ -22,11 +28,21 @@
 	// The date is read before the state: a state that is newer than its date
 	// only looks older than it is.
 	age := f.Age()
+	f.mu.Lock()
 	s := f.Snapshot()
+	lapsed := f.upstream.Lapsed()
+	f.mu.Unlock()
 	if s == nil {
 		return nil
 	}
 	e := &Export{Revision: s.Revision, AgeNanos: int64(age), Upstreams: s.View.All()}
+	now := f.now()
+	for id, until := range lapsed {
+		if e.Lapsed == nil {
+			e.Lapsed = map[string]int64{}
+		}
+		e.Lapsed[id] = int64(until.Sub(now))
+	}
 	if s.ConfigVersion() > haveConfig {
 		e.Config = s.Table.Config
 	}
@@ -45,6 +61,9 @@
 		for _, u := range e.Upstreams {
 			f.upstream.Put(u)
 		}
+		for id, left := range e.Lapsed {
+			f.upstream.Lapse(id, asked.Add(time.Duration(left)))
+		}
 		f.revision = e.Revision
 		changed = true
 		f.log.Info().Str("event", "peer_state").Int64("revision", e.Revision).
--- a/feed/read.go
+++ b/feed/read.go
@@ -13,7 +13,7 @@
 	f.mu.Lock()
 	after := f.revision
 	failing := f.failing
-	lapsed := f.upstream.Lapsed()
+	lapsed := len(f.upstream.Lapsed())
 	f.mu.Unlock()
 	if after == 0 {
 		return f.list(ctx)
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -8,6 +8,10 @@
 	// Linger is how long a stopping server goes on accepting, so that the
 	// balancer and callers have moved before the listener closes.
 	Linger time.Duration
+	// Accept is how long a stopping server still sends requests to upstreams. An
+	// answer that begins later might be cut when the grace ends, so the caller
+	// is sent to another router instead.
+	Accept time.Duration
 	// Grace is how long running answers may go on after a stop.
 	Grace time.Duration
 	// Limits until a configuration is known.
@@ -24,6 +28,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Linger:          3500 * time.Millisecond,
+		Accept:          2500 * time.Millisecond,
 		Grace:           8 * time.Second,
 		HeaderTimeout:   3 * time.Second,
 		IdleTimeout:     15 * time.Second,
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -53,6 +53,9 @@
 		return r, s.denied(http.StatusNotFound, "no_route", "no route fits this host and path")
 	}
 	r.record.route = r.route.Name
+	if s.closing() {
+		return r, notRun("stopping", "this router is stopping; the request was not run", minRetryAfter)
+	}
 	if refused := s.authenticate(r); refused != nil {
 		return r, refused
 	}
@@ -65,6 +68,9 @@
 	return r, nil
 }
 
+// minRetryAfter is told to callers that another router can serve at once.
+const minRetryAfter = 50 * time.Millisecond
+
 // denied is a final refusal. A router that doesn't know whether its view is the
 // newest must not deny what a newer configuration may allow.
 func (s *Server) denied(status int, code, message string) *refusal {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -35,7 +35,8 @@
 	mu     sync.Mutex
 	budget retry.Budget
 
-	stopping atomic.Bool
+	// stopping is when Shutdown began, in nanoseconds since start; 0 before.
+	stopping atomic.Int64
 	http     *http.Server
 }
 
@@ -94,13 +95,19 @@
 }
 
 // Stopping reports whether Shutdown has begun.
-func (s *Server) Stopping() bool { return s.stopping.Load() }
+func (s *Server) Stopping() bool { return s.stopping.Load() != 0 }
+
+// closing reports whether the server takes no more requests.
+func (s *Server) closing() bool {
+	since := time.Duration(s.stopping.Load())
+	return since != 0 && time.Since(s.start)-since > s.cfg.Accept
+}
 
 // Shutdown ends the server without cutting an answer. The balancer takes a
 // while to see that the VM isn't ready, and callers keep their connections, so
 // the listener stays open for the linger and each answer closes its connection.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.stopping.Store(true)
+	s.stopping.Store(int64(time.Since(s.start)))
 	linger := time.NewTimer(s.cfg.Linger)
 	defer linger.Stop()
 	select {
@@ -127,7 +134,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, in *http.Request) {
-	if s.stopping.Load() {
+	if s.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	s.stats.begin()
--- a/obs/async.go
+++ b/obs/async.go
@@ -14,6 +14,7 @@
 	mu      sync.Mutex
 	pending []byte
 	wake    chan struct{}
+	end     chan struct{}
 	done    chan struct{}
 	dropped atomic.Int64
 }
@@ -23,7 +24,7 @@
 
 // NewAsync returns a writer that passes lines on to w until Close.
 func NewAsync(w io.Writer) *Async {
-	a := &Async{to: w, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	a := &Async{to: w, wake: make(chan struct{}, 1), end: make(chan struct{}), done: make(chan struct{})}
 	go a.run()
 	return a
 }
@@ -51,7 +52,12 @@
 func (a *Async) run() {
 	defer close(a.done)
 	var lines []byte
-	for range a.wake {
+	for ended := false; !ended; {
+		select {
+		case <-a.wake:
+		case <-a.end:
+			ended = true
+		}
 		a.mu.Lock()
 		lines, a.pending = a.pending, lines[:0]
 		a.mu.Unlock()
@@ -60,13 +66,9 @@
 	}
 }
 
-// Close writes what is pending and ends.
+// Close writes what is pending and ends. Lines written later are lost.
 func (a *Async) Close() error {
-	select {
-	case a.wake <- struct{}{}:
-	default:
-	}
-	close(a.wake)
+	close(a.end)
 	<-a.done
 	return nil
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -60,14 +61,14 @@
 	clear(r.gone)
 }
 
-// Lapse marks an entry as missing. It is used until LapseGrace is over, and
-// stays if Put brings it back.
-func (r *Registry) Lapse(id string, now boottime.Time) {
+// Lapse marks an entry as missing. It is used until the moment given, and stays
+// if Put brings it back. A mark that is there already isn't put off.
+func (r *Registry) Lapse(id string, until boottime.Time) {
 	if _, known := r.entries[id]; !known {
 		return
 	}
 	if _, marked := r.lapsed[id]; !marked {
-		r.lapsed[id] = now.Add(LapseGrace)
+		r.lapsed[id] = until
 	}
 }
 
@@ -75,7 +76,7 @@
 func (r *Registry) Keep(listed map[string]bool, now boottime.Time) {
 	for id := range r.entries {
 		if !listed[id] {
-			r.Lapse(id, now)
+			r.Lapse(id, now.Add(LapseGrace))
 		}
 	}
 }
@@ -95,8 +96,8 @@
 	return removed
 }
 
-// Lapsed is how many entries wait for their grace to end.
-func (r *Registry) Lapsed() int { return len(r.lapsed) }
+// Lapsed returns the entries that wait for their grace to end, with its end.
+func (r *Registry) Lapsed() map[string]boottime.Time { return maps.Clone(r.lapsed) }
 
 // View returns the present entries.
 func (r *Registry) View() *View {
