Shares in whole prompts, large teams yield to refusals of small ones, small spills only

Found by logging what refused requests met: engines' queues were filled by the large team in each gap. Now: the part of the target that such teams may wait falls by a tenth with each refusal of a team within its share, and comes back slowly.

--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -56,6 +56,7 @@
 	node.Attach(d.feed)
 	cfg := gateway.DefaultConfig()
 	cfg.Names = platform.Names()
+	cfg.Fit(int64(s.MemoryMB)<<20, s.Files)
 	cfg.Grace = s.Bounds.Grace()
 	cfg.Linger = min(cfg.Linger, cfg.Grace/2)
 	cfg.Accept = min(cfg.Accept, cfg.Grace/3)
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -32,6 +32,12 @@
 	TargetUse float64
 	// OverUse is the same for teams above their share: they take what is spare.
 	OverUse float64
+	// OverDecrease is the part of that which they lose with each refusal of a
+	// team within its share; OverRecovery is what comes back in a second.
+	OverDecrease, OverRecovery float64
+	// Spill is the most work that may be repeated to serve a request in time
+	// that would else be refused.
+	Spill time.Duration
 	// KVUse is the part of the KV cache that running requests may take.
 	KVUse float64
 	// ShareWindow is the span over which teams' service is averaged.
@@ -56,6 +62,9 @@
 		Spread:         60 * time.Millisecond,
 		TargetUse:      0.9,
 		OverUse:        0.4,
+		OverDecrease:   0.1,
+		OverRecovery:   0.2,
+		Spill:          40 * time.Millisecond,
 		KVUse:          0.85,
 		ShareWindow:    3 * time.Second,
 		FailurePenalty: 400 * time.Millisecond,
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -14,6 +14,9 @@
 	teams     *shares
 	out       []Decision
 	sweepAt   time.Duration
+	// overLeft is overUse at overAt.
+	overLeft float64
+	overAt   time.Duration
 }
 
 // New returns a core without upstreams.
@@ -82,16 +85,20 @@
 	return c.take()
 }
 
-// charge notes what a request asks for: the tokens that some upstream must
-// read, and twice those that may be generated.
+// generatedWeight is what a generated token counts against one of the prompt, in
+// teams' shares.
+const generatedWeight = 2
+
+// charge notes what a request asks for. A team is charged for its whole prompt,
+// cached or not: where its parts are cached is our doing, and a team whose
+// sessions happen to be warm would else take more of what is scarce.
 func (c *Core) charge(now time.Duration, j *job) {
 	kept := 0
 	for _, u := range c.upstreams {
 		kept = max(kept, u.cache.kept(j.Parts))
 	}
-	unread := max(j.Prompt-kept, 0)
-	j.tokens = float64(unread) + 2*float64(j.Output)
-	j.memory = unread + j.Output
+	j.tokens = float64(j.Prompt) + generatedWeight*float64(j.Output)
+	j.memory = max(j.Prompt-kept, 0) + j.Output
 	c.teams.ask(now, j.Team, j.tokens)
 }
 
@@ -118,17 +125,32 @@
 	// the upstream begins.
 	first, wait time.Duration
 	score       time.Duration
+	// admitted is set if the request would be in time.
+	admitted bool
+	// away is set if much of the prompt is cached elsewhere.
+	away bool
+}
+
+// better reports whether a is the better choice: the least score. A request that
+// would be late where its parts are cached goes elsewhere if few of them must be
+// read again; if many, it is refused, since reading them again takes the time of
+// several other requests and pushes out their parts.
+func better(a, b choice) bool {
+	if a.admitted != b.admitted && !a.away && !b.away {
+		return a.admitted
+	}
+	return a.score < b.score
 }
 
 // place finds the best upstream and sends, queues or refuses.
 func (c *Core) place(now time.Duration, j *job) {
 	best, ok := c.best(now, j)
 	if !ok {
-		c.refuse(j, choice{first: time.Second})
+		c.refuse(now, j, choice{first: time.Second})
 		return
 	}
-	if !c.admit(j, best) {
-		c.refuse(j, best)
+	if !best.admitted {
+		c.refuse(now, j, best)
 		return
 	}
 	if c.ready(best.u, j, now) && !c.aheadOf(best.u, j, now) {
@@ -158,8 +180,11 @@
 			continue
 		}
 		u.touch(now)
-		ch := c.weigh(now, u, j, costs[i], costs[i]-least)
-		if !ok || ch.score < found.score {
+		reread := costs[i] - least
+		ch := c.weigh(now, u, j, costs[i], reread)
+		ch.admitted = c.admit(now, j, ch)
+		ch.away = reread > c.cfg.Spill
+		if !ok || better(ch, found) {
 			found, ok = ch, true
 		}
 	}
@@ -211,14 +236,30 @@
 	return time.Duration(over) * u.serviceTime / time.Duration(max(u.Slots, 1))
 }
 
+// overUse is the part of the target that requests of teams above their share may
+// wait. It falls with each refusal of a team within its share and comes back
+// while there are none (additive increase, multiplicative decrease): what is
+// spare can't be known from queues alone, as large teams fill every gap at once.
+func (c *Core) overUse(now time.Duration) float64 {
+	back := (now - c.overAt).Seconds() * c.cfg.OverRecovery
+	return min(c.overLeft+back, c.cfg.OverUse)
+}
+
+// yieldShare makes teams above their share give way after a refusal of one
+// within it.
+func (c *Core) yieldShare(now time.Duration) {
+	c.overLeft = c.overUse(now) * (1 - c.cfg.OverDecrease)
+	c.overAt = now
+}
+
 // admit decides whether a request that would wait so long is taken. One that
 // would miss its target is refused at once, while its caller can still go
 // elsewhere or come back. A prompt that takes most of the target by itself is
 // judged by its wait alone: no waiting makes it shorter.
-func (c *Core) admit(j *job, ch choice) bool {
+func (c *Core) admit(now time.Duration, j *job, ch choice) bool {
 	use := c.cfg.TargetUse
 	if j.over {
-		use = c.cfg.OverUse
+		use = c.overUse(now)
 	}
 	limit := time.Duration(use * float64(j.Target))
 	cost := ch.first - ch.wait
@@ -231,7 +272,11 @@
 // minRetryAfter keeps callers from asking in a tight loop.
 const minRetryAfter = 100 * time.Millisecond
 
-func (c *Core) refuse(j *job, ch choice) {
+func (c *Core) refuse(now time.Duration, j *job, ch choice) {
+	c.teams.refusedAt = now
+	if !j.over {
+		c.yieldShare(now)
+	}
 	delete(c.jobs, j.Ticket)
 	after := max(ch.first-j.Target/2, minRetryAfter)
 	c.out = append(c.out, Decision{Ticket: j.Ticket, Verdict: Refuse, RetryAfter: after, Wait: ch.first, Over: j.over})
@@ -385,7 +430,7 @@
 			late = now > j.targetAt
 		}
 		if late {
-			c.refuse(j, choice{first: j.Target + start})
+			c.refuse(now, j, choice{first: j.Target + start})
 			return true
 		}
 		start += j.cost
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -16,6 +16,10 @@
 	teams    map[string]*account
 	level    float64
 	levelAt  time.Duration
+	// got is what all teams together were served within the window.
+	got float64
+	// refusedAt is when a request was last refused for want of room.
+	refusedAt time.Duration
 }
 
 // account is a team's. Both are sums that decay over the window, in tokens.
@@ -84,6 +88,7 @@
 	s.level = math.Inf(1)
 	asked := make([]float64, 0, len(s.teams))
 	total := 0.0
+	s.got = 0
 	for name, a := range s.teams {
 		s.decay(a, now)
 		if a.asked < idleAccount && a.served < idleAccount {
@@ -92,9 +97,10 @@
 		}
 		asked = append(asked, a.asked)
 		total += a.asked
+		s.got += a.served
 	}
-	left := s.capacity * s.window.Seconds()
-	if s.capacity <= 0 || total <= left {
+	left := s.room(now)
+	if total <= left {
 		return
 	}
 	slices.SortFunc(asked, cmp.Compare[float64])
@@ -107,3 +113,21 @@
 		left -= want
 	}
 }
+
+// saturatedFor is how long after a refusal the upstreams count as full.
+const saturatedFor = time.Second
+
+// room is what the upstreams yield within the window. The figure that operators
+// publish is for a typical mix; while requests are refused, what was served is
+// the truth if it is less. Without that, large teams within a share that is too
+// high would take what small ones are owed.
+func (s *shares) room(now time.Duration) float64 {
+	room := math.Inf(1)
+	if s.capacity > 0 {
+		room = s.capacity * s.window.Seconds()
+	}
+	if s.refusedAt > 0 && now-s.refusedAt < saturatedFor {
+		room = min(room, s.got)
+	}
+	return room
+}
--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -52,8 +52,8 @@
 func (n *Node) dropMember(now boottime.Time, id uint64, why string) {
 	delete(n.members, id)
 	n.log.Info().Str("event", "member").Uint64("router", id).Int("members", len(n.members)).Msg(why)
-	for _, g := range n.groups {
-		n.deliver(now, g.core.Drop(time.Duration(now), id))
+	for key, g := range n.groups {
+		n.deliver(now, key, g.core.Drop(time.Duration(now), id))
 	}
 }
 
@@ -146,8 +146,8 @@
 	n.seek(now)
 	n.chooseReaders(now)
 	n.retryAsks(now)
-	for _, g := range n.groups {
-		n.deliver(now, g.core.Tick(time.Duration(now)))
+	for key, g := range n.groups {
+		n.deliver(now, key, g.core.Tick(time.Duration(now)))
 	}
 	n.checkHomes(now)
 	n.pushState(now)
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -90,7 +90,7 @@
 		members = append(members, m)
 	}
 	g.core.SetCapacity(yield(s, len(members)))
-	n.deliver(now, g.core.SetMembers(time.Duration(now), members))
+	n.deliver(now, key, g.core.SetMembers(time.Duration(now), members))
 }
 
 func slots(u *registry.Upstream) int { return max(u.Slots, 1) }
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -64,6 +64,8 @@
 type reply struct {
 	_        struct{} `cbor:",toarray"`
 	Seq      uint64
+	Service  string
+	Group    int
 	Verdict  dispatch.Verdict
 	Upstream string
 	RetryMs  int32
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"runtime"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/aspenswitch/aspenswitch/boottime"
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/feed"
+	"github.com/aspenswitch/aspenswitch/obs"
 )
 
 // Error is the class of this package's errors.
@@ -28,7 +30,9 @@
 	self uint64
 	now  boottime.Clock
 	log  zerolog.Logger
-	feed *feed.Feed
+	// limited bounds lines that come with requests.
+	limited *obs.Limited
+	feed    *feed.Feed
 
 	conn    *net.UDPConn
 	listen  net.Listener
@@ -50,6 +54,13 @@
 	most    int
 }
 
+const (
+	// logLines is how many lines a second of each kind come with requests.
+	logLines = 5
+	// eventQueue holds what comes in during a tick of a busy router.
+	eventQueue = 512
+)
+
 // New returns a node that hears its peers at the configured address.
 func New(cfg Config, now boottime.Clock, log zerolog.Logger) (*Node, error) {
 	ip, err := netip.ParseAddr(cfg.IP)
@@ -68,7 +79,8 @@
 	}
 	n := &Node{
 		cfg: cfg, self: rand.Uint64(), now: now, log: log, conn: conn, listen: listen,
-		events:  make(chan any, 256),
+		limited: obs.NewLimited(log, logLines),
+		events:  make(chan any, eventQueue),
 		members: map[uint64]*member{}, groups: map[groupKey]*group{},
 		pending: map[uint64]*pending{}, held: map[uint64]*heldRequest{}, warm: map[uint64]string{},
 	}
@@ -199,12 +211,25 @@
 		case e := <-n.events:
 			n.handle(e)
 		case <-timer.C:
+			n.catchUp()
 			n.tick()
 			timer.Reset(n.nextTick())
 		}
 	}
 }
 
+// catchUp handles what has come in already. A router that was held up finds its
+// timers due and the answers beside them; it must not take a home for silent
+// whose answer it just hasn't read.
+func (n *Node) catchUp() {
+	for range 2 {
+		runtime.Gosched()
+		for left := len(n.events); left > 0; left-- {
+			n.handle(<-n.events)
+		}
+	}
+}
+
 func (n *Node) nextTick() time.Duration {
 	if len(n.pending) > 0 {
 		return fastTick
@@ -250,7 +275,7 @@
 		n.asked(now, p.From, e.from, p.Ask)
 	}
 	if p.Reply != nil {
-		n.replied(now, p.Reply)
+		n.replied(now, n.members[p.From], p.Reply)
 	}
 	if p.Report != nil {
 		n.told(now, p.From, p.Report)
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -7,6 +7,7 @@
 
 	"github.com/aspenswitch/aspenswitch/boottime"
 	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/obs"
 )
 
 // pending is a request of this router that waits for a decision.
@@ -94,7 +95,7 @@
 	p.home = n.homeOf(now, p.group)
 	p.again = now.Add(n.cfg.AskAgain)
 	if p.home == nil {
-		n.deliver(now, p.group.core.Ask(time.Duration(now), p.request))
+		n.deliver(now, p.key, p.group.core.Ask(time.Duration(now), p.request))
 		return
 	}
 	n.send(p.home.addr, &packet{Ask: newAsk(p.key, p.request)})
@@ -112,11 +113,7 @@
 			continue
 		}
 		if !p.acked && now >= p.local {
-			p.home.doubted = true
-			n.log.Warn().Str("event", "home").Str("group", p.group.key).Uint64("router", p.home.id).
-				Dur("after", now.Sub(p.asked)).Msg("home doesn't answer, deciding here")
-			p.home = nil
-			n.deliver(now, p.group.core.Ask(time.Duration(now), p.request))
+			n.decideHere(now, p)
 			continue
 		}
 		if now >= p.again {
@@ -131,6 +128,27 @@
 	}
 }
 
+// decideHere places a request whose home doesn't answer. The home may still hear
+// the question, late; it is told that the request isn't its own any more, or it
+// would keep room for it until its deadline.
+func (n *Node) decideHere(now boottime.Time, p *pending) {
+	home := p.home
+	home.doubted = true
+	p.home = nil
+	n.limited.Warn("home_silent", func(e *obs.Event) {
+		e.Str("group", p.group.key).Uint64("router", home.id).Dur("after", now.Sub(p.asked)).Msg("home doesn't answer, deciding here")
+	})
+	n.cancelAt(home, p.key, p.request.Ticket.Seq)
+	n.deliver(now, p.key, p.group.core.Ask(time.Duration(now), p.request))
+}
+
+// cancelAt tells a home that it need not keep room for a request.
+func (n *Node) cancelAt(home *member, key groupKey, seq uint64) {
+	n.send(home.addr, &packet{Report: &report{
+		Kind: ended, Seq: seq, Service: key.service, Group: key.index, Outcome: dispatch.Cancelled,
+	}})
+}
+
 func newAsk(key groupKey, r dispatch.Request) *ask {
 	a := &ask{
 		Seq: r.Ticket.Seq, Service: key.service, Group: key.index, Team: r.Team, Rank: r.Rank,
@@ -163,12 +181,13 @@
 	if n.feed.Snapshot() == nil || n.members[from] == nil {
 		return // the asker decides by itself
 	}
-	g := n.group(now, groupKey{service: a.Service, index: a.Group})
-	n.deliver(now, g.core.Ask(time.Duration(now), a.request(from)))
+	key := groupKey{service: a.Service, index: a.Group}
+	g := n.group(now, key)
+	n.deliver(now, key, g.core.Ask(time.Duration(now), a.request(from)))
 }
 
 // deliver hands decisions to the requests, here or at peers.
-func (n *Node) deliver(now boottime.Time, decisions []dispatch.Decision) {
+func (n *Node) deliver(now boottime.Time, key groupKey, decisions []dispatch.Decision) {
 	for _, d := range decisions {
 		if d.Ticket.Router == n.self {
 			n.decided(now, d)
@@ -179,13 +198,24 @@
 			continue
 		}
 		n.send(m.addr, &packet{Reply: &reply{
-			Seq: d.Ticket.Seq, Verdict: d.Verdict, Upstream: d.Upstream,
+			Seq: d.Ticket.Seq, Service: key.service, Group: key.index, Verdict: d.Verdict, Upstream: d.Upstream,
 			RetryMs: millis(d.RetryAfter), WaitMs: millis(d.Wait), Over: d.Over,
 		}})
 	}
 }
 
-func (n *Node) replied(now boottime.Time, r *reply) {
+// replied takes in a home's decision. One for a request that is not waiting, or
+// that was decided elsewhere, is given back: else the home would take an idle
+// upstream for busy.
+func (n *Node) replied(now boottime.Time, from *member, r *reply) {
+	p, h := n.pending[r.Seq], n.held[r.Seq]
+	stale := p == nil && (h == nil || h.home != from) || p != nil && p.home != from
+	if stale {
+		if r.Verdict == dispatch.Send && from != nil {
+			n.cancelAt(from, groupKey{service: r.Service, index: r.Group}, r.Seq)
+		}
+		return
+	}
 	n.decided(now, dispatch.Decision{
 		Ticket: dispatch.Ticket{Router: n.self, Seq: r.Seq}, Verdict: r.Verdict, Upstream: r.Upstream,
 		RetryAfter: duration(r.RetryMs), Wait: duration(r.WaitMs), Over: r.Over,
@@ -255,14 +285,15 @@
 	if n.feed.Snapshot() == nil {
 		return
 	}
-	g := n.group(now, groupKey{service: r.Service, index: r.Group})
+	key := groupKey{service: r.Service, index: r.Group}
+	g := n.group(now, key)
 	ticket := dispatch.Ticket{Router: from, Seq: r.Seq}
 	at := time.Duration(now)
 	switch r.Kind {
 	case began:
-		n.deliver(now, g.core.Started(at, ticket))
+		n.deliver(now, key, g.core.Started(at, ticket))
 	case ended:
-		n.deliver(now, g.core.Done(at, ticket, r.Outcome, duration(r.TookMs)))
+		n.deliver(now, key, g.core.Done(at, ticket, r.Outcome, duration(r.TookMs)))
 	case holds:
 		if r.Held != nil {
 			g.core.Held(at, r.Held.request(from), r.Upstream, r.Begun)
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -17,6 +17,14 @@
 	// Limits until a configuration is known.
 	HeaderTimeout, IdleTimeout time.Duration
 	MaxHeaderBytes             int
+	// KeepConns is the number of callers' connections above which answers close
+	// theirs. Callers who are refused come back on new connections and keep the
+	// old: without a bound they take all descriptors, and then no upstream can
+	// be reached.
+	KeepConns int
+	// MaxRequests is how many requests are held at once. Each takes memory until
+	// it ends; one more than fit would end the process and all of them.
+	MaxRequests int
 	// DefaultDeadline is for callers that don't say how long they wait.
 	DefaultDeadline time.Duration
 	// EndMargin is how long before a caller's deadline it is told that no answer
@@ -24,6 +32,16 @@
 	EndMargin time.Duration
 }
 
+// Fit derives the bounds that keep the process within its memory and its
+// descriptors. A connection takes some 24 KB (two buffers of net/http, a stack),
+// a request with its body, its upstream connection and its buffers some 64 KB
+// (measured: 2,000 held requests of 18 KB took 118 MB).
+func (c *Config) Fit(memory int64, files int) {
+	const connBytes, requestBytes = 24 << 10, 64 << 10
+	c.KeepConns = max(min(files/4, int(memory/6/connBytes)), 1)
+	c.MaxRequests = max(min(files/3, int(memory/2/requestBytes)), 1)
+}
+
 // DefaultConfig returns the settings that a deployment changes.
 func DefaultConfig() Config {
 	return Config{
@@ -33,6 +51,8 @@
 		HeaderTimeout:   3 * time.Second,
 		IdleTimeout:     15 * time.Second,
 		MaxHeaderBytes:  16 << 10,
+		KeepConns:       1000,
+		MaxRequests:     2000,
 		DefaultDeadline: 15 * time.Second,
 		EndMargin:       10 * time.Millisecond,
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -39,7 +39,7 @@
 }
 
 // accept reads a request and finds its route and team.
-func (s *Server) accept(in *http.Request) (*request, *refusal) {
+func (s *Server) accept(in *http.Request, crowded bool) (*request, *refusal) {
 	r := &request{ctx: in.Context(), in: in, id: in.Header.Get(s.cfg.Names.RequestID), arrived: time.Now()}
 	r.record.id = r.id
 	r.state = s.state.Snapshot()
@@ -59,6 +59,9 @@
 	if refused := s.authenticate(r); refused != nil {
 		return r, refused
 	}
+	if crowded {
+		return r, notRun("router_full", "this router holds as many requests as it can; the request was not run", retryLater)
+	}
 	r.deadline = r.arrived.Add(s.timeLeft(r))
 	if refused := s.readBody(r); refused != nil {
 		return r, refused
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
@@ -193,7 +194,7 @@
 			s.placer.Done(r.service, t, dispatch.Cancelled, 0)
 			return result{refused: s.unplaced(r, ctx.Err())}
 		}
-		s.placer.Done(r.service, t, dispatch.Unreachable, 0)
+		s.placer.Done(r.service, t, unsentOutcome(err), 0)
 		r.tried = append(r.tried, id)
 		return result{refused: notRun("unreachable", "the upstream can't be reached; the request was not run", retryLater), again: true}
 	}
@@ -211,6 +212,18 @@
 	return s.broken(r, nil)
 }
 
+// unsentOutcome is what a failed connection says of the upstream: nothing if it
+// was this process that had no descriptor or port left. The home would else take
+// a good upstream for dead, and with it every other router.
+func unsentOutcome(err error) dispatch.Outcome {
+	for _, own := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, own) {
+			return dispatch.Cancelled
+		}
+	}
+	return dispatch.Unreachable
+}
+
 // broken decides after an upstream that may have run the request and gave no
 // whole answer. last, if given, is what the caller gets without a retry.
 func (s *Server) broken(r *request, last *refusal) result {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -37,6 +37,8 @@
 
 	// stopping is when Shutdown began, in nanoseconds since start; 0 before.
 	stopping atomic.Int64
+	conns    atomic.Int64
+	requests atomic.Int64
 	http     *http.Server
 }
 
@@ -72,6 +74,7 @@
 func (s *Server) newHTTP() *http.Server {
 	h := &http.Server{
 		Handler:                      s,
+		ConnState:                    s.connState,
 		ReadHeaderTimeout:            s.cfg.HeaderTimeout,
 		IdleTimeout:                  s.cfg.IdleTimeout,
 		MaxHeaderBytes:               s.cfg.MaxHeaderBytes,
@@ -94,6 +97,17 @@
 	return h
 }
 
+// connState counts callers' connections.
+func (s *Server) connState(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.conns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.conns.Add(-1)
+	case http.StateActive, http.StateIdle:
+	}
+}
+
 // Stopping reports whether Shutdown has begun.
 func (s *Server) Stopping() bool { return s.stopping.Load() != 0 }
 
@@ -134,11 +148,13 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, in *http.Request) {
-	if s.Stopping() {
+	if s.Stopping() || s.conns.Load() > int64(s.cfg.KeepConns) {
 		w.Header().Set("Connection", "close")
 	}
 	s.stats.begin()
-	r, refused := s.accept(in)
+	held := s.requests.Add(1)
+	defer s.requests.Add(-1)
+	r, refused := s.accept(in, held > int64(s.cfg.MaxRequests))
 	cut := false
 	if refused == nil {
 		refused, cut = s.serve(w, r)
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -29,8 +29,10 @@
 	// Processor is the VM's share of a core; stronger VMs decide for more.
 	Processor float64 `json:"processor"`
 	// MemoryMB is the memory that the process may use.
-	MemoryMB int    `json:"memoryMB"`
-	Bounds   Bounds `json:"bounds"`
+	MemoryMB int `json:"memoryMB"`
+	// Files is how many descriptors the process may open.
+	Files  int    `json:"files"`
+	Bounds Bounds `json:"bounds"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"logLevel"`
 	// LogLines is how many lines a second of each kind are written at most.
@@ -76,7 +78,7 @@
 // DefaultFleet returns the settings that a file changes.
 func DefaultFleet() Fleet {
 	return Fleet{
-		Metrics: 9464, Processor: 1, MemoryMB: 256, LogLevel: "info", LogLines: 20,
+		Metrics: 9464, Processor: 1, MemoryMB: 256, Files: 4096, LogLevel: "info", LogLines: 20,
 		Bounds: Bounds{RevokeMs: 5000, GraceS: 8, RetryRatio: 0.2, RetryAllowance: 50, RetryWindowS: 10, ShareWindowS: 4},
 	}
 }
@@ -119,6 +121,9 @@
 	if s.MemoryMB < 1 {
 		doc.Add("/memoryMB", "must be 1 or more")
 	}
+	if s.Files < minFiles {
+		doc.Add("/files", "must be %d or more", minFiles)
+	}
 	checkBounds(doc, s.Bounds)
 	if _, err := zerolog.ParseLevel(s.LogLevel); err != nil {
 		doc.Add("/logLevel", "must be debug, info, warn or error")
@@ -129,6 +134,9 @@
 	return s, doc.Findings()
 }
 
+// minFiles is enough for the listeners and a few dozen requests.
+const minFiles = 256
+
 func checkBounds(doc *jsonc.Document, b Bounds) {
 	if b.RevokeMs < 0 {
 		doc.Add("/bounds/revokeMs", "must not be negative")
--- /dev/null
+++ b/upstream/pool_test.go
@@ -0,0 +1,307 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/aspenswitch/aspenswitch/upstream"
+)
+
+// scripted is an upstream that reads requests and answers each connection's by
+// a script of its own.
+type scripted struct {
+	listener net.Listener
+	conns    chan net.Conn
+}
+
+// serve runs script on each connection that is accepted.
+func serve(t *testing.T, script func(c net.Conn, r *bufio.Reader)) *scripted {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	s := &scripted{listener: l, conns: make(chan net.Conn, 16)}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns <- c
+			go func() {
+				defer func() { _ = c.Close() }()
+				script(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return s
+}
+
+func (s *scripted) call(id string, body string) *upstream.Call {
+	return &upstream.Call{
+		Address: s.listener.Addr().String(), Method: http.MethodPost, URI: "/p//a%2fb?x=1", Host: "h.example",
+		Header: http.Header{"Id": {id}}, Body: []byte(body), IDHeader: "Id", ID: id, Repeatable: true,
+	}
+}
+
+func readRequest(r *bufio.Reader) (*http.Request, string, error) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(req.Body)
+	return req, string(body), err
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string {
+	return strings.TrimLeft(string([]byte{byte('0' + n/100), byte('0' + n/10%10), byte('0' + n%10)}), "0")
+}
+
+func newPool(t *testing.T) *upstream.Pool {
+	p := upstream.NewPool(upstream.DefaultPoolConfig())
+	t.Cleanup(p.Close)
+	return p
+}
+
+func TestCallGoesOutAsItCame(t *testing.T) {
+	g := NewWithT(t)
+	uris := make(chan string, 1)
+	s := serve(t, func(c net.Conn, r *bufio.Reader) {
+		req, body, err := readRequest(r)
+		if err != nil {
+			return
+		}
+		uris <- req.RequestURI + " " + req.Host + " " + body
+		_, _ = io.WriteString(c, answer("1", "ok"))
+	})
+	a, err := newPool(t).Do(context.Background(), s.call("1", "hello"))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer a.Close()
+	g.Expect(io.ReadAll(a)).To(Equal([]byte("ok")))
+	g.Expect(<-uris).To(Equal("/p//a%2fb?x=1 h.example hello"))
+}
+
+// The caller would get another caller's answer. The upstream sends a second
+// answer after the first; it arrives just as the connection is used again, where
+// the next answer is due. The id tells whose it is.
+func TestExtraAnswerIsNotTakenForTheNextOne(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for _, id := range []string{"1", "2"} {
+			if _, _, err := readRequest(r); err != nil {
+				return
+			}
+			if id == "2" {
+				_, _ = io.WriteString(c, answer("1", "first"))
+			}
+			_, _ = io.WriteString(c, answer(id, "right"+id))
+		}
+	})
+	p := newPool(t)
+	for _, id := range []string{"1", "2"} {
+		a, err := p.Do(context.Background(), s.call(id, ""))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(io.ReadAll(a)).To(Equal([]byte("right" + id)))
+		a.Close()
+	}
+	g.Expect(s.conns).To(HaveLen(1), "the connection was used twice")
+}
+
+// An extra answer that has already arrived ends the connection's use.
+func TestConnectionWithUnreadBytesIsNotUsedAgain(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(c net.Conn, r *bufio.Reader) {
+		req, _, err := readRequest(r)
+		if err != nil {
+			return
+		}
+		id := req.Header.Get("Id")
+		_, _ = io.WriteString(c, answer(id, "right")+answer(id, "again"))
+		_, _ = io.Copy(io.Discard, r)
+	})
+	p := newPool(t)
+	for _, id := range []string{"1", "2"} {
+		a, err := p.Do(context.Background(), s.call(id, ""))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(io.ReadAll(a)).To(Equal([]byte("right")))
+		a.Close()
+	}
+	g.Expect(s.conns).To(HaveLen(2))
+}
+
+// "Not run" would be a lie: the upstream got the request and broke off.
+func TestBrokenConnectionAfterSendingCountsAsSent(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(_ net.Conn, r *bufio.Reader) { _, _, _ = readRequest(r) })
+	_, err := newPool(t).Do(context.Background(), s.call("1", "x"))
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(upstream.NotSent(err)).To(BeFalse())
+}
+
+func TestRefusedConnectionCountsAsNotSent(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	address := l.Addr().String()
+	g.Expect(l.Close()).To(Succeed())
+	_, err = newPool(t).Do(context.Background(), &upstream.Call{Address: address, Method: http.MethodGet, URI: "/", Host: "h"})
+	g.Expect(upstream.NotSent(err)).To(BeTrue())
+}
+
+// A cut answer must not look whole: the upstream announces more than it sends.
+func TestAnswerThatIsCutIsNotWhole(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_, _, _ = readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nhalf")
+	})
+	a, err := newPool(t).Do(context.Background(), s.call("1", ""))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer a.Close()
+	_, err = io.ReadAll(a)
+	g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	g.Expect(a.Whole()).To(BeFalse())
+}
+
+// An answer without a length is whole if the connection is closed, and broken
+// if it is reset.
+func TestUnframedAnswerThatIsResetIsNotWhole(t *testing.T) {
+	for name, reset := range map[string]bool{"closed": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			got := make(chan struct{})
+			s := serve(t, func(c net.Conn, r *bufio.Reader) {
+				_, _, _ = readRequest(r)
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart")
+				<-got
+				if reset {
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			a, err := newPool(t).Do(context.Background(), s.call("1", ""))
+			g.Expect(err).NotTo(HaveOccurred())
+			defer a.Close()
+			part := make([]byte, 4)
+			_, err = io.ReadFull(a, part)
+			g.Expect(err).NotTo(HaveOccurred())
+			close(got)
+			_, err = io.ReadAll(a)
+			g.Expect(err != nil).To(Equal(reset))
+			g.Expect(a.Whole()).To(Equal(!reset))
+		})
+	}
+}
+
+// Another request's bytes would be read as the rest of this body. The upstream
+// rejects a long request before it has read it and goes on reading; the
+// connection must not carry anything else.
+func TestEarlyAnswerToALongBodyEndsTheConnection(t *testing.T) {
+	g := NewWithT(t)
+	hold := make(chan struct{})
+	t.Cleanup(func() { close(hold) })
+	s := serve(t, func(c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer(req.Header.Get("Id"), "no"))
+		<-hold
+	})
+	p := newPool(t)
+	long := strings.Repeat("x", 8<<20)
+	for _, id := range []string{"1", "2"} {
+		a, err := p.Do(context.Background(), s.call(id, long))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(io.ReadAll(a)).To(Equal([]byte("no")))
+		a.Close()
+	}
+	g.Expect(s.conns).To(HaveLen(2))
+}
+
+// A request that must not be repeated would be lost on a connection that the
+// upstream has dropped without notice; it goes on one that was used just now.
+func TestUnrepeatableCallsUseFreshConnections(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, _, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answer(req.Header.Get("Id"), "ok"))
+		}
+	})
+	cfg := upstream.DefaultPoolConfig()
+	cfg.FreshFor = 0
+	p := upstream.NewPool(cfg)
+	t.Cleanup(p.Close)
+	for _, id := range []string{"1", "2"} {
+		call := s.call(id, "")
+		call.Repeatable = false
+		a, err := p.Do(context.Background(), call)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadAll(a)
+		g.Expect(err).NotTo(HaveOccurred())
+		a.Close()
+	}
+	g.Expect(p.Dials()).To(Equal(int64(2)))
+}
+
+// The upstream would go on working for nobody: when the caller leaves, its
+// connection is closed, also while the answer is awaited.
+func TestCancelledCallClosesTheConnection(t *testing.T) {
+	g := NewWithT(t)
+	closed := make(chan struct{})
+	s := serve(t, func(_ net.Conn, r *bufio.Reader) {
+		_, _, _ = readRequest(r)
+		_, _ = r.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-s.conns
+		cancel()
+	}()
+	_, err := newPool(t).Do(ctx, s.call("1", ""))
+	g.Expect(err).To(HaveOccurred())
+	g.Eventually(closed, 5*time.Second).Should(BeClosed())
+}
+
+// What upstreams send is read without a crash, and a body never grows past what
+// was announced.
+func FuzzAnswers(f *testing.F) {
+	f.Add([]byte(answer("1", "ok")))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nId: 1\r\n\r\n2\r\nab\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 No\r\nId: 1\r\n\r\n"))
+	f.Add([]byte("\x00\xffgarbage\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		s := serve(t, func(c net.Conn, r *bufio.Reader) {
+			_, _, _ = readRequest(r)
+			_, _ = c.Write(raw)
+		})
+		a, err := newPool(t).Do(context.Background(), s.call("1", ""))
+		if err != nil {
+			return
+		}
+		defer a.Close()
+		if a.Header.Get("Id") != "1" {
+			t.Fatal("an answer to another request was passed on")
+		}
+		body, err := io.ReadAll(a)
+		if err == nil && a.Length >= 0 && int64(len(body)) != a.Length {
+			t.Fatalf("%d bytes of %d count as whole", len(body), a.Length)
+		}
+	})
+}
