--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -117,17 +117,13 @@
 // saturatedFor is how long after a refusal the upstreams count as full.
 const saturatedFor = time.Second
 
-// room is what the upstreams yield within the window. The figure that operators
-// publish is for a typical mix; while requests are refused, what was served is
-// the truth if it is less. Without that, large teams within a share that is too
-// high would take what small ones are owed.
+// room is what the upstreams yield within the window: while requests are refused,
+// what was served. The figure that operators publish is for a typical mix; with
+// warm caches the engines yield more, after a loss less, and a share of the wrong
+// total lets large teams take what others are owed.
 func (s *shares) room(now time.Duration) float64 {
-	room := math.Inf(1)
-	if s.capacity > 0 {
-		room = s.capacity * s.window.Seconds()
-	}
 	if s.refusedAt > 0 && now-s.refusedAt < saturatedFor {
-		room = min(room, s.got)
+		return s.got
 	}
-	return room
+	return math.Inf(1)
 }
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -13,6 +13,8 @@
 	config                   int64
 	age                      time.Duration
 	upstream                 string
+	// prompt and output are the tokens that the placing reckoned with.
+	prompt, output int
 	attempts                 int
 	// predicted is the time to the first byte that placing expected; placed is
 	// how long placing took, first when the first byte came.
@@ -28,7 +30,7 @@
 func (r *record) MarshalZerologObject(e *zerolog.Event) {
 	e.Str("request", r.id).Str("route", r.route).Str("team", r.team).Str("service", r.service).
 		Int64("config", r.config).Int64("age_ms", r.age.Milliseconds()).
-		Str("upstream", r.upstream).Int("attempts", r.attempts).
+		Int("prompt", r.prompt).Int("output", r.output).Str("upstream", r.upstream).Int("attempts", r.attempts).
 		Int64("predicted_ms", r.predicted.Milliseconds()).Int64("placed_ms", r.placed.Milliseconds()).
 		Int64("first_ms", r.first.Milliseconds()).Int("status", r.status).Str("outcome", r.outcome)
 	if r.over {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -68,6 +68,7 @@
 	}
 	s.readPrompt(r)
 	r.service = r.route.ServiceFor(r.session())
+	r.record.service = r.service
 	return r, nil
 }
 
@@ -164,6 +165,7 @@
 	if hint := clampTokens(r.in.Header.Get(s.cfg.Names.LengthHint)); hint > 0 {
 		r.output = min(r.output, hint)
 	}
+	r.record.prompt, r.record.output = r.prompt, r.output
 	if !r.route.Sticky {
 		return
 	}
