Cached prompt parts are copied between engines where that is faster than reading

Cause: a session was bound to one engine or paid its whole prefix at each move (6,300 tokens: 160 ms of the engine's time); copying takes 30 ms.

--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -24,6 +24,9 @@
 	// are cached elsewhere. It costs the fleet's capacity, not only this
 	// request's time, and pushes others' parts out of the cache.
 	Reread float64
+	// MinCopy is the least number of tokens worth copying from another engine:
+	// below it setting up the copy takes as long as reading.
+	MinCopy int
 	// Spread is added for an upstream that has been busy all the time. It sends
 	// new sessions to where there will be room for the sessions' next requests.
 	Spread time.Duration
@@ -59,6 +62,7 @@
 		StepMs:         8,
 		Window:         120 * time.Millisecond,
 		Reread:         3,
+		MinCopy:        300,
 		Spread:         60 * time.Millisecond,
 		TargetUse:      0.9,
 		OverUse:        0.4,
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -71,6 +71,9 @@
 		d := Decision{Ticket: r.Ticket, Verdict: Wait}
 		if j.state != waiting {
 			d.Verdict, d.Upstream = Send, j.upstream.ID
+			if j.copyFrom != nil {
+				d.CopyFrom = j.copyFrom.ID
+			}
 		}
 		c.out = append(c.out, d)
 		return c.take()
@@ -125,6 +128,7 @@
 	// the upstream begins.
 	first, wait time.Duration
 	score       time.Duration
+	plan        plan
 	// admitted is set if the request would be in time.
 	admitted bool
 	// away is set if much of the prompt is cached elsewhere.
@@ -154,23 +158,23 @@
 		return
 	}
 	if c.ready(best.u, j, now) && !c.aheadOf(best.u, j, now) {
+		j.cost, j.copyFrom = best.plan.cost, best.plan.from
 		c.send(now, best.u, j, best.first)
 		return
 	}
 	j.upstream = best.u
-	j.cost = best.u.cost(&j.Request)
+	j.cost, j.copyFrom = best.plan.cost, best.plan.from
 	best.u.queue = append(best.u.queue, j)
 	c.out = append(c.out, Decision{Ticket: j.Ticket, Verdict: Wait, Wait: best.first})
 }
 
 // best scores the upstreams.
 func (c *Core) best(now time.Duration, j *job) (choice, bool) {
-	costs := make([]time.Duration, len(c.upstreams))
+	plans := c.plans(now, j)
 	least := time.Duration(0)
-	for i, u := range c.upstreams {
-		costs[i] = u.cost(&j.Request)
-		if i == 0 || costs[i] < least {
-			least = costs[i]
+	for i, p := range plans {
+		if i == 0 || p.cost < least {
+			least = p.cost
 		}
 	}
 	var found choice
@@ -180,8 +184,9 @@
 			continue
 		}
 		u.touch(now)
-		reread := costs[i] - least
-		ch := c.weigh(now, u, j, costs[i], reread)
+		reread := plans[i].cost - least
+		ch := c.weigh(now, u, j, plans[i].cost, reread)
+		ch.plan = plans[i]
 		ch.admitted = c.admit(now, j, ch)
 		ch.away = reread > c.cfg.Spill
 		if !ok || better(ch, found) {
@@ -303,7 +308,11 @@
 func (c *Core) send(now time.Duration, u *upstream, j *job, wait time.Duration) {
 	u.take(j, now)
 	c.teams.serve(now, j.Team, j.tokens)
-	c.out = append(c.out, Decision{Ticket: j.Ticket, Verdict: Send, Upstream: u.ID, Wait: wait, Over: j.over})
+	d := Decision{Ticket: j.Ticket, Verdict: Send, Upstream: u.ID, Wait: wait, Over: j.over}
+	if j.copyFrom != nil {
+		d.CopyFrom = j.copyFrom.ID
+	}
+	c.out = append(c.out, d)
 }
 
 // Started notes that the first byte of an answer came.
@@ -348,6 +357,7 @@
 	j := &job{Request: r, targetAt: now + r.Target, expires: now + r.Left + time.Second}
 	j.memory = r.Output + max(r.Prompt-u.cache.kept(r.Parts), 0)
 	c.jobs[r.Ticket] = j
+	j.cost = u.cost(&j.Request, u.cache.kept(r.Parts), 0)
 	u.take(j, now)
 	if begun {
 		u.read(j, now)
@@ -379,6 +389,9 @@
 			return
 		}
 		u.queue = slices.Delete(u.queue, next, next+1)
+		// What is cached where has changed while the request waited.
+		p := c.planFor(now, u, j)
+		j.cost, j.copyFrom = p.cost, p.from
 		c.send(now, u, j, 0)
 	}
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -7,6 +7,8 @@
 	Request
 	upstream *upstream
 	state    state
+	// copyFrom is where the upstream copies parts from, nil if it doesn't.
+	copyFrom *upstream
 	// cost is the predicted time that the upstream works on it alone.
 	cost time.Duration
 	// tokens is what it is charged, in tokens read and twice those generated.
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -53,6 +53,9 @@
 	Ticket   Ticket
 	Verdict  Verdict
 	Upstream string
+	// CopyFrom is an upstream that has more of the prompt cached, if copying it is
+	// worth it.
+	CopyFrom string
 	// RetryAfter is when a request like this one would be served.
 	RetryAfter time.Duration
 	// Wait is the time to the first byte that was predicted.
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -11,6 +11,9 @@
 	ID       string
 	Slots    int
 	KVTokens int
+	// CopyPerToken is how long the upstream takes to copy a cached token from
+	// another; 0 if it can't.
+	CopyPerToken time.Duration
 }
 
 // upstream is the core's model of one.
@@ -54,17 +57,18 @@
 	return (u.took + prior) / (u.meant + prior)
 }
 
-// cost predicts how long the upstream works on a request to its first byte.
-func (u *upstream) cost(r *Request) time.Duration {
+// cost predicts how long the upstream works on a request to its first byte if it
+// has kept tokens of the prompt and copies some more.
+func (u *upstream) cost(r *Request, kept, copied int) time.Duration {
 	if !u.cfg.Engine {
 		return u.serviceTime
 	}
-	kept := u.cache.kept(r.Parts)
-	unread := float64(max(r.Prompt-kept, 1))
+	have := kept + copied
+	unread := float64(max(r.Prompt-have, 1))
 	ms := unread/u.cfg.TokensPerMs +
-		unread*(float64(kept)+unread/2)/u.cfg.PairsPerMs +
+		unread*(float64(have)+unread/2)/u.cfg.PairsPerMs +
 		math.Ceil(unread/float64(u.cfg.ChunkTokens))*u.cfg.StepMs
-	return time.Duration(ms * u.speed() * float64(time.Millisecond))
+	return time.Duration(ms*u.speed()*float64(time.Millisecond)) + time.Duration(copied)*u.CopyPerToken
 }
 
 // remaining is how long the upstream still works on what it was sent.
@@ -105,7 +109,6 @@
 func (u *upstream) take(j *job, now time.Duration) {
 	u.touch(now)
 	j.upstream, j.state = u, sent
-	j.cost = u.cost(&j.Request)
 	if len(u.unread) == 0 {
 		u.headAt = now
 	}
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -11,6 +11,7 @@
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/feed"
 	"github.com/aspenswitch/aspenswitch/registry"
+	"github.com/aspenswitch/aspenswitch/routing"
 )
 
 // groupKey names a group of a service's upstreams.
@@ -86,6 +87,7 @@
 		m := dispatch.Member{ID: u.ID, Slots: slots(u)}
 		if svc != nil && svc.Engine != nil {
 			m.KVTokens = svc.Engine.KVTokens
+			m.CopyPerToken = copyTime(svc.Engine)
 		}
 		members = append(members, m)
 	}
@@ -93,6 +95,16 @@
 	n.deliver(now, key, g.core.SetMembers(time.Duration(now), members))
 }
 
+// copyTime is how long an engine takes to copy a cached token from another.
+func copyTime(e *routing.Engine) time.Duration {
+	if e.KVTokenBytes <= 0 || e.LinkMbps <= 0 {
+		return 0
+	}
+	const bitsPerByte, bitsPerMegabit = 8, 1e6
+	seconds := float64(e.KVTokenBytes) * bitsPerByte / (e.LinkMbps * bitsPerMegabit)
+	return time.Duration(seconds * float64(time.Second))
+}
+
 func slots(u *registry.Upstream) int { return max(u.Slots, 1) }
 
 // yield is the part of the engines' tokens a second that some of them give.
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -68,6 +68,7 @@
 	Group    int
 	Verdict  dispatch.Verdict
 	Upstream string
+	CopyFrom string
 	RetryMs  int32
 	WaitMs   int32
 	Over     bool
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -198,7 +198,7 @@
 			continue
 		}
 		n.send(m.addr, &packet{Reply: &reply{
-			Seq: d.Ticket.Seq, Service: key.service, Group: key.index, Verdict: d.Verdict, Upstream: d.Upstream,
+			Seq: d.Ticket.Seq, Service: key.service, Group: key.index, Verdict: d.Verdict, Upstream: d.Upstream, CopyFrom: d.CopyFrom,
 			RetryMs: millis(d.RetryAfter), WaitMs: millis(d.Wait), Over: d.Over,
 		}})
 	}
@@ -217,7 +217,7 @@
 		return
 	}
 	n.decided(now, dispatch.Decision{
-		Ticket: dispatch.Ticket{Router: n.self, Seq: r.Seq}, Verdict: r.Verdict, Upstream: r.Upstream,
+		Ticket: dispatch.Ticket{Router: n.self, Seq: r.Seq}, Verdict: r.Verdict, Upstream: r.Upstream, CopyFrom: r.CopyFrom,
 		RetryAfter: duration(r.RetryMs), Wait: duration(r.WaitMs), Over: r.Over,
 	})
 }
--- a/gateway/names.go
+++ b/gateway/names.go
@@ -24,6 +24,9 @@
 	LengthHint string
 	// Load is an upstream's load.
 	Load string
+	// CopyFrom is the address of an engine from which another copies the cached
+	// parts of a prompt.
+	CopyFrom string
 	// Private headers are set by the system alone and never pass from a caller.
 	Private []string
 }
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -13,9 +13,11 @@
 	config                   int64
 	age                      time.Duration
 	upstream                 string
+	// copyFrom is the engine from which parts of the prompt were copied.
+	copyFrom string
 	// prompt and output are the tokens that the placing reckoned with.
 	prompt, output int
-	attempts                 int
+	attempts       int
 	// predicted is the time to the first byte that placing expected; placed is
 	// how long placing took, first when the first byte came.
 	predicted, placed, first time.Duration
@@ -33,6 +35,9 @@
 		Int("prompt", r.prompt).Int("output", r.output).Str("upstream", r.upstream).Int("attempts", r.attempts).
 		Int64("predicted_ms", r.predicted.Milliseconds()).Int64("placed_ms", r.placed.Milliseconds()).
 		Int64("first_ms", r.first.Milliseconds()).Int("status", r.status).Str("outcome", r.outcome)
+	if r.copyFrom != "" {
+		e.Str("copy_from", r.copyFrom)
+	}
 	if r.over {
 		e.Bool("over_share", true)
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -69,7 +69,7 @@
 		s.placer.Done(r.service, ticket, dispatch.Cancelled, 0)
 		return result{refused: refused, again: u}
 	}
-	return s.send(ctx, r, out, ticket, d.Upstream)
+	return s.send(ctx, r, out, ticket, d)
 }
 
 // ask describes the request to the placer.
@@ -138,7 +138,8 @@
 }
 
 // send sends the request to an upstream and passes the answer on.
-func (s *Server) send(ctx context.Context, r *request, out *relay, t dispatch.Ticket, id string) result {
+func (s *Server) send(ctx context.Context, r *request, out *relay, t dispatch.Ticket, d dispatch.Decision) result {
+	id := d.Upstream
 	u := s.state.Snapshot().View.Upstream(id)
 	if u == nil {
 		s.placer.Done(r.service, t, dispatch.Cancelled, 0)
@@ -147,7 +148,12 @@
 	s.count(r)
 	r.record.upstream = id
 	at := time.Now()
-	a, err := s.pool.Do(ctx, s.call(r, out, u.Address, id))
+	call := s.call(r, out, u.Address, id)
+	if from := s.state.Snapshot().View.Upstream(d.CopyFrom); from != nil {
+		call.Header.Set(s.cfg.Names.CopyFrom, from.Address)
+		r.record.copyFrom = from.ID
+	}
+	a, err := s.pool.Do(ctx, call)
 	if err != nil {
 		return s.sendFailed(ctx, r, t, id, err)
 	}
--- a/routing/config.go
+++ b/routing/config.go
@@ -70,6 +70,10 @@
 	// KVTokens is the KV cache's size, shared by running requests and cached
 	// prompt parts.
 	KVTokens int
+	// KVTokenBytes is what a cached token weighs when an engine copies it from
+	// another; LinkMbps is how fast. 0 means that engines don't copy.
+	KVTokenBytes int
+	LinkMbps     float64
 }
 
 // Team holds API keys.
