--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/aspenswitch/aspenswitch/boottime"
+	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/feed"
 	"github.com/aspenswitch/aspenswitch/fleet"
 	"github.com/aspenswitch/aspenswitch/gateway"
@@ -46,7 +47,11 @@
 	if err := d.open(); err != nil {
 		return nil, err
 	}
-	node, err := fleet.New(nodeConfig(s), boottime.Now, log)
+	nodeCfg := nodeConfig(s)
+	nodeCfg.Cached = func(ctx context.Context, address string) ([]dispatch.Part, error) {
+		return platform.CachedParts(ctx, d.pool, address)
+	}
+	node, err := fleet.New(nodeCfg, boottime.Now, log)
 	if err != nil {
 		return nil, err
 	}
--- a/dispatch/cache.go
+++ b/dispatch/cache.go
@@ -12,7 +12,7 @@
 }
 
 type cached struct {
-	chain  uint64
+	id     uint64
 	tokens int
 	// reader is the request that is reading the part now, nil once it is there.
 	reader *job
@@ -20,21 +20,12 @@
 
 func newCache() *cache { return &cache{entries: map[uint64]*list.Element{}} }
 
-// chainSeed and chainPrime fold parts into a chain (FNV-1a): a part is only of
-// use if all parts before it are kept too.
-const (
-	chainSeed  = 14695981039346656037
-	chainPrime = 1099511628211
-)
-
-func chainOf(before, part uint64) uint64 { return (before ^ part) * chainPrime }
-
-// kept is how many tokens of a prompt's start are cached.
+// kept is how many tokens of a prompt's start are cached: a part is only of use
+// if all parts before it are kept too.
 func (c *cache) kept(parts []Part) int {
-	chain, tokens := uint64(chainSeed), 0
+	tokens := 0
 	for _, p := range parts {
-		chain = chainOf(chain, p.ID)
-		if _, found := c.entries[chain]; !found {
+		if _, found := c.entries[p.ID]; !found {
 			return tokens
 		}
 		tokens += p.Tokens
@@ -50,10 +41,8 @@
 // meanwhile reads the part again: up to half of what was read again on heavy
 // days (model 371,000 tokens, measured 850,000).
 func (c *cache) beingRead(parts []Part, least int) bool {
-	chain := uint64(chainSeed)
 	for _, p := range parts {
-		chain = chainOf(chain, p.ID)
-		e, found := c.entries[chain]
+		e, found := c.entries[p.ID]
 		if !found {
 			return false
 		}
@@ -66,10 +55,8 @@
 
 // done notes that a request has been read.
 func (c *cache) done(j *job) {
-	chain := uint64(chainSeed)
 	for _, p := range j.Parts {
-		chain = chainOf(chain, p.ID)
-		if e, found := c.entries[chain]; found && e.Value.(*cached).reader == j {
+		if e, found := c.entries[p.ID]; found && e.Value.(*cached).reader == j {
 			e.Value.(*cached).reader = nil
 		}
 	}
@@ -77,20 +64,18 @@
 
 // read notes that a request reads its prompt and makes room within capacity.
 func (c *cache) read(j *job, parts []Part, capacity int) {
-	chain := uint64(chainSeed)
 	for _, p := range parts {
-		chain = chainOf(chain, p.ID)
-		if e, found := c.entries[chain]; found {
+		if e, found := c.entries[p.ID]; found {
 			c.order.MoveToFront(e)
 			continue
 		}
-		c.entries[chain] = c.order.PushFront(&cached{chain: chain, tokens: p.Tokens, reader: j})
+		c.entries[p.ID] = c.order.PushFront(&cached{id: p.ID, tokens: p.Tokens, reader: j})
 		c.tokens += p.Tokens
 	}
 	for c.tokens > capacity && c.order.Len() > 0 {
 		last := c.order.Back()
 		e := c.order.Remove(last).(*cached)
-		delete(c.entries, e.chain)
+		delete(c.entries, e.id)
 		c.tokens -= e.tokens
 	}
 }
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -348,6 +348,19 @@
 	c.drain(now, u)
 }
 
+// Seed takes in what an upstream says that it keeps. A new home knows nothing of
+// the caches; it would take every prompt for unread, refuse what could be served
+// and scatter the sessions.
+func (c *Core) Seed(id string, parts []Part) {
+	u := c.byID[id]
+	if u == nil {
+		return
+	}
+	for i := range parts {
+		u.cache.read(nil, parts[i:i+1], u.KVTokens)
+	}
+}
+
 // Held takes in a request that a router sent before this core was its home.
 func (c *Core) Held(now time.Duration, r Request, upstreamID string, begun bool) {
 	u := c.byID[upstreamID]
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
@@ -35,6 +36,9 @@
 	AskAgain, AskLocal time.Duration
 	// GroupSize is how many upstreams one home decides for, roughly.
 	GroupSize int
+	// Cached asks an engine at an address which prompt parts it keeps; nil if
+	// engines can't be asked.
+	Cached func(ctx context.Context, address string) ([]dispatch.Part, error)
 	// Engine and Plain tune the decisions.
 	Engine, Plain dispatch.Config
 }
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"math"
 	"strconv"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/aspenswitch/aspenswitch/boottime"
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/feed"
+	"github.com/aspenswitch/aspenswitch/obs"
 	"github.com/aspenswitch/aspenswitch/registry"
 	"github.com/aspenswitch/aspenswitch/routing"
 )
@@ -155,7 +157,7 @@
 // checkHomes tells a group's new home what this router has at its upstreams:
 // else it would take them for idle and send them more than they can do.
 func (n *Node) checkHomes(now boottime.Time) {
-	for _, g := range n.groups {
+	for key, g := range n.groups {
 		home, id := n.homeOf(now, g), n.self
 		if home != nil {
 			id = home.id
@@ -169,7 +171,49 @@
 		if !first {
 			n.tellHeld(now, g, home)
 		}
+		if home == nil {
+			n.askCached(key)
+		}
+	}
+}
+
+// cachedTimeout bounds the question to an engine. Its answer is of use for as
+// long as the cache lives, but a home that waits for it places blindly.
+const cachedTimeout = time.Second
+
+// askCached asks the engines of a group that this router has become the home of
+// what they keep, each once.
+func (n *Node) askCached(key groupKey) {
+	s := n.feed.Snapshot()
+	if s == nil || n.cfg.Cached == nil {
+		return
+	}
+	if svc := s.Table.Service(key.service); svc == nil || svc.Engine == nil {
+		return
+	}
+	ready := s.View.Ready(key.service)
+	count := n.groupCount(len(ready))
+	for _, u := range ready {
+		if groupOfUpstream(u.ID, count) == key.index {
+			go n.askCachedOf(key, u)
+		}
+	}
+}
+
+func (n *Node) askCachedOf(key groupKey, u *registry.Upstream) {
+	ctx, cancel := context.WithTimeout(context.Background(), cachedTimeout)
+	defer cancel()
+	parts, err := n.cfg.Cached(ctx, u.Address)
+	if err != nil {
+		n.limited.Warn("cached", func(e *obs.Event) {
+			e.Str("upstream", u.ID).Err(err).Msg("engine didn't say what it keeps")
+		})
+		return
 	}
+	n.limited.Info("cached", func(e *obs.Event) {
+		e.Str("upstream", u.ID).Int("parts", len(parts)).Msg("engine said what it keeps")
+	})
+	n.events <- cachedEvent{key: key, upstream: u.ID, parts: parts}
 }
 
 func (n *Node) tellHeld(now boottime.Time, g *group, home *member) {
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -176,8 +176,13 @@
 	}
 	changeEvent struct{}
 	leaveEvent  struct{}
-	seedsEvent  struct{ ips []string }
-	dumpEvent   struct{ answer chan Dump }
+	cachedEvent struct {
+		key      groupKey
+		upstream string
+		parts    []dispatch.Part
+	}
+	seedsEvent struct{ ips []string }
+	dumpEvent  struct{ answer chan Dump }
 )
 
 // Changed tells that the published state has changed.
@@ -256,6 +261,10 @@
 	case leaveEvent:
 		n.leaving = true
 		n.beatAll(now)
+	case cachedEvent:
+		if g := n.groups[e.key]; g != nil {
+			g.core.Seed(e.upstream, e.parts)
+		}
 	case seedsEvent:
 		n.cfg.Seeds = e.ips
 	case dumpEvent:
