A share can't collapse: part of the published yield is taken for granted

Cause, by reading: the level is computed over what was served while requests are refused; after a restart, or after many refusals, that is next to nothing, all teams are above it, and refusals feed on themselves.

--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -18,6 +18,8 @@
 	levelAt  time.Duration
 	// got is what all teams together were served within the window.
 	got float64
+	// startAt is when the first request came.
+	startAt time.Duration
 	// refusedAt is when a request was last refused for want of room.
 	refusedAt time.Duration
 }
@@ -57,6 +59,9 @@
 }
 
 func (s *shares) ask(now time.Duration, team string, tokens float64) {
+	if s.startAt == 0 {
+		s.startAt = now
+	}
 	s.account(now, team).asked += tokens
 }
 
@@ -122,8 +127,15 @@
 // warm caches the engines yield more, after a loss less, and a share of the wrong
 // total lets large teams take what others are owed.
 func (s *shares) room(now time.Duration) float64 {
-	if s.refusedAt > 0 && now-s.refusedAt < saturatedFor {
-		return s.got
+	if s.refusedAt == 0 || now-s.refusedAt >= saturatedFor {
+		return math.Inf(1)
 	}
-	return math.Inf(1)
+	known := 1 - math.Exp(-float64(now-s.startAt)/float64(s.window))
+	return max(s.got, leastYield*s.capacity*s.window.Seconds()*known)
 }
+
+// leastYield is the part of the published yield that is taken for granted. A
+// share of what was served alone can collapse: refusals lower what is served,
+// which lowers the share, which brings more refusals; a new home would start
+// from nothing and refuse all.
+const leastYield = 0.6
