--- a/feed/config.go
+++ b/feed/config.go
@@ -28,9 +28,11 @@
 		revoke = 10 * time.Second
 	}
 	return Config{
-		WatchWait:  min(revoke/5, 3*time.Second),
+		WatchWait:  min(revoke/6, 3*time.Second),
 		CallMargin: 700 * time.Millisecond,
-		StaleAfter: revoke * 2 / 5,
+		// Two waits may pass before the next state is confirmed, and a peer's
+		// word for it comes up to a third of a second later.
+		StaleAfter: revoke / 2,
 		// The last tenth is left for requests that wait in an upstream's queue.
 		Authority:  revoke * 9 / 10,
 		BackoffMin: 50 * time.Millisecond,
