--- a/dispatch/cache.go
+++ b/dispatch/cache.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "container/list"
+import (
+	"container/list"
+	"time"
+)
 
 // cache models which prompt parts an engine keeps. Parts yield least recently
 // used first, as they do in the engine.
@@ -40,13 +43,17 @@
 // once it has been read. A second request of the same session that is sent
 // meanwhile reads the part again: up to half of what was read again on heavy
 // days (model 371,000 tokens, measured 850,000).
-func (c *cache) beingRead(parts []Part, least int) bool {
+//
+// A reader that is overdue isn't waited for: its engine may be hung, and all
+// requests of the session would wait for it until their targets have passed.
+func (c *cache) beingRead(now time.Duration, parts []Part, least int) bool {
 	for _, p := range parts {
 		e, found := c.entries[p.ID]
 		if !found {
 			return false
 		}
-		if e.Value.(*cached).reader != nil && p.Tokens >= least {
+		reader := e.Value.(*cached).reader
+		if reader != nil && p.Tokens >= least && now < reader.readBy {
 			return true
 		}
 	}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -216,7 +216,8 @@
 // run for seconds, and dozens run at once.
 const slotWait = 100 * time.Millisecond
 
-// queued is the work that waits at the upstream and goes before the job.
+// queued is the work that waits at the upstream and goes before the job; of two
+// that are equal, the one that came first.
 func (c *Core) queued(u *upstream, j *job, cost, now time.Duration) time.Duration {
 	if len(u.queue) == 0 {
 		return 0
@@ -225,7 +226,7 @@
 	probe.cost = cost
 	sum := time.Duration(0)
 	for _, q := range u.queue {
-		if c.before(q, &probe, now) {
+		if !c.before(&probe, q, now) {
 			sum += q.cost
 		}
 	}
@@ -289,7 +290,7 @@
 
 // ready reports whether the upstream takes a job now.
 func (c *Core) ready(u *upstream, j *job, now time.Duration) bool {
-	if u.full(j.memory) || u.cache.beingRead(j.Parts, c.cfg.MinAwait) {
+	if u.full(j.memory) || u.cache.beingRead(now, j.Parts, c.cfg.MinAwait) {
 		return false
 	}
 	return !c.cfg.Engine || u.remaining(now) < c.cfg.Window
--- /dev/null
+++ b/dispatch/core_test.go
@@ -0,0 +1,295 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/aspenswitch/aspenswitch/dispatch"
+)
+
+const router = 7
+
+// newCore returns a core for n engines of the data sheet.
+func newCore(n int) *dispatch.Core {
+	c := dispatch.New(dispatch.DefaultConfig(true))
+	c.SetMembers(time.Second, engines(n))
+	return c
+}
+
+func engines(n int) []dispatch.Member {
+	var members []dispatch.Member
+	for i := range n {
+		members = append(members, dispatch.Member{
+			ID: fmt.Sprintf("e%d", i), Slots: 64, KVTokens: 232000, CopyPerToken: 4767 * time.Nanosecond,
+		})
+	}
+	return members
+}
+
+// request is a question of a session: a shared part of 6,000 tokens and a part
+// of its own.
+func request(seq uint64, team string, session uint64) dispatch.Request {
+	return dispatch.Request{
+		Ticket: dispatch.Ticket{Router: router, Seq: seq}, Team: team, Prompt: 9000, Output: 50,
+		Parts:  []dispatch.Part{{ID: session, Tokens: 6000}, {ID: 1 << 40 * (seq + 1), Tokens: 3000}},
+		Target: 800 * time.Millisecond, Left: 6 * time.Second,
+	}
+}
+
+// verdicts indexes decisions by their request.
+func verdicts(ds []dispatch.Decision) map[uint64]dispatch.Decision {
+	out := map[uint64]dispatch.Decision{}
+	for _, d := range ds {
+		out[d.Ticket.Seq] = d
+	}
+	return out
+}
+
+func ticket(seq uint64) dispatch.Ticket { return dispatch.Ticket{Router: router, Seq: seq} }
+
+func TestSessionGoesWhereItsPartsAreCached(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(6)
+	now := 2 * time.Second
+	first := c.Ask(now, request(1, "a", 5))[0]
+	g.Expect(first.Verdict).To(Equal(dispatch.Send))
+	c.Started(now+300*time.Millisecond, ticket(1))
+	c.Done(now+time.Second, ticket(1), dispatch.Served, time.Second)
+	second := c.Ask(now+2*time.Second, request(2, "a", 5))[0]
+	g.Expect(second.Upstream).To(Equal(first.Upstream))
+	g.Expect(second.CopyFrom).To(BeEmpty())
+}
+
+// The caller would wait for its deadline and get nothing. More comes in at once
+// than the engine can read within the target: what can't be in time is refused
+// when it comes, with the time at which it would be served.
+func TestWhatCannotBeServedInTimeIsRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(1)
+	now := 2 * time.Second
+	refused := 0
+	for seq := range uint64(30) {
+		d := c.Ask(now, request(seq, "a", seq))[0]
+		if d.Verdict != dispatch.Refuse {
+			g.Expect(d.Wait).To(BeNumerically("<=", 800*time.Millisecond))
+			continue
+		}
+		refused++
+		g.Expect(d.RetryAfter).To(BeNumerically(">", 0))
+		g.Expect(d.RetryAfter).To(BeNumerically("<", 6*time.Second))
+	}
+	g.Expect(refused).To(BeNumerically(">", 20))
+	g.Expect(refused).To(BeNumerically("<", 30))
+}
+
+// A request that waits must get its answer before its target: either it goes to
+// an engine or it is refused as soon as that is certain, never silently dropped.
+func TestEveryWaitEndsInADecision(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 4).Draw(rt, "engines")
+		c := newCore(n)
+		now := 2 * time.Second
+		state := map[uint64]dispatch.Verdict{}
+		sent := map[uint64]time.Duration{}
+		note := func(ds []dispatch.Decision) {
+			for _, d := range ds {
+				if state[d.Ticket.Seq] == dispatch.Refuse {
+					rt.Fatalf("request %d: decision after a refusal", d.Ticket.Seq)
+				}
+				state[d.Ticket.Seq] = d.Verdict
+				if d.Verdict == dispatch.Send {
+					sent[d.Ticket.Seq] = now
+				}
+			}
+		}
+		for seq := range uint64(rapid.IntRange(1, 60).Draw(rt, "requests")) {
+			now += time.Duration(rapid.IntRange(0, 60).Draw(rt, "gap")) * time.Millisecond
+			team := fmt.Sprint("t", rapid.IntRange(0, 3).Draw(rt, "team"))
+			note(c.Ask(now, request(seq, team, uint64(rapid.IntRange(0, 5).Draw(rt, "session")))))
+			note(c.Tick(now))
+			for s, at := range sent {
+				if now-at > 250*time.Millisecond {
+					note(c.Started(now, ticket(s)))
+					note(c.Done(now, ticket(s), dispatch.Served, now-at))
+					delete(sent, s)
+				}
+			}
+		}
+		for range 400 {
+			now += 10 * time.Millisecond
+			note(c.Tick(now))
+			for s := range sent {
+				note(c.Done(now, ticket(s), dispatch.Served, time.Second))
+				delete(sent, s)
+			}
+		}
+		for seq, v := range state {
+			if v == dispatch.Wait {
+				rt.Fatalf("request %d waits for ever", seq)
+			}
+		}
+	})
+}
+
+// A small team's request would be refused because of a large one: a flood fills
+// the engines in every gap. The small team keeps within its share, so its
+// requests are served all the same, and the flood is what is refused.
+func TestSmallTeamIsServedBesideAFlood(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(2)
+	c.SetCapacity(40000)
+	run := newRun(c)
+	for range 800 { // eight seconds
+		run.step(10 * time.Millisecond)
+		for range 2 {
+			run.ask("flood", uint64(run.seq%40))
+		}
+		if run.now%(200*time.Millisecond) == 0 {
+			run.ask("small", 1000)
+		}
+	}
+	small := float64(run.served["small"]) / float64(run.asked["small"])
+	flood := float64(run.served["flood"]) / float64(run.asked["flood"])
+	g.Expect(small).To(BeNumerically(">", 0.8), "small teams' part served; the flood's is %.2f", flood)
+	g.Expect(flood).To(BeNumerically("<", 0.3))
+	g.Expect(run.idle()).To(BeNumerically("<", 0.25), "part of the time that an engine had nothing unread")
+}
+
+// Two floods get like parts: neither starves the other by being denser.
+func TestTwoFloodsShareWhatIsLeft(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(2)
+	c.SetCapacity(40000)
+	run := newRun(c)
+	for range 1200 {
+		run.step(10 * time.Millisecond)
+		for range 3 {
+			run.ask("dense", uint64(run.seq%40))
+		}
+		if run.now%(20*time.Millisecond) == 0 {
+			run.ask("thin", uint64(100+run.seq%40))
+		}
+	}
+	g.Expect(run.served["thin"] * 2).To(BeNumerically(">=", run.served["dense"]))
+}
+
+// All routers have been replaced: the new home knows no caches and no shares.
+// It must not refuse everything on the word of accounts that have just begun.
+func TestSharesOfANewHomeDoNotCollapse(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(4)
+	c.SetCapacity(100000)
+	run := newRun(c)
+	for range 200 {
+		run.step(10 * time.Millisecond)
+		run.ask(fmt.Sprint("t", run.seq%3), uint64(run.seq%20))
+	}
+	part := float64(run.served["t0"]+run.served["t1"]+run.served["t2"]) / float64(run.seq)
+	g.Expect(part).To(BeNumerically(">", 0.2))
+}
+
+// The answer to a question was lost; the router asks again. The request must not
+// take room twice, and the same upstream is told again.
+func TestAskingAgainRepeatsTheDecision(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(2)
+	now := 2 * time.Second
+	first := c.Ask(now, request(1, "a", 5))[0]
+	again := c.Ask(now, request(1, "a", 5))[0]
+	g.Expect(again.Verdict).To(Equal(dispatch.Send))
+	g.Expect(again.Upstream).To(Equal(first.Upstream))
+	c.Done(now+time.Second, ticket(1), dispatch.Served, time.Second)
+	g.Expect(c.Done(now+time.Second, ticket(1), dispatch.Served, time.Second)).To(BeEmpty())
+}
+
+// A router died with requests at an engine, and the reports of their ends with
+// it. The engine must not look full for ever.
+func TestLostEndsExpire(t *testing.T) {
+	g := NewWithT(t)
+	c := dispatch.New(dispatch.DefaultConfig(false))
+	c.SetMembers(time.Second, []dispatch.Member{{ID: "s", Slots: 1}})
+	r := dispatch.Request{Ticket: ticket(1), Target: 150 * time.Millisecond, Left: time.Second}
+	g.Expect(c.Ask(2*time.Second, r)[0].Verdict).To(Equal(dispatch.Send))
+	r.Ticket = ticket(2)
+	c.Tick(5 * time.Second)
+	g.Expect(c.Ask(5*time.Second, r)[0].Verdict).To(Equal(dispatch.Send))
+}
+
+// An upstream that can't be reached gets no work for a while, longer each time,
+// and is tried again.
+func TestUnreachableUpstreamIsLeftAloneForAWhile(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(2)
+	now := 2 * time.Second
+	bad := c.Ask(now, request(1, "a", 5))[0].Upstream
+	c.Done(now, ticket(1), dispatch.Unreachable, 0)
+	g.Expect(c.Ask(now, request(2, "a", 5))[0].Upstream).NotTo(Equal(bad))
+	seen := false
+	for seq := uint64(3); seq < 40; seq++ {
+		now += 200 * time.Millisecond
+		d := verdicts(c.Ask(now, request(seq, "a", seq+100)))[seq]
+		seen = seen || d.Upstream == bad
+		c.Done(now+100*time.Millisecond, ticket(seq), dispatch.Served, 100*time.Millisecond)
+	}
+	g.Expect(seen).To(BeTrue())
+}
+
+// The second request of a session would read the session's part again, because
+// the first is still reading it: it waits until that has begun to answer.
+func TestPartThatIsBeingReadIsWaitedFor(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(1)
+	now := 2 * time.Second
+	g.Expect(c.Ask(now, request(1, "a", 5))[0].Verdict).To(Equal(dispatch.Send))
+	g.Expect(c.Ask(now, request(2, "a", 5))[0].Verdict).To(Equal(dispatch.Wait))
+	ds := verdicts(c.Started(now+250*time.Millisecond, ticket(1)))
+	g.Expect(ds[2].Verdict).To(Equal(dispatch.Send))
+}
+
+// Callers would all be refused: the engine hangs on the first request of a
+// session, and the others wait for its part to be read.
+func TestPartOfAHungRequestIsNotWaitedForUntilTheTarget(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(1)
+	now := 2 * time.Second
+	slow := request(1, "a", 5)
+	g.Expect(c.Ask(now, slow)[0].Verdict).To(Equal(dispatch.Send))
+	next := request(2, "a", 5)
+	next.Target = 5 * time.Second
+	g.Expect(c.Ask(now, next)[0].Verdict).To(Equal(dispatch.Wait))
+	sent := false
+	for range 200 {
+		now += 10 * time.Millisecond
+		sent = sent || verdicts(c.Tick(now))[2].Verdict == dispatch.Send
+	}
+	g.Expect(sent).To(BeTrue())
+}
+
+// A home that has just taken over knows nothing; the engines say what they keep.
+func TestSeededHomeKeepsSessionsTogether(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(6)
+	c.Seed("e4", []dispatch.Part{{ID: 5, Tokens: 6000}})
+	g.Expect(c.Ask(2*time.Second, request(1, "a", 5))[0].Upstream).To(Equal("e4"))
+}
+
+// A busy engine's session is served by another, which copies the parts.
+func TestBusySessionIsCopiedToAnIdleEngine(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(2)
+	c.Seed("e0", []dispatch.Part{{ID: 5, Tokens: 6000}})
+	now := 2 * time.Second
+	var other dispatch.Decision
+	for seq := range uint64(12) {
+		d := c.Ask(now, request(seq, "a", 5))[0]
+		if d.Verdict == dispatch.Send && d.Upstream == "e1" {
+			other = d
+			break
+		}
+	}
+	g.Expect(other.CopyFrom).To(Equal("e0"))
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -11,6 +11,8 @@
 	copyFrom *upstream
 	// cost is the predicted time that the upstream works on it alone.
 	cost time.Duration
+	// readBy is when the upstream should have read the prompt at the latest.
+	readBy time.Duration
 	// tokens is what it is charged, in tokens read and twice those generated.
 	tokens float64
 	// memory is the KV cache that it takes while it runs.
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -105,6 +105,10 @@
 	u.useAt = now
 }
 
+// overdue is added to twice the predicted time before a request counts as not
+// being read: some steps of a slow engine.
+const overdue = 200 * time.Millisecond
+
 // take gives the upstream a job.
 func (u *upstream) take(j *job, now time.Duration) {
 	u.touch(now)
@@ -114,6 +118,7 @@
 	}
 	u.unread = append(u.unread, j)
 	u.ahead += j.cost
+	j.readBy = now + 2*u.remaining(now) + overdue
 	u.running++
 	u.memory += j.memory
 	if u.cfg.Engine {
--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,248 @@
+package feed_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/aspenswitch/aspenswitch/boottime"
+	"github.com/aspenswitch/aspenswitch/feed"
+	"github.com/aspenswitch/aspenswitch/registry"
+	"github.com/aspenswitch/aspenswitch/routing"
+)
+
+const revoke = 5 * time.Second
+
+// scripted is a platform whose answers a test sets.
+type scripted struct {
+	list  func(ctx context.Context) (feed.Batch, error)
+	watch func(ctx context.Context, after int64, wait time.Duration) (feed.Batch, error)
+}
+
+func (s *scripted) List(ctx context.Context) (feed.Batch, error) { return s.list(ctx) }
+
+func (s *scripted) Watch(ctx context.Context, after int64, wait time.Duration) (feed.Batch, error) {
+	return s.watch(ctx, after, wait)
+}
+
+func config(version int64) feed.Change {
+	return feed.Change{Revision: version, Config: &routing.Config{Version: version}}
+}
+
+func up(id string, revision int64) feed.Change {
+	return feed.Change{Revision: revision, Upstream: &registry.Upstream{ID: id, Service: "llm", Revision: revision}}
+}
+
+func listing(revision int64, changes ...feed.Change) func(context.Context) (feed.Batch, error) {
+	return func(context.Context) (feed.Batch, error) {
+		return feed.Batch{Changes: changes, Revision: revision}, nil
+	}
+}
+
+// quiet answers a watch after its wait, with nothing new.
+func quiet(ctx context.Context, after int64, wait time.Duration) (feed.Batch, error) {
+	if err := sleep(ctx, wait); err != nil {
+		return feed.Batch{}, err
+	}
+	return feed.Batch{Revision: after}, nil
+}
+
+// silent never answers, as a connection that something on the way forgot.
+func silent(ctx context.Context, _ int64, _ time.Duration) (feed.Batch, error) {
+	<-ctx.Done()
+	return feed.Batch{}, ctx.Err()
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// start runs a feed in the bubble and returns it.
+func start(t *testing.T, source feed.Source) *feed.Feed {
+	begin := time.Now()
+	clock := func() boottime.Time { return boottime.Time(time.Since(begin) + time.Hour) }
+	f := feed.New(feed.DefaultConfig(revoke), source, clock, zerolog.Nop(), func() bool { return true }, func() {})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.Run(ctx)
+	return f
+}
+
+// A key that was taken away would go on being served. The connection to the
+// platform goes silent; the router can't hear of the change. Its right to serve
+// ends by itself before the bound, counted from when its last read was sent.
+func TestAuthorityEndsWhenThePlatformFallsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var cut atomic.Bool
+		f := start(t, &scripted{list: listing(3, config(3)), watch: func(ctx context.Context, after int64, wait time.Duration) (feed.Batch, error) {
+			if cut.Load() {
+				return silent(ctx, after, wait)
+			}
+			return quiet(ctx, after, wait)
+		}})
+		time.Sleep(10 * time.Second)
+		g.Expect(f.Authorized()).To(BeTrue())
+		cut.Store(true)
+		time.Sleep(revoke)
+		g.Expect(f.Authorized()).To(BeFalse())
+	})
+}
+
+// A healthy platform never costs a router its right, between any two reads.
+func TestAuthorityHoldsWhileThePlatformAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := start(t, &scripted{list: listing(3, config(3)), watch: quiet})
+		time.Sleep(time.Second)
+		for range 600 {
+			time.Sleep(50 * time.Millisecond)
+			g.Expect(f.Authorized()).To(BeTrue())
+			g.Expect(f.Age()).To(BeNumerically("<", revoke/2))
+		}
+	})
+}
+
+// One silent connection must not cost the right: the next read goes out in time
+// on another connection and asks for what there is at once.
+func TestOneSilentWatchIsBorne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		calls := 0
+		f := start(t, &scripted{list: listing(3, config(3)), watch: func(ctx context.Context, after int64, wait time.Duration) (feed.Batch, error) {
+			calls++
+			if calls%4 == 0 {
+				return silent(ctx, after, wait)
+			}
+			return quiet(ctx, after, wait)
+		}})
+		time.Sleep(time.Second)
+		for range 600 {
+			time.Sleep(50 * time.Millisecond)
+			g.Expect(f.Authorized()).To(BeTrue())
+		}
+	})
+}
+
+// A route that was just added would answer 404 again: a read that is late brings
+// an older configuration. Within one process a version never goes back.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		versions := []int64{7, 5, 6}
+		f := start(t, &scripted{list: listing(3, config(3)), watch: func(ctx context.Context, after int64, wait time.Duration) (feed.Batch, error) {
+			if len(versions) == 0 {
+				return quiet(ctx, after, wait)
+			}
+			v := versions[0]
+			versions = versions[1:]
+			return feed.Batch{Changes: []feed.Change{config(v)}, Revision: after + 1}, nil
+		}})
+		time.Sleep(time.Second)
+		g.Expect(f.Snapshot().ConfigVersion()).To(Equal(int64(7)))
+		f.Import(&feed.Export{Revision: 99, Config: &routing.Config{Version: 6}}, 0)
+		g.Expect(f.Snapshot().ConfigVersion()).To(Equal(int64(7)))
+	})
+}
+
+// The platform forgets its history while an upstream leaves: no watch ever tells
+// that it has gone. The router lists again, and what is missing goes after the
+// grace.
+func TestUpstreamThatLeftInAGapOfTheHistoryIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		lists := 0
+		f := start(t, &scripted{
+			list: func(context.Context) (feed.Batch, error) {
+				lists++
+				b := feed.Batch{Changes: []feed.Change{config(3), up("stays", 2)}, Revision: int64(10 * lists)}
+				if lists == 1 {
+					b.Changes = append(b.Changes, up("leaves", 3))
+				}
+				return b, nil
+			},
+			watch: func(ctx context.Context, after int64, wait time.Duration) (feed.Batch, error) {
+				if lists == 1 {
+					return feed.Batch{}, feed.ErrHistoryGone
+				}
+				return quiet(ctx, after, wait)
+			},
+		})
+		time.Sleep(registry.LapseGrace + 500*time.Millisecond)
+		g.Expect(f.Snapshot().View.Upstream("leaves")).To(BeNil())
+		g.Expect(f.Snapshot().View.Upstream("stays")).NotTo(BeNil())
+	})
+}
+
+// Requests would reach an upstream that has left. Around an outage a deletion is
+// taken for a lapse and gets a grace; a router that learns from this one must
+// end that grace too, though no later change tells it.
+func TestPeersEndTheGraceOfALapsedUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		calls := 0
+		f := start(t, &scripted{list: listing(3, config(3), up("leaves", 2)), watch: func(ctx context.Context, after int64, wait time.Duration) (feed.Batch, error) {
+			calls++
+			switch calls {
+			case 1:
+				return feed.Batch{}, errors.New("platform is away")
+			case 2:
+				return feed.Batch{Changes: []feed.Change{{Revision: 5, Gone: "leaves"}}, Revision: 5}, nil
+			}
+			return quiet(ctx, after, wait)
+		}})
+		time.Sleep(500 * time.Millisecond)
+		g.Expect(f.Snapshot().View.Upstream("leaves")).NotTo(BeNil(), "lapsed, still used")
+
+		begin := time.Now()
+		clock := func() boottime.Time { return boottime.Time(time.Since(begin) + time.Hour) }
+		peer := feed.New(feed.DefaultConfig(revoke), &scripted{list: func(ctx context.Context) (feed.Batch, error) { return silent(ctx, 0, 0) }, watch: silent},
+			clock, zerolog.Nop(), func() bool { return false }, func() {})
+		peer.Import(f.Export(0), clock())
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		go peer.Run(ctx)
+		g.Expect(peer.Snapshot().View.Upstream("leaves")).NotTo(BeNil())
+		time.Sleep(registry.LapseGrace + 400*time.Millisecond)
+		g.Expect(peer.Snapshot().View.Upstream("leaves")).To(BeNil())
+	})
+}
+
+// A peer's word must not make a state look younger than it is, however late it
+// comes: it counts from when this router asked, less the age that the peer told.
+func TestPeersWordIsDatedByTheQuestion(t *testing.T) {
+	g := NewWithT(t)
+	now := boottime.Time(time.Hour)
+	f := feed.New(feed.DefaultConfig(revoke), &scripted{}, func() boottime.Time { return now }, zerolog.Nop(), func() bool { return false }, func() {})
+	asked := now.Add(-2 * time.Second)
+	f.Import(&feed.Export{Revision: 4, AgeNanos: int64(time.Second), Config: &routing.Config{Version: 1}}, asked)
+	g.Expect(f.Age()).To(Equal(3 * time.Second))
+	g.Expect(f.Vouch(4, now.Add(-time.Second))).To(BeFalse())
+	g.Expect(f.Age()).To(Equal(time.Second))
+	g.Expect(f.Vouch(4, now.Add(-4*time.Second))).To(BeFalse())
+	g.Expect(f.Age()).To(Equal(time.Second), "an older word changes nothing")
+	g.Expect(f.Vouch(5, now)).To(BeTrue(), "the peer knows more")
+	g.Expect(f.Age()).To(Equal(time.Second), "its word isn't about this state")
+}
+
+// A suspended VM wakes with a view that is long out of date.
+func TestAuthorityCountsTheTimeOfASuspension(t *testing.T) {
+	g := NewWithT(t)
+	now := boottime.Time(time.Hour)
+	f := feed.New(feed.DefaultConfig(revoke), &scripted{}, func() boottime.Time { return now }, zerolog.Nop(), func() bool { return false }, func() {})
+	f.Import(&feed.Export{Revision: 4, Config: &routing.Config{Version: 1}}, now)
+	g.Expect(f.Authorized()).To(BeTrue())
+	now = now.Add(revoke) // the boot clock went on; nothing of the process ran
+	g.Expect(f.Authorized()).To(BeFalse())
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,275 @@
+package fleet_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/aspenswitch/aspenswitch/boottime"
+	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/feed"
+	"github.com/aspenswitch/aspenswitch/fleet"
+	"github.com/aspenswitch/aspenswitch/registry"
+	"github.com/aspenswitch/aspenswitch/routing"
+)
+
+// source is a platform that publishes one state; it can be taken away.
+type source struct {
+	mu       sync.Mutex
+	revision int64
+	version  int64
+	away     atomic.Bool
+	calls    atomic.Int64
+}
+
+func (s *source) batch() feed.Batch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := feed.Batch{Revision: s.revision, Changes: []feed.Change{{Revision: s.revision, Config: &routing.Config{
+		Version:  s.version,
+		Services: []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 64, KVTokens: 232000}}},
+		Limits:   routing.Limits{TokensPerSecond: 400000},
+	}}}}
+	for i := range 6 {
+		b.Changes = append(b.Changes, feed.Change{Revision: 1, Upstream: &registry.Upstream{
+			ID: fmt.Sprintf("u%d", i), Service: "llm", Address: "127.0.0.1:1", Slots: 64, Revision: 1,
+		}})
+	}
+	return b
+}
+
+func (s *source) publish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.version++
+}
+
+func (s *source) List(context.Context) (feed.Batch, error) {
+	s.calls.Add(1)
+	if s.away.Load() {
+		return feed.Batch{}, errors.New("platform is away")
+	}
+	return s.batch(), nil
+}
+
+func (s *source) Watch(ctx context.Context, after int64, wait time.Duration) (feed.Batch, error) {
+	s.calls.Add(1)
+	until := time.Now().Add(wait)
+	for time.Now().Before(until) && ctx.Err() == nil {
+		if s.away.Load() {
+			return feed.Batch{}, errors.New("platform is away")
+		}
+		if b := s.batch(); b.Revision > after {
+			return b, nil
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return feed.Batch{Revision: after}, ctx.Err()
+}
+
+// revoke is how long a view may be acted upon in these tests.
+const revoke = 2 * time.Second
+
+// member is a router of the test's fleet.
+type member struct {
+	node *fleet.Node
+	feed *feed.Feed
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// freePort finds a port that is free on the addresses of all routers.
+func freePort(t *testing.T, routers int) int {
+	for range 50 {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		port := l.Addr().(*net.TCPAddr).Port
+		_ = l.Close()
+		if free(port, routers) {
+			return port
+		}
+	}
+	t.Fatal("no port is free on all addresses")
+	return 0
+}
+
+func free(port, routers int) bool {
+	for i := range routers {
+		l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip(i), port))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
+func ip(i int) string { return fmt.Sprintf("127.0.0.%d", 10+i) }
+
+// start runs n routers in one failure domain that know the first as a seed.
+func start(t *testing.T, n int, sources ...*source) []*member {
+	t.Helper()
+	port := freePort(t, n)
+	var all []*member
+	for i := range n {
+		cfg := fleet.DefaultConfig()
+		cfg.IP, cfg.Port, cfg.Domain, cfg.Weight, cfg.Seeds = ip(i), port, "d", 1, []string{ip(0)}
+		node, err := fleet.New(cfg, boottime.Now, zerolog.Nop())
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		m := &member{node: node, done: make(chan struct{})}
+		m.feed = feed.New(feed.DefaultConfig(revoke), sources[i%len(sources)], boottime.Now, zerolog.Nop(), node.Reads, node.Changed)
+		node.Attach(m.feed)
+		ctx, cancel := context.WithCancel(context.Background())
+		m.stop = cancel
+		go m.feed.Run(ctx)
+		go func() {
+			defer close(m.done)
+			node.Run(ctx)
+		}()
+		t.Cleanup(cancel)
+		all = append(all, m)
+	}
+	g := NewWithT(t)
+	for _, m := range all {
+		g.Eventually(func() int { return len(m.node.Dump().Members) }, 10*time.Second, 10*time.Millisecond).Should(Equal(n - 1))
+		g.Eventually(m.feed.Snapshot, 10*time.Second, 10*time.Millisecond).ShouldNot(BeNil())
+	}
+	return all
+}
+
+func ask(m *member, session uint64) (dispatch.Decision, dispatch.Ticket, error) {
+	r := dispatch.Request{
+		Ticket: m.node.NewTicket(), Team: "a", Prompt: 3000, Output: 10, Target: 5 * time.Second, Left: 10 * time.Second,
+		Parts: []dispatch.Part{{ID: session, Tokens: 2000}, {ID: 1 << 50, Tokens: 1000}},
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	d, err := m.node.Place(ctx, "llm", r)
+	return d, r.Ticket, err
+}
+
+// A session's parts are cached at one upstream; whichever router its requests
+// reach, they go there.
+func TestAllRoutersSendASessionToTheSameUpstream(t *testing.T) {
+	g := NewWithT(t)
+	all := start(t, 4, &source{revision: 1, version: 1})
+	chosen := ""
+	for i := range 8 {
+		m := all[i%len(all)]
+		d, ticket, err := ask(m, 5)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(d.Verdict).To(Equal(dispatch.Send))
+		if chosen == "" {
+			chosen = d.Upstream
+		}
+		g.Expect(d.Upstream).To(Equal(chosen))
+		m.node.Started("llm", ticket)
+		m.node.Done("llm", ticket, dispatch.Served, time.Second)
+	}
+}
+
+// The home of a service dies with requests on their way to it. Callers must not
+// wait for it: the routers that asked decide, and a new home takes over.
+func TestRequestsArePlacedWhenTheHomeIsGone(t *testing.T) {
+	g := NewWithT(t)
+	all := start(t, 4, &source{revision: 1, version: 1})
+	_, _, err := ask(all[0], 5)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(func() uint64 { return home(all[0]) }, 5*time.Second, 10*time.Millisecond).ShouldNot(BeZero())
+	gone := home(all[0])
+	var left []*member
+	for _, m := range all {
+		if m.node.Dump().Router == gone {
+			m.stop()
+			<-m.done
+			continue
+		}
+		left = append(left, m)
+	}
+	g.Expect(left).To(HaveLen(3))
+	for i := range 12 {
+		d, ticket, err := ask(left[i%3], uint64(i))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(d.Verdict).To(Equal(dispatch.Send))
+		left[i%3].node.Done("llm", ticket, dispatch.Served, time.Second)
+	}
+	g.Eventually(func() []uint64 { return []uint64{home(left[0]), home(left[1]), home(left[2])} }, 10*time.Second, 20*time.Millisecond).
+		ShouldNot(ContainElement(gone))
+}
+
+// home is the router that decides for the service, as m sees it.
+func home(m *member) uint64 {
+	for _, g := range m.node.Dump().Groups {
+		return g.Home
+	}
+	return 0
+}
+
+// A configuration would come into force late where the platform turns a router
+// away: it learns from its peers, and its view stays fresh.
+func TestRouterWithoutThePlatformLearnsFromPeers(t *testing.T) {
+	g := NewWithT(t)
+	good, bad := &source{revision: 1, version: 1}, &source{revision: 1, version: 1}
+	bad.away.Store(true)
+	all := start(t, 3, good, bad, good)
+	good.publish()
+	for _, m := range all {
+		g.Eventually(func() int64 { return m.feed.Snapshot().ConfigVersion() }, 10*time.Second, 10*time.Millisecond).Should(Equal(int64(2)))
+	}
+	g.Consistently(all[1].feed.Authorized, revoke+revoke/4, 50*time.Millisecond).Should(BeTrue())
+}
+
+// Calls to the platform must not grow with the fleet: one router of a failure
+// domain reads, the others ask it.
+func TestOneRouterOfADomainReadsThePlatform(t *testing.T) {
+	g := NewWithT(t)
+	s := &source{revision: 1, version: 1}
+	all := start(t, 6, s)
+	g.Eventually(func() int {
+		readers := 0
+		for _, m := range all {
+			if m.node.Reads() {
+				readers++
+			}
+		}
+		return readers
+	}, 10*time.Second, 20*time.Millisecond).Should(Equal(1))
+	const span = 2 * time.Second
+	before := s.calls.Load()
+	time.Sleep(span)
+	// One watch at a time, whatever the number of routers; one more for rounding.
+	most := int64(span/feed.DefaultConfig(revoke).WatchWait) + 1
+	g.Expect(s.calls.Load() - before).To(BeNumerically("<=", most))
+	for _, m := range all {
+		g.Expect(m.feed.Authorized()).To(BeTrue())
+	}
+}
+
+// A stopping router is no home any more; its peers hear it at once.
+func TestLeavingRouterGivesUpItsDuties(t *testing.T) {
+	g := NewWithT(t)
+	all := start(t, 3, &source{revision: 1, version: 1})
+	_, _, err := ask(all[0], 5)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(func() uint64 { return home(all[0]) }, 5*time.Second, 10*time.Millisecond).ShouldNot(BeZero())
+	leaver := home(all[0])
+	for _, m := range all {
+		if m.node.Dump().Router == leaver {
+			m.node.Leave()
+		}
+	}
+	g.Eventually(func() uint64 {
+		_, _, err := ask(all[0], 6)
+		g.Expect(err).NotTo(HaveOccurred())
+		return home(all[0])
+	}, 10*time.Second, 20*time.Millisecond).ShouldNot(Equal(leaver))
+}
--- /dev/null
+++ b/gateway/fixture_test.go
@@ -0,0 +1,292 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/feed"
+	"github.com/aspenswitch/aspenswitch/gateway"
+	"github.com/aspenswitch/aspenswitch/obs"
+	"github.com/aspenswitch/aspenswitch/registry"
+	"github.com/aspenswitch/aspenswitch/retry"
+	"github.com/aspenswitch/aspenswitch/routing"
+	"github.com/aspenswitch/aspenswitch/upstream"
+)
+
+// names of the headers in these tests: any will do.
+var names = gateway.Names{
+	RequestID: "X-Id", Deadline: "X-Left", Upstream: "X-Upstream", Team: "X-Team", Key: "X-Key",
+	Seal: "X-Seal", NotRun: "X-Not-Run", Tokens: "X-Tokens", Parts: "X-Parts", LengthHint: "X-Hint",
+	Load: "X-Load", CopyFrom: "X-Copy", Private: []string{"X-Secret"},
+}
+
+// state is a published state that a test sets.
+type state struct {
+	mu       sync.Mutex
+	snapshot *feed.Snapshot
+	fresh    atomic.Bool
+}
+
+func (s *state) Snapshot() *feed.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot
+}
+
+func (s *state) set(to *feed.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.snapshot = to
+}
+
+func (s *state) Authorized() bool   { return s.fresh.Load() }
+func (s *state) Age() time.Duration { return time.Second }
+
+// placer sends each request to the next upstream of a list.
+type placer struct {
+	mu       sync.Mutex
+	seq      uint64
+	next     []string
+	outcomes []dispatch.Outcome
+	before   func()
+	refuse   *dispatch.Decision
+}
+
+func (p *placer) Place(_ context.Context, _ string, r dispatch.Request) (dispatch.Decision, error) {
+	if p.before != nil {
+		p.before()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refuse != nil {
+		return *p.refuse, nil
+	}
+	for _, id := range p.next {
+		used := false
+		for _, a := range r.Avoid {
+			used = used || a == id
+		}
+		if !used {
+			return dispatch.Decision{Verdict: dispatch.Send, Upstream: id}, nil
+		}
+	}
+	return dispatch.Decision{Verdict: dispatch.Refuse, RetryAfter: 300 * time.Millisecond}, nil
+}
+
+func (p *placer) Started(string, dispatch.Ticket) {}
+
+func (p *placer) Done(_ string, _ dispatch.Ticket, o dispatch.Outcome, _ time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outcomes = append(p.outcomes, o)
+}
+
+func (p *placer) NewTicket() dispatch.Ticket {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seq++
+	return dispatch.Ticket{Router: 1, Seq: p.seq}
+}
+
+func (p *placer) Routers() int { return 1 }
+
+func (p *placer) seen() []dispatch.Outcome {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]dispatch.Outcome(nil), p.outcomes...)
+}
+
+// rig is a gateway on loopback before scripted upstreams.
+type rig struct {
+	t      *testing.T
+	state  *state
+	placer *placer
+	server *gateway.Server
+	addr   string
+	// got are the requests that upstreams read, by upstream.
+	mu  sync.Mutex
+	got []seenRequest
+}
+
+type seenRequest struct {
+	upstream string
+	header   http.Header
+	uri      string
+	body     string
+}
+
+// script answers one request on a connection; it returns false to end it.
+type script func(req *http.Request, w io.Writer) bool
+
+func newRig(t *testing.T, scripts map[string]script) *rig {
+	t.Helper()
+	r := &rig{t: t, state: &state{}, placer: &placer{}}
+	r.state.fresh.Store(true)
+	reg := registry.New()
+	for _, id := range []string{"u1", "u2", "u3"} {
+		if s := scripts[id]; s != nil {
+			reg.Put(registry.Upstream{ID: id, Service: "llm", Address: r.upstream(id, s), Revision: 1})
+			r.placer.next = append(r.placer.next, id)
+		}
+	}
+	r.publish(reg.View(), "k1")
+	cfg := gateway.DefaultConfig()
+	cfg.Names = names
+	cfg.Linger, cfg.Accept = 300*time.Millisecond, 100*time.Millisecond
+	metrics := obs.NewMetrics("test")
+	t.Cleanup(func() { _ = metrics.Close() })
+	budget := retry.Budget{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second}
+	r.server = gateway.New(cfg, r.state, r.placer, upstream.NewPool(upstream.DefaultPoolConfig()), budget, obs.NewLimited(zerolog.Nop(), 10), metrics)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	r.addr = l.Addr().String()
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = r.server.Serve(l)
+	}()
+	t.Cleanup(func() {
+		r.server.Close()
+		_ = l.Close()
+		<-served
+	})
+	return r
+}
+
+func (r *rig) publish(view *registry.View, keys ...string) {
+	route := func(name string, kind routing.Kind, attempts int, resumable bool) routing.Route {
+		return routing.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, MaxAttempts: attempts, Resumable: resumable,
+			Timeout: 2 * time.Second, Target: time.Second, Split: []routing.Share{{Service: "llm", Weight: 1}},
+		}
+	}
+	r.state.set(&feed.Snapshot{View: view, Table: routing.NewTable(&routing.Config{
+		Version: 1,
+		Routes: []routing.Route{
+			route("safe", routing.Safe, 2, false), route("unsafe", routing.Unsafe, 2, false),
+			route("stream", routing.Streaming, 1, false), route("resume", routing.Streaming, 2, true),
+		},
+		Teams:  []routing.Team{{Name: "schools", Keys: keys}},
+		Limits: routing.Limits{MaxBodyBytes: 1 << 20},
+	})})
+}
+
+// upstream listens and answers by a script.
+func (r *rig) upstream(id string, s script) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(r.t).Expect(err).NotTo(HaveOccurred())
+	r.t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go r.answer(id, c, s)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (r *rig) answer(id string, c net.Conn, s script) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		r.got = append(r.got, seenRequest{upstream: id, header: req.Header, uri: req.RequestURI, body: string(body)})
+		r.mu.Unlock()
+		if !s(req, c) {
+			return
+		}
+	}
+}
+
+func (r *rig) runs() []seenRequest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]seenRequest(nil), r.got...)
+}
+
+// call sends a request with a good key.
+func (r *rig) call(path string, edit func(*http.Request)) (*http.Response, string, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+r.addr+path, strings.NewReader("hello"))
+	if err != nil {
+		return nil, "", err
+	}
+	req.Host = "h"
+	req.Header.Set(names.RequestID, "id1")
+	req.Header.Set(names.Deadline, "1500")
+	req.Header.Set(names.Key, "k1")
+	if edit != nil {
+		edit(req)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// ok answers with a sealed body.
+func ok(body string) script {
+	return func(req *http.Request, w io.Writer) bool {
+		_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: %d\r\n\r\n%s", req.Header.Get("X-Id"), len(body), body)
+		return err == nil
+	}
+}
+
+// status answers with a status and headers.
+func status(code int, headers string) script {
+	return func(req *http.Request, w io.Writer) bool {
+		_, err := fmt.Fprintf(w, "HTTP/1.1 %d X\r\nX-Id: %s\r\n%sContent-Length: 0\r\n\r\n", code, req.Header.Get("X-Id"), headers)
+		return err == nil
+	}
+}
+
+// drop reads the request and breaks off.
+func drop(*http.Request, io.Writer) bool { return false }
+
+// events streams whole events from first to last, and cut after them.
+func events(first, last int, cut string, end bool) script {
+	return func(req *http.Request, w io.Writer) bool {
+		var b strings.Builder
+		fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s%d\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", req.Header.Get("X-Id"), first)
+		for i := first; i <= last; i++ {
+			chunk(&b, fmt.Sprintf("id: %d\ndata: %d\n\n", i, i))
+		}
+		if cut != "" {
+			chunk(&b, cut)
+		}
+		if end {
+			b.WriteString("0\r\n\r\n")
+		}
+		_, err := io.WriteString(w, b.String())
+		return err == nil && end
+	}
+}
+
+func chunk(b *strings.Builder, s string) { fmt.Fprintf(b, "%x\r\n%s\r\n", len(s), s) }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -126,6 +126,9 @@
 	}
 	limit := r.state.Table.Config.Limits.MaxBodyBytes
 	if limit > 0 && r.in.ContentLength > limit {
+		// A connection that closes with unread bytes is reset, and the caller
+		// would see that instead of the answer.
+		_, _ = io.CopyN(io.Discard, r.in.Body, maxDiscard)
 		return bad(http.StatusRequestEntityTooLarge, "body_too_large", "the body is over the limit")
 	}
 	var body io.Reader = r.in.Body
@@ -146,6 +149,9 @@
 	return nil
 }
 
+// maxDiscard bounds what is read of a body that is too large.
+const maxDiscard = 16 << 20
+
 // readSized reads all, into a buffer of the size that was announced.
 func readSized(from io.Reader, size int64) ([]byte, error) {
 	if size <= 0 {
