--- a/fleet/node.go
+++ b/fleet/node.go
@@ -42,6 +42,8 @@
 	reads   atomic.Bool
 	sent    atomic.Int64
 	pulling atomic.Bool
+	// lag is how long requests wait for the control goroutine, averaged.
+	lag atomic.Int64
 
 	// Owned by the control goroutine.
 	members map[uint64]*member
@@ -167,6 +169,7 @@
 		service string
 		request dispatch.Request
 		answer  chan dispatch.Decision
+		at      boottime.Time
 	}
 	reportEvent struct {
 		kind    reportKind
@@ -218,6 +221,7 @@
 		case <-timer.C:
 			n.catchUp()
 			n.tick()
+			n.noteLag(0)
 			timer.Reset(n.nextTick())
 		}
 	}
@@ -253,6 +257,7 @@
 	case received:
 		n.receivePacket(now, e)
 	case placeEvent:
+		n.noteLag(now.Sub(e.at))
 		n.place(now, e)
 	case reportEvent:
 		n.reported(now, e)
@@ -272,6 +277,18 @@
 	}
 }
 
+// lagKeep is the weight of the past in the average lag: some ten requests.
+const lagKeep = 0.9
+
+// noteLag averages how long requests waited for the control goroutine.
+func (n *Node) noteLag(waited time.Duration) {
+	n.lag.Store(int64(lagKeep*float64(n.lag.Load()) + (1-lagKeep)*float64(waited)))
+}
+
+// Lag is how far this router is behind with its work. Goroutines take turns, so
+// what the control goroutine waits, all wait.
+func (n *Node) Lag() time.Duration { return time.Duration(n.lag.Load()) }
+
 func (n *Node) receivePacket(now boottime.Time, e received) {
 	p := e.packet
 	if p.Beat != nil {
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -39,7 +39,7 @@
 func (n *Node) Place(ctx context.Context, service string, r dispatch.Request) (dispatch.Decision, error) {
 	answer := make(chan dispatch.Decision, 1)
 	select {
-	case n.events <- placeEvent{service: service, request: r, answer: answer}:
+	case n.events <- placeEvent{service: service, request: r, answer: answer, at: n.now()}:
 	case <-ctx.Done():
 		return dispatch.Decision{}, ctx.Err()
 	}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -25,6 +25,10 @@
 	// MaxRequests is how many requests are held at once. Each takes memory until
 	// it ends; one more than fit would end the process and all of them.
 	MaxRequests int
+	// ShedLag is how far the router may be behind before it refuses teams that
+	// were just found above their share, without asking again: a refusal costs a
+	// third of what a question does. Above ShedAll it refuses all streams.
+	ShedLag, ShedAll time.Duration
 	// DefaultDeadline is for callers that don't say how long they wait.
 	DefaultDeadline time.Duration
 	// EndMargin is how long before a caller's deadline it is told that no answer
@@ -53,6 +57,8 @@
 		MaxHeaderBytes:  16 << 10,
 		KeepConns:       1000,
 		MaxRequests:     2000,
+		ShedLag:         25 * time.Millisecond,
+		ShedAll:         250 * time.Millisecond,
 		DefaultDeadline: 15 * time.Second,
 		EndMargin:       10 * time.Millisecond,
 	}
--- a/gateway/deps.go
+++ b/gateway/deps.go
@@ -26,6 +26,8 @@
 	Done(service string, t dispatch.Ticket, o dispatch.Outcome, took time.Duration)
 	// NewTicket names a request.
 	NewTicket() dispatch.Ticket
+	// Lag is how far the router is behind with its work.
+	Lag() time.Duration
 	// Routers is the number of routers in the fleet.
 	Routers() int
 }
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -63,6 +63,7 @@
 	outcomes []dispatch.Outcome
 	before   func()
 	refuse   *dispatch.Decision
+	lag      atomic.Int64
 }
 
 func (p *placer) Place(_ context.Context, _ string, r dispatch.Request) (dispatch.Decision, error) {
@@ -103,6 +104,8 @@
 
 func (p *placer) Routers() int { return 1 }
 
+func (p *placer) Lag() time.Duration { return time.Duration(p.lag.Load()) }
+
 func (p *placer) seen() []dispatch.Outcome {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -312,3 +312,30 @@
 	g.Expect(resp.StatusCode).To(Equal(503))
 	g.Expect(resp.Header.Get("Retry-After")).To(Equal("0.45"))
 }
+
+// A flood holds up a router: all its callers would wait. While it is behind, the
+// team that was just refused is refused without a question; others are served.
+func TestBusyRouterRefusesTheFloodAlone(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t, map[string]script{"u1": ok("answer")})
+	r.placer.refuse = &dispatch.Decision{Verdict: dispatch.Refuse, Over: true, RetryAfter: 100 * time.Millisecond}
+	resp, _, err := r.call("/safe/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(429))
+
+	r.placer.mu.Lock()
+	r.placer.refuse = nil
+	asked := 0
+	r.placer.before = func() { asked++ }
+	r.placer.mu.Unlock()
+	r.placer.lag.Store(int64(100 * time.Millisecond))
+	resp, _, err = r.call("/safe/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(429))
+	g.Expect(asked).To(Equal(0))
+
+	r.placer.lag.Store(0)
+	resp, _, err = r.call("/safe/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(200))
+}
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -22,10 +22,12 @@
 	// how long placing took, first when the first byte came.
 	predicted, placed, first time.Duration
 	over                     bool
-	retryAfter               time.Duration
-	status                   int
-	outcome                  string
-	cause                    string
+	// lag is how far the router was behind, if that decided.
+	lag        time.Duration
+	retryAfter time.Duration
+	status     int
+	outcome    string
+	cause      string
 }
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
@@ -41,6 +43,9 @@
 	if r.over {
 		e.Bool("over_share", true)
 	}
+	if r.lag > 0 {
+		e.Int64("lag_ms", r.lag.Milliseconds())
+	}
 	if r.retryAfter > 0 {
 		e.Int64("retry_after_ms", r.retryAfter.Milliseconds())
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -62,6 +62,9 @@
 	if crowded {
 		return r, notRun("router_full", "this router holds as many requests as it can; the request was not run", retryLater)
 	}
+	if refused := s.shed(r); refused != nil {
+		return r, refused
+	}
 	r.deadline = r.arrived.Add(s.timeLeft(r))
 	if refused := s.readBody(r); refused != nil {
 		return r, refused
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -99,6 +99,7 @@
 // refuse tells the caller when to come back.
 func (s *Server) refuse(r *request, d dispatch.Decision) *refusal {
 	if d.Over {
+		s.over.note(r.teamName(), time.Now())
 		no := notRun("over_share", "the team has had its share; the request was not run", d.RetryAfter)
 		no.status = http.StatusTooManyRequests
 		return no
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -31,6 +31,8 @@
 	stats  *stats
 	start  time.Time
 
+	over overShare
+
 	// mu guards budget.
 	mu     sync.Mutex
 	budget retry.Budget
