explain: the story of one request from all routers' logs

Homes log what a refusal rests on (team's tokens and share, the best upstream's unread work, waiting and running requests) with the caller's id; routers log why a request goes to another upstream. aspenswitchctl explain prints a request's lines of all routers by time, with what its routers learnt around them.

--- a/cmd/aspenswitchctl/main.go
+++ b/cmd/aspenswitchctl/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -19,6 +20,7 @@
 	add := func(c *kingpin.CmdClause, run func() error) { commands[c.FullCommand()] = run }
 	addBundle(app, add)
 	addFleet(app, add)
+	addExplain(app, add)
 	hash := app.Command("hash-key", "Print the hash of a bearer key or token, as files hold it.")
 	key := hash.Arg("key", "The key.").Required().String()
 	add(hash, func() error {
@@ -73,3 +75,29 @@
 	drain := fleet.Command("drain", "Begin a graceful shutdown of each router named.")
 	add(drain, func() error { return client().Drain(os.Stdout) })
 }
+
+func addExplain(app *kingpin.Application, add adder) {
+	explain := app.Command("explain", "Tell the story of one request from the routers' logs.")
+	id := explain.Arg("id", "The request's id.").Required().String()
+	files := explain.Arg("logs", "Files of log lines; standard input if none is named.").ExistingFiles()
+	add(explain, func() error {
+		if len(*files) == 0 {
+			return ctl.Explain(os.Stdout, *id, os.Stdin)
+		}
+		return explainFiles(*id, *files)
+	})
+}
+
+// explainFiles reads the files one after the other; the lines' times order them.
+func explainFiles(id string, files []string) error {
+	var readers []io.Reader
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = f.Close() }()
+		readers = append(readers, f)
+	}
+	return ctl.Explain(os.Stdout, id, io.MultiReader(readers...))
+}
--- /dev/null
+++ b/ctl/explain_test.go
@@ -0,0 +1,42 @@
+package ctl_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/aspenswitch/aspenswitch/ctl"
+)
+
+const sampleLog = `not a line of ours
+10.2 r1 {"level":"warn","process":"r1","event":"platform","time":1000900,"message":"platform lost","age_ms":900}
+{"level":"info","process":"r2","event":"config","time":1001000,"message":"configuration in force","version":4}
+{"level":"info","process":"r1","event":"upstream","upstream":"u9","time":1001100,"message":"upstream gone"}
+{"level":"info","process":"r1","event":"upstream","upstream":"u1","time":1001200,"message":"upstream gone"}
+{"level":"warn","process":"r1","event":"failed","request":"abc","upstream":"u1","cause":"unreachable","took_ms":300,"time":1001500,"message":"request"}
+{"level":"warn","process":"r3","event":"decision","request":"abc","team":"schools","time":1001300,"message":"refused by the home"}
+{"level":"warn","process":"r1","event":"failed","request":"other","time":1001400,"message":"request"}
+`
+
+// An operator has an id and the logs of all routers. The story has the request's
+// lines of every router by time, and what its router learnt just before: not
+// what others learnt, nor what concerns upstreams that it never met.
+func TestExplainTellsTheStoryOfOneRequest(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	g.Expect(ctl.Explain(&out, "abc", strings.NewReader(sampleLog))).To(Succeed())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	g.Expect(lines).To(HaveLen(4))
+	g.Expect(lines[0]).To(ContainSubstring("platform lost"))
+	g.Expect(lines[1]).To(ContainSubstring("upstream=u1"))
+	g.Expect(lines[2]).To(ContainSubstring("refused by the home"))
+	g.Expect(lines[3]).To(ContainSubstring("cause=unreachable"))
+}
+
+func TestExplainSaysThatNothingIsKnown(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	g.Expect(ctl.Explain(&out, "zzz", strings.NewReader(sampleLog))).NotTo(Succeed())
+}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -285,7 +286,22 @@
 	}
 	delete(c.jobs, j.Ticket)
 	after := max(ch.first-j.Target/2, minRetryAfter)
-	c.out = append(c.out, Decision{Ticket: j.Ticket, Verdict: Refuse, RetryAfter: after, Wait: ch.first, Over: j.over})
+	c.out = append(c.out, Decision{
+		Ticket: j.Ticket, Verdict: Refuse, RetryAfter: after, Wait: ch.first, Over: j.over, Basis: c.basis(now, j, ch.u),
+	})
+}
+
+// basis notes what a refusal rests on.
+func (c *Core) basis(now time.Duration, j *job, u *upstream) Basis {
+	b := Basis{ID: j.ID, Team: j.Team, Served: c.teams.served(j.Team)}
+	if !math.IsInf(c.teams.level, 1) {
+		b.Share = c.teams.level
+	}
+	if u != nil {
+		b.Upstream, b.Unread = u.ID, u.remaining(now)
+		b.Waiting, b.Running = len(u.queue), u.running
+	}
+	return b
 }
 
 // ready reports whether the upstream takes a job now.
@@ -466,7 +482,7 @@
 			late = now > j.targetAt
 		}
 		if late {
-			c.refuse(now, j, choice{first: j.Target + start})
+			c.refuse(now, j, choice{u: u, first: j.Target + start})
 			return true
 		}
 		start += j.cost
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -12,7 +12,9 @@
 // Request is what the core knows of a request.
 type Request struct {
 	Ticket Ticket
-	Team   string
+	// ID is the caller's name for the request, for the log.
+	ID   string
+	Team string
 	// Rank is the priority; 0 goes first.
 	Rank int
 	// Prompt and Output are tokens; Output is the most that may be generated.
@@ -62,6 +64,21 @@
 	Wait time.Duration
 	// Over is set if the team had more than its share.
 	Over bool
+	// Basis is what a refusal rests on, for the log.
+	Basis Basis
+}
+
+// Basis is what was known when a request was refused.
+type Basis struct {
+	ID, Team string
+	// Served and Share are the team's tokens within the window and what it was
+	// owed of them; Share is 0 while shares don't matter.
+	Served, Share float64
+	// Upstream was the best choice; Unread is its work ahead, Waiting and Running
+	// the requests that waited for it and ran there.
+	Upstream         string
+	Unread           time.Duration
+	Waiting, Running int
 }
 
 // Outcome is how a request ended at its upstream.
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -41,6 +41,7 @@
 type ask struct {
 	_        struct{} `cbor:",toarray"`
 	Seq      uint64
+	ID       string
 	Service  string
 	Group    int
 	Team     string
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -151,7 +151,7 @@
 
 func newAsk(key groupKey, r dispatch.Request) *ask {
 	a := &ask{
-		Seq: r.Ticket.Seq, Service: key.service, Group: key.index, Team: r.Team, Rank: r.Rank,
+		Seq: r.Ticket.Seq, ID: r.ID, Service: key.service, Group: key.index, Team: r.Team, Rank: r.Rank,
 		Prompt: r.Prompt, Output: r.Output, TargetMs: millis(r.Target), LeftMs: millis(r.Left),
 		Warm: r.Warm, Avoid: r.Avoid,
 	}
@@ -163,7 +163,7 @@
 
 func (a *ask) request(router uint64) dispatch.Request {
 	r := dispatch.Request{
-		Ticket: dispatch.Ticket{Router: router, Seq: a.Seq}, Team: a.Team, Rank: a.Rank,
+		Ticket: dispatch.Ticket{Router: router, Seq: a.Seq}, ID: a.ID, Team: a.Team, Rank: a.Rank,
 		Prompt: a.Prompt, Output: a.Output, Target: duration(a.TargetMs), Left: duration(a.LeftMs),
 		Warm: a.Warm, Avoid: a.Avoid,
 	}
@@ -186,9 +186,24 @@
 	n.deliver(now, key, g.core.Ask(time.Duration(now), a.request(from)))
 }
 
+// logRefusal tells what a refusal rests on.
+func (n *Node) logRefusal(key groupKey, d dispatch.Decision) {
+	b := &d.Basis
+	n.limited.Warn("decision", func(e *obs.Event) {
+		e.Str("request", b.ID).Str("service", key.service).Str("team", b.Team).Bool("over_share", d.Over).
+			Int64("served_tokens", int64(b.Served)).Int64("share_tokens", int64(b.Share)).
+			Int64("predicted_ms", d.Wait.Milliseconds()).Str("upstream", b.Upstream).
+			Int64("unread_ms", b.Unread.Milliseconds()).Int("waiting", b.Waiting).Int("running", b.Running).
+			Int64("retry_after_ms", d.RetryAfter.Milliseconds()).Msg("refused by the home")
+	})
+}
+
 // deliver hands decisions to the requests, here or at peers.
 func (n *Node) deliver(now boottime.Time, key groupKey, decisions []dispatch.Decision) {
 	for _, d := range decisions {
+		if d.Verdict == dispatch.Refuse {
+			n.logRefusal(key, d)
+		}
 		if d.Ticket.Router == n.self {
 			n.decided(now, d)
 			continue
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/obs"
 	"github.com/aspenswitch/aspenswitch/retry"
 	"github.com/aspenswitch/aspenswitch/routing"
 	"github.com/aspenswitch/aspenswitch/upstream"
@@ -30,6 +31,7 @@
 	for {
 		res := s.attempt(ctx, r, out)
 		if res.again && r.places < maxPlaces {
+			s.logAttempt(r)
 			continue
 		}
 		if res.refused == nil {
@@ -43,6 +45,14 @@
 	}
 }
 
+// logAttempt tells why a request goes to another upstream.
+func (s *Server) logAttempt(r *request) {
+	s.log.Warn("attempt", func(e *obs.Event) {
+		e.Str("request", r.id).Str("route", r.record.route).Str("upstream", r.record.upstream).Int("attempts", r.record.attempts).
+			Int64("left_ms", time.Until(r.deadline).Milliseconds()).Str("cause", r.record.cause).Msg("going to another upstream")
+	})
+}
+
 // result of one attempt. refused is nil if the caller has its answer; with
 // again set it is what the caller gets if there is no further attempt.
 type result struct {
@@ -79,7 +89,7 @@
 		target = r.deadline.Sub(r.arrived)
 	}
 	return dispatch.Request{
-		Ticket: t, Team: r.teamName(), Rank: r.rank(), Prompt: r.prompt, Output: r.output, Parts: r.parts,
+		Ticket: t, ID: r.id, Team: r.teamName(), Rank: r.rank(), Prompt: r.prompt, Output: r.output, Parts: r.parts,
 		Target: target - time.Since(r.arrived), Left: time.Until(r.deadline), Avoid: r.tried,
 	}
 }
