Two readers of the platform for the whole fleet, leads pass the state on

Now two leads of failure domains read, the other leads ask them, each domain asks its lead; watches are 150 ms apart. A router with an old view is no lead. Also: no keep-alive probes on callers' connections (four system calls each).

--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -74,6 +74,9 @@
 	cfg := fleet.DefaultConfig()
 	cfg.IP, cfg.Port, cfg.Domain, cfg.Weight = s.Peers.IP, s.Peers.Port, s.FailureDomain, s.Processor
 	cfg.Seeds = seedIPs(s.Peers.Seeds)
+	if revoke := s.Bounds.Revoke(); revoke > 0 {
+		cfg.LeadAge = revoke / 2
+	}
 	cfg.Engine.ShareWindow = time.Duration(s.Bounds.ShareWindowS * float64(time.Second))
 	return cfg
 }
@@ -102,7 +105,11 @@
 		{&d.listeners.control, d.settings.Control},
 		{&d.listeners.metrics, net.JoinHostPort(ip, strconv.Itoa(d.settings.Metrics))},
 	} {
-		if *l.to, err = net.Listen("tcp4", l.address); err != nil {
+		// Keep-alive probes would cost four system calls for each connection that
+		// a caller opens; idle callers end by the idle timeout, others by their
+		// request's deadline.
+		plain := net.ListenConfig{KeepAlive: -1}
+		if *l.to, err = plain.Listen(context.Background(), "tcp4", l.address); err != nil {
 			return Error.Wrap(err)
 		}
 	}
--- a/feed/config.go
+++ b/feed/config.go
@@ -8,6 +8,9 @@
 	// looks like a watch with nothing to tell, so it must be short against
 	// Authority; each watch is a call that the platform counts.
 	WatchWait time.Duration
+	// MinInterval is the least time between two watches. A change ends the watch;
+	// where many come together, one more call takes them all.
+	MinInterval time.Duration
 	// CallMargin is how much longer than its wait a call may take. It answers a
 	// platform that is sixty times slower than its usual 4 ms.
 	CallMargin time.Duration
@@ -28,11 +31,12 @@
 		revoke = 10 * time.Second
 	}
 	return Config{
-		WatchWait:  min(revoke/6, 3*time.Second),
-		CallMargin: 700 * time.Millisecond,
+		WatchWait:   min(revoke/6, 3*time.Second),
+		MinInterval: 150 * time.Millisecond,
+		CallMargin:  700 * time.Millisecond,
 		// Two waits may pass before the next state is confirmed, and a peer's
-		// word for it comes up to a third of a second later.
-		StaleAfter: revoke / 2,
+		// word for it comes over two routers, up to a third of a second each.
+		StaleAfter: revoke * 6 / 10,
 		// The last tenth is left for requests that wait in an upstream's queue.
 		Authority:  revoke * 9 / 10,
 		BackoffMin: 50 * time.Millisecond,
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -184,8 +184,10 @@
 			pause(ctx, f.cfg.StaleAfter/8)
 			continue
 		}
+		began := f.now()
 		if f.read(ctx) {
 			backoff = f.cfg.BackoffMin
+			pause(ctx, f.cfg.MinInterval-f.now().Sub(began))
 			continue
 		}
 		pause(ctx, backoff)
--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -31,6 +31,7 @@
 		b.Answer = true
 	}
 	m.domain, m.weight, m.leaving = b.Domain, b.Weight, b.Leaving
+	m.stateAge = time.Duration(b.AgeNanos)
 	m.theirs = max(m.theirs, b.Sent)
 	m.heard = now
 	n.vouched(m, b)
@@ -168,56 +169,3 @@
 		}
 	}
 }
-
-// chooseReaders picks who reads the platform for this failure domain, and asks
-// that router how fresh its state is.
-func (n *Node) chooseReaders(now boottime.Time) {
-	key := "reader/" + n.cfg.Domain
-	var best *member
-	score := preference(n.self, n.cfg.Weight, key)
-	if n.leaving {
-		score = 0
-	}
-	live := 1
-	for _, m := range n.members {
-		if !m.usable(now, n.silence()) {
-			continue
-		}
-		live++
-		if m.domain != n.cfg.Domain {
-			continue
-		}
-		if p := preference(m.id, m.weight, key); p > score {
-			best, score = m, p
-		}
-	}
-	// A share of the fleet's allowance stays with routers that may come back.
-	n.most = max(n.most, live)
-	n.routers.Store(int64(n.most))
-	n.reads.Store(best == nil)
-	if best != nil && now.Sub(best.pingAt) >= n.cfg.Ping {
-		best.pingAt = now
-		n.beatTo(now, best, true)
-	}
-}
-
-// pushState tells a change at once to the failure domain, or to all if they are
-// few; the others hear of it with the next heartbeat.
-func (n *Node) pushState(now boottime.Time) {
-	if n.feed == nil {
-		return
-	}
-	s := n.feed.Snapshot()
-	if s == nil || s.Revision == n.pushed {
-		return
-	}
-	n.pushed = s.Revision
-	if !n.reads.Load() {
-		return
-	}
-	for _, m := range n.members {
-		if m.domain == n.cfg.Domain {
-			n.beatTo(now, m, false)
-		}
-	}
-}
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -26,6 +26,9 @@
 	// Ping is how often a router asks those that read the platform how fresh
 	// the state is.
 	Ping time.Duration
+	// LeadAge is how old a router's view of the platform may be for it to pass
+	// the view on to others.
+	LeadAge time.Duration
 	// Missed is how many heartbeats may fail to come before a peer isn't used.
 	Missed int
 	// Forget is when a silent peer is no longer a member.
@@ -49,6 +52,7 @@
 		Beat:        250 * time.Millisecond,
 		BeatPerPeer: 10 * time.Millisecond,
 		Ping:        300 * time.Millisecond,
+		LeadAge:     leadAge,
 		Missed:      4,
 		Forget:      10 * time.Second,
 		AskAgain:    45 * time.Millisecond,
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -123,6 +123,7 @@
 	for i := range n {
 		cfg := fleet.DefaultConfig()
 		cfg.IP, cfg.Port, cfg.Domain, cfg.Weight, cfg.Seeds = ip(i), port, "d", 1, []string{ip(0)}
+		cfg.LeadAge = revoke / 2
 		node, err := fleet.New(cfg, boottime.Now, zerolog.Nop())
 		NewWithT(t).Expect(err).NotTo(HaveOccurred())
 		m := &member{node: node, done: make(chan struct{})}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -20,6 +20,8 @@
 	heard   boottime.Time
 	// theirs is the newest Sent of the peer.
 	theirs int64
+	// stateAge is how old the peer's view of the platform was at its heartbeat.
+	stateAge time.Duration
 	// doubted is set when it left a question unanswered, until it is heard.
 	doubted bool
 	beatAt  boottime.Time
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -52,6 +52,10 @@
 	held    map[uint64]*heldRequest
 	warm    map[uint64]string
 	pushed  int64
+	// leadOf is the lead of this router's failure domain, nil if it is itself;
+	// told are the other domains' leads, if this router is a reader.
+	leadOf  *member
+	told    []*member
 	leaving bool
 	most    int
 }
@@ -304,6 +308,6 @@
 		n.replied(now, n.members[p.From], p.Reply)
 	}
 	if p.Report != nil {
-		n.told(now, p.From, p.Report)
+		n.takeReport(now, p.From, p.Report)
 	}
 }
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -289,14 +289,14 @@
 
 func (n *Node) tell(now boottime.Time, home *member, r *report) {
 	if home == nil {
-		n.told(now, n.self, r)
+		n.takeReport(now, n.self, r)
 		return
 	}
 	n.send(home.addr, &packet{Report: r})
 }
 
-// told takes in a report as the home of the group.
-func (n *Node) told(now boottime.Time, from uint64, r *report) {
+// takeReport takes in a report as the home of the group.
+func (n *Node) takeReport(now boottime.Time, from uint64, r *report) {
 	if n.feed.Snapshot() == nil {
 		return
 	}
