Changes are in force in time though the readers are cut off; lapses end beside a hanging read

The age from which a router reads by itself is now three quarters of the shortest bound for changes, the wait of a watch a fifth of it, and a view that old makes nobody a lead. Found by TestPeersEndTheGraceOfALapsedUpstream on the way: a read that hung kept a lapsed upstream in use; expiry has a goroutine of its own.

--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -57,7 +57,7 @@
 	}
 	d.node = node
 	source := platform.NewSource(s.Platform, platformClient(), log)
-	d.feed = feed.New(feed.DefaultConfig(s.Bounds.Revoke()), source, boottime.Now, log, node.Reads, node.Changed)
+	d.feed = feed.New(feed.DefaultConfig(s.Bounds.Revoke(), s.Bounds.Apply()), source, boottime.Now, log, node.Reads, node.Changed)
 	node.Attach(d.feed)
 	cfg := gateway.DefaultConfig()
 	cfg.Names = platform.Names()
@@ -74,9 +74,8 @@
 	cfg := fleet.DefaultConfig()
 	cfg.IP, cfg.Port, cfg.Domain, cfg.Weight = s.Peers.IP, s.Peers.Port, s.FailureDomain, s.Processor
 	cfg.Seeds = seedIPs(s.Peers.Seeds)
-	if revoke := s.Bounds.Revoke(); revoke > 0 {
-		cfg.LeadAge = revoke / 2
-	}
+	// A view that its own router would renew is too old to pass on.
+	cfg.LeadAge = feed.DefaultConfig(s.Bounds.Revoke(), s.Bounds.Apply()).StaleAfter
 	cfg.Engine.ShareWindow = time.Duration(s.Bounds.ShareWindowS * float64(time.Second))
 	return cfg
 }
--- a/feed/config.go
+++ b/feed/config.go
@@ -25,18 +25,24 @@
 }
 
 // DefaultConfig returns a configuration for keys that must end within revoke of
-// being taken away. 0 means that there is no such bound.
-func DefaultConfig(revoke time.Duration) Config {
+// being taken away, and changes that must be in force within apply. 0 means that
+// there is no such bound.
+func DefaultConfig(revoke, apply time.Duration) Config {
 	if revoke <= 0 {
 		revoke = 10 * time.Second
 	}
+	if apply <= 0 {
+		apply = 5 * time.Second
+	}
 	return Config{
-		WatchWait:   min(revoke/6, 3*time.Second),
+		WatchWait:   min(apply/5, revoke/6, 3*time.Second),
 		MinInterval: 150 * time.Millisecond,
 		CallMargin:  700 * time.Millisecond,
-		// Two waits may pass before the next state is confirmed, and a peer's
-		// word for it comes over two routers, up to a third of a second each.
-		StaleAfter: revoke * 6 / 10,
+		// The routers that read for the others may be cut off from the platform
+		// without a sign. The others must then read by themselves and still be in
+		// time. In good order a view is younger: two waits, and the way over two
+		// routers.
+		StaleAfter: min(apply*3/4, revoke*6/10),
 		// The last tenth is left for requests that wait in an upstream's queue.
 		Authority:  revoke * 9 / 10,
 		BackoffMin: 50 * time.Millisecond,
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -175,12 +175,25 @@
 	}
 }
 
+// expireEvery is how often lapsed upstreams are looked at; with LapseGrace it is
+// less than the two seconds within which a leaving upstream must get no work.
+const expireEvery = 250 * time.Millisecond
+
+// expireAll removes upstreams whose grace is over, beside the reads: one that
+// hangs must not keep an upstream in use.
+func (f *Feed) expireAll(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, expireEvery)
+		f.expire()
+	}
+}
+
 // Run follows the platform until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
+	go f.expireAll(ctx)
 	backoff := f.cfg.BackoffMin
 	for ctx.Err() == nil {
 		if f.Snapshot() != nil && !f.reads() && f.Age() < f.cfg.StaleAfter {
-			f.expire()
 			pause(ctx, f.cfg.StaleAfter/8)
 			continue
 		}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -17,7 +17,10 @@
 	"github.com/aspenswitch/aspenswitch/routing"
 )
 
-const revoke = 5 * time.Second
+const (
+	revoke = 5 * time.Second
+	apply  = 2 * time.Second
+)
 
 // scripted is a platform whose answers a test sets.
 type scripted struct {
@@ -72,7 +75,7 @@
 func start(t *testing.T, source feed.Source) *feed.Feed {
 	begin := time.Now()
 	clock := func() boottime.Time { return boottime.Time(time.Since(begin) + time.Hour) }
-	f := feed.New(feed.DefaultConfig(revoke), source, clock, zerolog.Nop(), func() bool { return true }, func() {})
+	f := feed.New(feed.DefaultConfig(revoke, apply), source, clock, zerolog.Nop(), func() bool { return true }, func() {})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go f.Run(ctx)
@@ -207,7 +210,7 @@
 
 		begin := time.Now()
 		clock := func() boottime.Time { return boottime.Time(time.Since(begin) + time.Hour) }
-		peer := feed.New(feed.DefaultConfig(revoke), &scripted{list: func(ctx context.Context) (feed.Batch, error) { return silent(ctx, 0, 0) }, watch: silent},
+		peer := feed.New(feed.DefaultConfig(revoke, apply), &scripted{list: func(ctx context.Context) (feed.Batch, error) { return silent(ctx, 0, 0) }, watch: silent},
 			clock, zerolog.Nop(), func() bool { return false }, func() {})
 		peer.Import(f.Export(0), clock())
 		ctx, cancel := context.WithCancel(context.Background())
@@ -224,7 +227,7 @@
 func TestPeersWordIsDatedByTheQuestion(t *testing.T) {
 	g := NewWithT(t)
 	now := boottime.Time(time.Hour)
-	f := feed.New(feed.DefaultConfig(revoke), &scripted{}, func() boottime.Time { return now }, zerolog.Nop(), func() bool { return false }, func() {})
+	f := feed.New(feed.DefaultConfig(revoke, apply), &scripted{}, func() boottime.Time { return now }, zerolog.Nop(), func() bool { return false }, func() {})
 	asked := now.Add(-2 * time.Second)
 	f.Import(&feed.Export{Revision: 4, AgeNanos: int64(time.Second), Config: &routing.Config{Version: 1}}, asked)
 	g.Expect(f.Age()).To(Equal(3 * time.Second))
@@ -240,9 +243,46 @@
 func TestAuthorityCountsTheTimeOfASuspension(t *testing.T) {
 	g := NewWithT(t)
 	now := boottime.Time(time.Hour)
-	f := feed.New(feed.DefaultConfig(revoke), &scripted{}, func() boottime.Time { return now }, zerolog.Nop(), func() bool { return false }, func() {})
+	f := feed.New(feed.DefaultConfig(revoke, apply), &scripted{}, func() boottime.Time { return now }, zerolog.Nop(), func() bool { return false }, func() {})
 	f.Import(&feed.Export{Revision: 4, Config: &routing.Config{Version: 1}}, now)
 	g.Expect(f.Authorized()).To(BeTrue())
 	now = now.Add(revoke) // the boot clock went on; nothing of the process ran
 	g.Expect(f.Authorized()).To(BeFalse())
 }
+
+// A change would come into force late: the routers that read the platform are
+// cut off from it without a sign, and the others rely on them. Their word grows
+// old, and each router reads by itself in time.
+func TestChangeIsInForceInTimeThoughTheReadersAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		begin := time.Now()
+		clock := func() boottime.Time { return boottime.Time(time.Since(begin) + time.Hour) }
+		var version atomic.Int64
+		version.Store(1)
+		source := &scripted{
+			list: func(context.Context) (feed.Batch, error) {
+				return feed.Batch{Changes: []feed.Change{config(version.Load())}, Revision: version.Load()}, nil
+			},
+			watch: func(ctx context.Context, after int64, wait time.Duration) (feed.Batch, error) {
+				if v := version.Load(); v > after {
+					return feed.Batch{Changes: []feed.Change{config(v)}, Revision: v}, nil
+				}
+				return quiet(ctx, after, wait)
+			},
+		}
+		f := feed.New(feed.DefaultConfig(revoke, apply), source, clock, zerolog.Nop(), func() bool { return false }, func() {})
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		// A reader vouches for the state three times a second, until it is cut off.
+		for range 30 {
+			f.Vouch(1, clock().Add(-2*feed.DefaultConfig(revoke, apply).WatchWait))
+			time.Sleep(300 * time.Millisecond)
+		}
+		version.Store(2)
+		time.Sleep(apply - 100*time.Millisecond)
+		g.Expect(f.Snapshot().ConfigVersion()).To(Equal(int64(2)))
+	})
+}
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -51,7 +51,7 @@
 	return Config{
 		Beat:        250 * time.Millisecond,
 		BeatPerPeer: 10 * time.Millisecond,
-		Ping:        300 * time.Millisecond,
+		Ping:        200 * time.Millisecond,
 		LeadAge:     leadAge,
 		Missed:      4,
 		Forget:      10 * time.Second,
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -123,11 +123,11 @@
 	for i := range n {
 		cfg := fleet.DefaultConfig()
 		cfg.IP, cfg.Port, cfg.Domain, cfg.Weight, cfg.Seeds = ip(i), port, "d", 1, []string{ip(0)}
-		cfg.LeadAge = revoke / 2
+		cfg.LeadAge = feed.DefaultConfig(revoke, revoke).StaleAfter
 		node, err := fleet.New(cfg, boottime.Now, zerolog.Nop())
 		NewWithT(t).Expect(err).NotTo(HaveOccurred())
 		m := &member{node: node, done: make(chan struct{})}
-		m.feed = feed.New(feed.DefaultConfig(revoke), sources[i%len(sources)], boottime.Now, zerolog.Nop(), node.Reads, node.Changed)
+		m.feed = feed.New(feed.DefaultConfig(revoke, revoke), sources[i%len(sources)], boottime.Now, zerolog.Nop(), node.Reads, node.Changed)
 		node.Attach(m.feed)
 		ctx, cancel := context.WithCancel(context.Background())
 		m.stop = cancel
@@ -248,7 +248,7 @@
 	before := s.calls.Load()
 	time.Sleep(span)
 	// One watch at a time, whatever the number of routers; one more for rounding.
-	most := int64(span/feed.DefaultConfig(revoke).WatchWait) + 1
+	most := int64(span/feed.DefaultConfig(revoke, revoke).WatchWait) + 1
 	g.Expect(s.calls.Load() - before).To(BeNumerically("<=", most))
 	for _, m := range all {
 		g.Expect(m.feed.Authorized()).To(BeTrue())
--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -115,4 +115,4 @@
 }
 
 // leadAge is the default of Config.LeadAge.
-const leadAge = 2500 * time.Millisecond
+const leadAge = 1500 * time.Millisecond
--- /dev/null
+++ b/fleet/size_test.go
@@ -0,0 +1,39 @@
+package fleet
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/aspenswitch/aspenswitch/dispatch"
+)
+
+// The bounds of what a router's control costs in bytes: docs/CAPACITY.md reckons
+// with these sizes. A field that is added shows here.
+func TestMessagesKeepTheirSizes(t *testing.T) {
+	id := "9c41d07be2a35f68"
+	cases := map[string]struct {
+		p    packet
+		most int
+	}{
+		"heartbeat": {packet{From: 1 << 63, Beat: &beat{
+			Sent: 1 << 50, Echo: 1 << 50, IP: "10.1.0.33", Domain: "derby-hall", Weight: 0.4, Revision: 100000, AgeNanos: 1 << 30,
+			Peers: []string{"10.1.0.33", "10.2.0.33", "10.3.0.33", "10.4.0.33"},
+		}}, 125},
+		"question": {packet{From: 1 << 63, Ask: &ask{
+			Seq: 1 << 20, ID: id, Service: "huvo11a", Team: "hule930", Rank: 1, Prompt: 9190, Output: 52,
+			Parts:    []part{{ID: 1 << 47, Tokens: 2520}, {ID: 1 << 47, Tokens: 3780}, {ID: 1 << 47, Tokens: 2890}},
+			TargetMs: 800, LeftMs: 6000, Warm: "i-7f3a91c2d0",
+		}}, 130},
+		"decision": {packet{From: 1 << 63, Reply: &reply{Seq: 1 << 20, Service: "huvo11a", Verdict: dispatch.Send, Upstream: "i-7f3a91c2d0", WaitMs: 120}}, 55},
+		"report":   {packet{From: 1 << 63, Report: &report{Kind: ended, Seq: 1 << 20, Service: "huvo11a", TookMs: 2000}}, 45},
+	}
+	for name, c := range cases {
+		raw, err := cbor.Marshal(&c.p)
+		g := NewWithT(t)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(len(raw)).To(BeNumerically("<=", c.most), name)
+		t.Logf("%s: %d bytes", name, len(raw))
+	}
+}
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -53,6 +53,10 @@
 	// RevokeMs is how long a key may be served after it was taken away; 0 is
 	// not bounded.
 	RevokeMs float64 `json:"revokeMs"`
+	// ApplyMs is how soon a change of the configuration must be in force, LeaveMs
+	// how soon an upstream that leaves must get no more work.
+	ApplyMs float64 `json:"applyMs"`
+	LeaveMs float64 `json:"leaveMs"`
 	// GraceS is the time from SIGTERM to SIGKILL.
 	GraceS float64 `json:"graceS"`
 	// RetryRatio, RetryAllowance and RetryWindowS bound a service's arrivals
@@ -67,6 +71,11 @@
 // Revoke is how long a key may be served after it was taken away.
 func (b Bounds) Revoke() time.Duration { return time.Duration(b.RevokeMs * float64(time.Millisecond)) }
 
+// Apply is how soon what is published must be acted upon.
+func (b Bounds) Apply() time.Duration {
+	return time.Duration(min(b.ApplyMs, b.LeaveMs) * float64(time.Millisecond))
+}
+
 // Grace is the time from SIGTERM to SIGKILL.
 func (b Bounds) Grace() time.Duration { return seconds(b.GraceS) }
 
@@ -79,7 +88,7 @@
 func DefaultFleet() Fleet {
 	return Fleet{
 		Metrics: 9464, Processor: 1, MemoryMB: 256, Files: 4096, LogLevel: "info", LogLines: 20,
-		Bounds: Bounds{RevokeMs: 5000, GraceS: 8, RetryRatio: 0.2, RetryAllowance: 50, RetryWindowS: 10, ShareWindowS: 4},
+		Bounds: Bounds{RevokeMs: 5000, ApplyMs: 2000, LeaveMs: 2000, GraceS: 8, RetryRatio: 0.2, RetryAllowance: 50, RetryWindowS: 10, ShareWindowS: 4},
 	}
 }
 
@@ -134,6 +143,9 @@
 	return s, doc.Findings()
 }
 
+// minApplyMs is what the way over two routers and a read of the platform take.
+const minApplyMs = 500
+
 // minFiles is enough for the listeners and a few dozen requests.
 const minFiles = 256
 
@@ -141,6 +153,9 @@
 	if b.RevokeMs < 0 {
 		doc.Add("/bounds/revokeMs", "must not be negative")
 	}
+	if b.ApplyMs < minApplyMs || b.LeaveMs < minApplyMs {
+		doc.Add("/bounds/applyMs", "must be %d or more, and so must leaveMs", minApplyMs)
+	}
 	if b.GraceS <= 0 {
 		doc.Add("/bounds/graceS", "must be more than 0")
 	}
