Long answers go where little is read

Cause: while an engine reads prompts, each of its streams gets a token in some 58 ms instead of 6; streams of hundreds of tokens didn't end within fifteen seconds. Now a request's place is weighed by its output times the engine's use.

--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -33,6 +33,11 @@
 	// Spread is added for an upstream that has been busy all the time. It sends
 	// new sessions to where there will be room for the sessions' next requests.
 	Spread time.Duration
+	// Crawl is added for each token that a request may generate, times the part of
+	// the time in which the upstream reads prompts. While an engine reads, each of
+	// its streams gets a token in some 58 ms instead of 6, and a long answer may
+	// not end before its deadline.
+	Crawl time.Duration
 	// TargetUse is the part of the target that may be predicted to pass before
 	// the first byte; the rest covers the error of the prediction.
 	TargetUse float64
@@ -68,6 +73,7 @@
 		MinCopy:        300,
 		MinAwait:       150,
 		Spread:         60 * time.Millisecond,
+		Crawl:          2 * time.Millisecond,
 		TargetUse:      0.9,
 		OverUse:        0.4,
 		OverDecrease:   0.2,
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -209,6 +209,7 @@
 		time.Duration(c.cfg.Reread*float64(reread)) +
 		time.Duration(u.use*float64(c.cfg.Spread)) +
 		time.Duration(u.failing*float64(c.cfg.FailurePenalty)) +
+		time.Duration(u.use*float64(j.Output)*float64(c.cfg.Crawl)) +
 		time.Duration(float64(u.running)/float64(max(u.Slots, 1))*float64(c.cfg.Spread))
 	return ch
 }
