--- /dev/null
+++ b/dispatch/queue.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// ready reports whether the upstream takes a job now.
+func (c *Core) ready(u *upstream, j *job, now time.Duration) bool {
+	if u.full(j.memory) || u.cache.beingRead(now, j.Parts, c.cfg.MinAwait) {
+		return false
+	}
+	return !c.cfg.Engine || u.remaining(now) < c.cfg.Window
+}
+
+// readyAheadOf reports whether a waiting job that could go now goes before j.
+func (c *Core) readyAheadOf(u *upstream, j *job, now time.Duration) bool {
+	for _, q := range u.queue {
+		if c.before(q, j, now) && c.ready(u, q, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// drain sends what waits for an upstream, as far as it has room.
+func (c *Core) drain(now time.Duration, u *upstream) {
+	for {
+		next := c.next(now, u)
+		if next < 0 {
+			return
+		}
+		j := u.queue[next]
+		u.queue = slices.Delete(u.queue, next, next+1)
+		// What is cached where has changed while the request waited.
+		p := c.planFor(now, u, j)
+		j.cost, j.copyFrom = p.cost, p.from
+		c.send(now, u, j, 0)
+	}
+}
+
+// next is the index of the job that goes to the upstream next, -1 if none can.
+func (c *Core) next(now time.Duration, u *upstream) int {
+	next := -1
+	for i, j := range u.queue {
+		if next >= 0 && !c.before(j, u.queue[next], now) {
+			continue
+		}
+		if c.ready(u, j, now) {
+			next = i
+		}
+	}
+	return next
+}
+
+// review refuses waiting jobs that will miss their target after all: jobs that
+// came later and go before them have taken their place. Waiting on would only
+// tell their callers later.
+func (c *Core) review(now time.Duration, u *upstream) {
+	if len(u.queue) == 0 {
+		return
+	}
+	slices.SortStableFunc(u.queue, func(a, b *job) int {
+		switch {
+		case c.before(a, b, now):
+			return -1
+		case c.before(b, a, now):
+			return 1
+		}
+		return 0
+	})
+	start := u.remaining(now)
+	u.queue = slices.DeleteFunc(u.queue, func(j *job) bool {
+		late := now+start > j.targetAt
+		if j.cost < j.Target/2 {
+			late = now+start+j.cost > j.targetAt+lateSlack
+		}
+		if !c.cfg.Engine {
+			late = now > j.targetAt
+		}
+		if late {
+			c.refuse(now, j, choice{u: u, first: j.Target + start})
+			return true
+		}
+		start += j.cost
+		return false
+	})
+}
+
+// lateSlack is the error of the prediction that is borne before a waiting job
+// is given up: some steps of an engine.
+const lateSlack = 60 * time.Millisecond
--- /dev/null
+++ b/fleet/events.go
@@ -0,0 +1,141 @@
+package fleet
+
+import (
+	"context"
+	"net/netip"
+	"runtime"
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/boottime"
+	"github.com/aspenswitch/aspenswitch/dispatch"
+)
+
+// Events of the control goroutine.
+type (
+	received struct {
+		packet *packet
+		from   netip.AddrPort
+	}
+	placeEvent struct {
+		service string
+		request dispatch.Request
+		answer  chan dispatch.Decision
+		at      boottime.Time
+	}
+	reportEvent struct {
+		kind    reportKind
+		seq     uint64
+		outcome dispatch.Outcome
+		took    time.Duration
+	}
+	changeEvent struct{}
+	leaveEvent  struct{}
+	cachedEvent struct {
+		key      groupKey
+		upstream string
+		parts    []dispatch.Part
+	}
+	seedsEvent struct{ ips []string }
+	dumpEvent  struct{ answer chan Dump }
+)
+
+// Changed tells that the published state has changed.
+func (n *Node) Changed() {
+	select {
+	case n.events <- changeEvent{}:
+	default: // the tick finds the change as well
+	}
+}
+
+// SetSeeds replaces the routers that may be up.
+func (n *Node) SetSeeds(ips []string) { n.events <- seedsEvent{ips: ips} }
+
+// Leave tells the peers that this router stops.
+func (n *Node) Leave() { n.events <- leaveEvent{} }
+
+func (n *Node) control(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-n.events:
+			n.handle(e)
+		case <-timer.C:
+			n.catchUp()
+			n.tick()
+			n.noteLag(0)
+			timer.Reset(n.nextTick())
+		}
+	}
+}
+
+// catchUp handles what has come in already. A router that was held up finds its
+// timers due and the answers beside them; it must not take a home for silent
+// whose answer it just hasn't read.
+func (n *Node) catchUp() {
+	for range 2 {
+		runtime.Gosched()
+		for left := len(n.events); left > 0; left-- {
+			n.handle(<-n.events)
+		}
+	}
+}
+
+func (n *Node) nextTick() time.Duration {
+	if len(n.pending) > 0 {
+		return fastTick
+	}
+	for _, g := range n.groups {
+		if g.core.Waiting() {
+			return fastTick
+		}
+	}
+	return slowTick
+}
+
+func (n *Node) handle(e any) {
+	now := n.now()
+	switch e := e.(type) {
+	case received:
+		n.receivePacket(now, e)
+	case placeEvent:
+		n.noteLag(now.Sub(e.at))
+		n.place(now, e)
+	case reportEvent:
+		n.reported(now, e)
+	case changeEvent:
+		n.changed(now)
+	case leaveEvent:
+		n.leaving = true
+		n.beatAll(now)
+	case cachedEvent:
+		if g := n.groups[e.key]; g != nil {
+			g.core.Seed(e.upstream, e.parts)
+		}
+	case seedsEvent:
+		n.cfg.Seeds = e.ips
+	case dumpEvent:
+		e.answer <- n.dump(now)
+	}
+}
+
+func (n *Node) receivePacket(now boottime.Time, e received) {
+	p := e.packet
+	if p.Beat != nil {
+		n.heardBeat(now, p.From, p.Beat)
+	}
+	if m := n.members[p.From]; m != nil {
+		m.heard, m.doubted = now, false
+	}
+	if p.Ask != nil {
+		n.asked(now, p.From, e.from, p.Ask)
+	}
+	if p.Reply != nil {
+		n.replied(now, n.members[p.From], p.Reply)
+	}
+	if p.Report != nil {
+		n.takeReport(now, p.From, p.Report)
+	}
+}
--- /dev/null
+++ b/fleet/home.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/boottime"
+	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/obs"
+)
+
+// asked decides for a peer, as the home of the group.
+func (n *Node) asked(now boottime.Time, from uint64, _ netip.AddrPort, a *ask) {
+	if n.feed.Snapshot() == nil || n.members[from] == nil {
+		return // the asker decides by itself
+	}
+	key := groupKey{service: a.Service, index: a.Group}
+	g := n.group(now, key)
+	n.deliver(now, key, g.core.Ask(time.Duration(now), a.request(from)))
+}
+
+// logRefusal tells what a refusal rests on.
+func (n *Node) logRefusal(key groupKey, d dispatch.Decision) {
+	b := &d.Basis
+	n.limited.Warn("decision", func(e *obs.Event) {
+		e.Str("request", b.ID).Str("service", key.service).Str("team", b.Team).Bool("over_share", d.Over).
+			Int64("served_tokens", int64(b.Served)).Int64("share_tokens", int64(b.Share)).
+			Int64("predicted_ms", d.Wait.Milliseconds()).Str("upstream", b.Upstream).
+			Int64("unread_ms", b.Unread.Milliseconds()).Int("waiting", b.Waiting).Int("running", b.Running).
+			Int64("retry_after_ms", d.RetryAfter.Milliseconds()).Msg("refused by the home")
+	})
+}
+
+// deliver hands decisions to the requests, here or at peers.
+func (n *Node) deliver(now boottime.Time, key groupKey, decisions []dispatch.Decision) {
+	for _, d := range decisions {
+		if d.Verdict == dispatch.Refuse {
+			n.logRefusal(key, d)
+		}
+		if d.Ticket.Router == n.self {
+			n.decided(now, d)
+			continue
+		}
+		m := n.members[d.Ticket.Router]
+		if m == nil {
+			continue
+		}
+		n.send(m.addr, &packet{Reply: &reply{
+			Seq: d.Ticket.Seq, Service: key.service, Group: key.index, Verdict: d.Verdict, Upstream: d.Upstream, CopyFrom: d.CopyFrom,
+			RetryMs: millis(d.RetryAfter), WaitMs: millis(d.Wait), Over: d.Over,
+		}})
+	}
+}
+
+// takeReport takes in a report as the home of the group.
+func (n *Node) takeReport(now boottime.Time, from uint64, r *report) {
+	if n.feed.Snapshot() == nil {
+		return
+	}
+	key := groupKey{service: r.Service, index: r.Group}
+	g := n.group(now, key)
+	ticket := dispatch.Ticket{Router: from, Seq: r.Seq}
+	at := time.Duration(now)
+	switch r.Kind {
+	case began:
+		n.deliver(now, key, g.core.Started(at, ticket))
+	case ended:
+		n.deliver(now, key, g.core.Done(at, ticket, r.Outcome, duration(r.TookMs)))
+	case holds:
+		if r.Held != nil {
+			g.core.Held(at, r.Held.request(from), r.Upstream, r.Begun)
+		}
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/aspenswitch/aspenswitch/headers"
 	"github.com/aspenswitch/aspenswitch/routing"
 	"github.com/aspenswitch/aspenswitch/upstream"
 )
@@ -36,7 +37,7 @@
 		return
 	}
 	l.started = true
-	removeHopByHop(a.Header)
+	headers.RemoveHopByHop(a.Header)
 	h := l.w.Header()
 	for name, values := range a.Header {
 		h[name] = values
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/headers"
 	"github.com/aspenswitch/aspenswitch/obs"
 	"github.com/aspenswitch/aspenswitch/retry"
 	"github.com/aspenswitch/aspenswitch/routing"
@@ -253,7 +254,7 @@
 // call is the request as it goes to an upstream.
 func (s *Server) call(r *request, out *relay, address, id string) *upstream.Call {
 	h := r.in.Header.Clone()
-	removeHopByHop(h)
+	headers.RemoveHopByHop(h)
 	n := s.cfg.Names
 	for _, name := range n.Private {
 		h.Del(name)
