Datagrams of any form are borne; a dropped word of a change is found by the tick

Reading the change anew: a home kept old upstreams until the next change when its queue was full at the moment of one (the comment promised otherwise), and a datagram could make groups of services that don't exist.

--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -144,6 +144,10 @@
 			n.beatTo(now, m, false)
 		}
 	}
+	// A full queue may have dropped the word of a change.
+	if n.feed != nil && n.feed.Snapshot() != n.filled {
+		n.changed(now)
+	}
 	n.seek(now)
 	n.chooseReaders(now)
 	n.retryAsks(now)
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -130,7 +130,7 @@
 		m.heard, m.doubted = now, false
 	}
 	if p.Ask != nil {
-		n.asked(now, p.From, e.from, p.Ask)
+		n.asked(now, p.From, p.Ask)
 	}
 	if p.Reply != nil {
 		n.replied(now, n.members[p.From], p.Reply)
--- /dev/null
+++ b/fleet/fuzz_test.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/aspenswitch/aspenswitch/boottime"
+	"github.com/aspenswitch/aspenswitch/feed"
+	"github.com/aspenswitch/aspenswitch/registry"
+	"github.com/aspenswitch/aspenswitch/routing"
+)
+
+// noSource is a platform that never answers.
+type noSource struct{}
+
+func (noSource) List(ctx context.Context) (feed.Batch, error) {
+	<-ctx.Done()
+	return feed.Batch{}, ctx.Err()
+}
+
+func (s noSource) Watch(ctx context.Context, _ int64, _ time.Duration) (feed.Batch, error) {
+	return s.List(ctx)
+}
+
+// Whatever arrives, the control goroutine goes on: a panic there would end the
+// process and every request in it.
+func FuzzDatagrams(f *testing.F) {
+	for _, p := range []packet{
+		{From: 2, Beat: &beat{IP: "127.0.0.1", Domain: "d", Weight: 1, Peers: []string{"x"}}},
+		{From: 2, Ask: &ask{Seq: 1, Service: "llm", Group: -1, Prompt: -5, Parts: []part{{ID: 1, Tokens: -1}}, TargetMs: -1}},
+		{From: 2, Reply: &reply{Seq: 1, Verdict: 9}},
+		{From: 2, Report: &report{Kind: holds, Seq: 1, Service: "llm", Held: &ask{}, Upstream: "u"}},
+	} {
+		raw, err := cbor.Marshal(&p)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	cfg := DefaultConfig()
+	cfg.IP = "127.0.0.1"
+	n, err := New(cfg, boottime.Now, zerolog.Nop())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() {
+		_ = n.conn.Close()
+		_ = n.listen.Close()
+	})
+	published := feed.New(feed.DefaultConfig(0, 0), noSource{}, boottime.Now, zerolog.Nop(), func() bool { return false }, func() {})
+	n.Attach(published)
+	published.Import(&feed.Export{Revision: 1, Config: &routing.Config{Version: 1, Services: []routing.Service{{Name: "llm"}}},
+		Upstreams: []registry.Upstream{{ID: "u", Service: "llm", Slots: 2, Revision: 1}}}, boottime.Now())
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		p := &packet{}
+		if cbor.Unmarshal(raw, p) != nil {
+			return
+		}
+		n.receivePacket(boottime.Now(), received{packet: p, from: netip.MustParseAddrPort("127.0.0.1:9")})
+		n.tick()
+		if len(n.groups) > maxGroups {
+			t.Fatalf("%d groups of one service", len(n.groups))
+		}
+	})
+}
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -57,17 +57,22 @@
 	return int(xxhash.Sum64String(id) % uint64(count))
 }
 
-// group returns a group of the service, with its present upstreams.
+// maxGroups bounds the groups of one service: a question names one by number.
+const maxGroups = 1 << 10
+
+// group returns a group of the service, with its present upstreams. It is nil if
+// this router knows no such service: the asker knows more, or the datagram was
+// no question of ours.
 func (n *Node) group(now boottime.Time, key groupKey) *group {
 	if g := n.groups[key]; g != nil {
 		return g
 	}
 	s := n.feed.Snapshot()
-	if s == nil {
+	if s == nil || s.Table.Service(key.service) == nil || key.index < 0 || key.index >= maxGroups {
 		return nil
 	}
 	cfg := n.cfg.Plain
-	if svc := s.Table.Service(key.service); svc != nil && svc.Engine != nil {
+	if s.Table.Service(key.service).Engine != nil {
 		cfg = n.cfg.Engine
 	}
 	g := &group{key: key.service + "/" + strconv.Itoa(key.index), core: dispatch.New(cfg)}
@@ -129,6 +134,7 @@
 	if s == nil {
 		return
 	}
+	n.filled = s
 	for key, g := range n.groups {
 		n.fill(now, key, g, s)
 	}
--- a/fleet/home.go
+++ b/fleet/home.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/boottime"
@@ -10,12 +9,15 @@
 )
 
 // asked decides for a peer, as the home of the group.
-func (n *Node) asked(now boottime.Time, from uint64, _ netip.AddrPort, a *ask) {
+func (n *Node) asked(now boottime.Time, from uint64, a *ask) {
 	if n.feed.Snapshot() == nil || n.members[from] == nil {
 		return // the asker decides by itself
 	}
 	key := groupKey{service: a.Service, index: a.Group}
 	g := n.group(now, key)
+	if g == nil {
+		return
+	}
 	n.deliver(now, key, g.core.Ask(time.Duration(now), a.request(from)))
 }
 
@@ -59,6 +61,9 @@
 	}
 	key := groupKey{service: r.Service, index: r.Group}
 	g := n.group(now, key)
+	if g == nil {
+		return
+	}
 	ticket := dispatch.Ticket{Router: from, Seq: r.Seq}
 	at := time.Duration(now)
 	switch r.Kind {
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -51,6 +51,8 @@
 	held    map[uint64]*heldRequest
 	warm    map[uint64]string
 	pushed  int64
+	// filled is the state from which the groups have their upstreams.
+	filled *feed.Snapshot
 	// leadOf is the lead of this router's failure domain, nil if it is itself;
 	// told are the other domains' leads, if this router is a reader.
 	leadOf  *member
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -73,6 +73,10 @@
 	count := n.groupCount(len(s.View.Ready(e.service)))
 	key := groupKey{service: e.service, index: n.pickGroup(e.service, count, e.request.Parts, e.request.Ticket.Seq)}
 	g := n.group(now, key)
+	if g == nil {
+		e.answer <- dispatch.Decision{Verdict: dispatch.Refuse, RetryAfter: time.Second}
+		return
+	}
 	e.request.Warm = n.warm[sessionOf(e.request.Parts)]
 	p := &pending{request: e.request, key: key, group: g, answer: e.answer, asked: now}
 	n.pending[e.request.Ticket.Seq] = p
