--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -115,6 +115,9 @@
 	return nil
 }
 
+// CallersAddress is where callers are heard, for settings with port 0.
+func (d *Fleet) CallersAddress() string { return d.listeners.callers.Addr().String() }
+
 // Run serves until ctx ends or Drain's grace is over.
 func (d *Fleet) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
