A refusal after a failed attempt doesn't say not-run

Cause: an idempotent request whose first upstream broke off or failed, and for whose second attempt there was no room, got that refusal as it was: 503 or 429 with not-run, though it may have run. It is 502 with unknown now. The test fails without (both cases).

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -69,6 +69,7 @@
 	}
 	failed := a.Status >= http.StatusInternalServerError
 	if failed && r.route.Kind == routing.Safe && a.Whole() && s.mayRetry(r) {
+		r.mayHaveRun = true
 		r.record.cause = "upstream failed with " + strconv.Itoa(a.Status)
 		return result{refused: unknown(http.StatusBadGateway, "upstream_failed", "the upstream failed"), again: true}, dispatch.Failed
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -339,3 +339,19 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(resp.StatusCode).To(Equal(200))
 }
+
+// The caller would be told that nothing ran, though the first upstream took the
+// request and broke off, or ran it and failed; there is no room for a second try.
+func TestRefusalAfterAFailedAttemptDoesNotSayNotRun(t *testing.T) {
+	for name, first := range map[string]script{"breaks off": drop, "fails": status(500, "X-Seal: s\r\n")} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := newRig(t, map[string]script{"u1": first})
+			resp, _, err := r.call("/safe/", nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(resp.StatusCode).To(Equal(502))
+			g.Expect(resp.Header.Get("Aspenswitch-Outcome")).To(Equal("unknown"))
+			g.Expect(r.runs()).To(HaveLen(1))
+		})
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -33,6 +33,8 @@
 	parts    []dispatch.Part
 	// tried are the upstreams that it was sent to.
 	tried []string
+	// mayHaveRun is set once an upstream may have run the request.
+	mayHaveRun bool
 	// places counts the decisions asked for; each has a ticket of its own.
 	places int
 	record record
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -42,10 +42,19 @@
 			r.record.outcome, r.record.cause = "cut", join(res.refused.code, r.record.cause)
 			return nil, true
 		}
-		return res.refused, false
+		return truthful(r, res.refused), false
 	}
 }
 
+// truthful keeps a refusal from saying that nothing ran when an earlier attempt
+// may have: the first upstream broke off, and there was no room for a second.
+func truthful(r *request, no *refusal) *refusal {
+	if !r.mayHaveRun || no.outcome != retry.NotRun {
+		return no
+	}
+	return unknown(http.StatusBadGateway, "upstream_failed", "an upstream failed and no other could take the request; it may have run")
+}
+
 // logAttempt tells why a request goes to another upstream.
 func (s *Server) logAttempt(r *request) {
 	s.log.Warn("attempt", func(e *obs.Event) {
@@ -251,6 +260,7 @@
 // broken decides after an upstream that may have run the request and gave no
 // whole answer. last, if given, is what the caller gets without a retry.
 func (s *Server) broken(r *request, last *refusal) result {
+	r.mayHaveRun = true
 	if last == nil {
 		last = unknown(http.StatusBadGateway, "upstream_failed", "the upstream broke off; the request may have run")
 	}
