--- a/standin/store.go
+++ b/standin/store.go
@@ -24,7 +24,11 @@
 	changed   chan struct{}
 	pageSize  int
 	fault     StoreFault
-	calls     int
+	// faults are those of single callers, by the name of their handler.
+	faults map[string]StoreFault
+	// cut is closed to cut all waiting watches.
+	cut   chan struct{}
+	calls int
 	// delay is how long each answer takes.
 	delay time.Duration
 }
@@ -61,7 +65,10 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: map[string]storeItem{}, changed: make(chan struct{}), pageSize: storePage}
+	return &Store{
+		items: map[string]storeItem{}, faults: map[string]StoreFault{},
+		changed: make(chan struct{}), cut: make(chan struct{}), pageSize: storePage,
+	}
 }
 
 // Put writes a key and returns its revision.
@@ -108,6 +115,21 @@
 	s.fault = f
 }
 
+// SetFaultFor makes the calls of one caller fail, while others are served.
+func (s *Store) SetFaultFor(caller string, f StoreFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults[caller] = f
+}
+
+// CutWatches breaks all watches that wait.
+func (s *Store) CutWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.cut)
+	s.cut = make(chan struct{})
+}
+
 // SetPage sets the size of a page.
 func (s *Store) SetPage(items int) {
 	s.mu.Lock()
@@ -130,21 +152,24 @@
 }
 
 // Handler returns the routes.
-func (s *Store) Handler() http.Handler {
+func (s *Store) Handler() http.Handler { return s.HandlerFor("") }
+
+// HandlerFor returns the routes as one caller reaches them.
+func (s *Store) HandlerFor(caller string) http.Handler {
 	e := echo.New()
 	e.HideBanner = true
-	v1 := e.Group("/v1", s.spoil)
+	v1 := e.Group("/v1", func(next echo.HandlerFunc) echo.HandlerFunc { return s.spoil(caller, next) })
 	v1.GET("/kv-range", s.getRange)
 	v1.GET("/kv-watch", s.watch)
 	return e
 }
 
 // spoil counts a call and applies the fault.
-func (s *Store) spoil(next echo.HandlerFunc) echo.HandlerFunc {
+func (s *Store) spoil(caller string, next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		s.mu.Lock()
 		s.calls++
-		fault, delay := s.fault, s.delay
+		fault, delay := max(s.fault, s.faults[caller]), s.delay
 		s.mu.Unlock()
 		time.Sleep(delay)
 		switch fault {
@@ -205,7 +230,7 @@
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for {
-		body, gone, changed := s.since(c.QueryParam("pathPrefix"), after)
+		body, gone, changed, cut := s.since(c.QueryParam("pathPrefix"), after)
 		if gone {
 			return c.NoContent(http.StatusGone)
 		}
@@ -216,18 +241,21 @@
 		case <-changed:
 		case <-timer.C:
 			return c.JSON(http.StatusOK, body)
+		case <-cut:
+			panic(http.ErrAbortHandler)
 		case <-c.Request().Context().Done():
 			return nil
 		}
 	}
 }
 
-// since returns the events after a revision and what tells of the next.
-func (s *Store) since(prefix string, after int64) (body watchBody, gone bool, changed chan struct{}) {
+// since returns the events after a revision, and what tells of the next and of a
+// cut.
+func (s *Store) since(prefix string, after int64) (body watchBody, gone bool, changed, cut chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if after < s.forgotten {
-		return body, true, nil
+		return body, true, nil, nil
 	}
 	body = watchBody{Events: []storeItem{}, Revision: s.revision}
 	for _, it := range s.history {
@@ -235,5 +263,5 @@
 			body.Events = append(body.Events, it)
 		}
 	}
-	return body, false, s.changed
+	return body, false, s.changed, s.cut
 }
