--- /dev/null
+++ b/dispatch/bench_test.go
@@ -0,0 +1,40 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/dispatch"
+)
+
+// askAtEngines measures one question with its start and end, at so many engines.
+func askAtEngines(engines int) testing.BenchmarkResult {
+	return testing.Benchmark(func(b *testing.B) {
+		c := newCore(engines)
+		now := 2 * time.Second
+		for i := range b.N {
+			seq := uint64(i)
+			now += time.Second / 300
+			for _, d := range c.Ask(now, request(seq, "team", seq%100)) {
+				if d.Verdict == dispatch.Send {
+					c.Started(now+time.Millisecond, ticket(seq))
+					c.Done(now+time.Millisecond, ticket(seq), dispatch.Served, time.Second)
+				}
+			}
+		}
+	})
+}
+
+// A home of twice as many engines must not take much more than twice the time:
+// it decides for every request of its group, on a part of a core.
+func TestCostOfADecisionGrowsWithTheEnginesAtMost(t *testing.T) {
+	if testing.Short() {
+		t.Skip("measures for some seconds")
+	}
+	few, many := askAtEngines(16), askAtEngines(32)
+	ratio := float64(many.NsPerOp()) / float64(few.NsPerOp())
+	t.Logf("%d and %d ns, ratio %.2f", few.NsPerOp(), many.NsPerOp(), ratio)
+	if ratio > 3.5 {
+		t.Fatalf("%d ns at 16 engines, %d at 32", few.NsPerOp(), many.NsPerOp())
+	}
+}
--- /dev/null
+++ b/obs/async_test.go
@@ -0,0 +1,70 @@
+package obs_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/aspenswitch/aspenswitch/obs"
+)
+
+// stuck is a pipe that nobody reads until it is released.
+type stuck struct {
+	release chan struct{}
+	mu      sync.Mutex
+	got     bytes.Buffer
+}
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.Write(b)
+}
+
+// Requests would wait for a reader of the log. Nobody reads the pipe: lines are
+// kept up to a bound, then dropped and counted; none blocks.
+func TestStuckPipeBlocksNobody(t *testing.T) {
+	g := NewWithT(t)
+	out := &stuck{release: make(chan struct{})}
+	a := obs.NewAsync(out)
+	line := bytes.Repeat([]byte("x"), 1000)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 10000 {
+			_, _ = a.Write(line)
+		}
+	}()
+	g.Eventually(done, 5*time.Second).Should(BeClosed())
+	g.Expect(a.Dropped()).To(BeNumerically(">", 9000))
+	close(out.release)
+	g.Expect(a.Close()).To(Succeed())
+	_, err := a.Write(line)
+	g.Expect(err).NotTo(HaveOccurred(), "a line after the end is lost, not a failure")
+}
+
+// Under load each kind keeps its budget: a flood of successes doesn't displace
+// the lines that explain failures, and what is left out is told.
+func TestKindsHaveBudgetsOfTheirOwn(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	l := obs.NewLimited(obs.NewLog(&out, "info", "r1"), 5)
+	for range 1000 {
+		l.Info("served", func(e *obs.Event) { e.Msg("request") })
+	}
+	l.Warn("failed", func(e *obs.Event) { e.Msg("request") })
+	kinds := map[string]int{}
+	for _, raw := range bytes.Split(bytes.TrimSpace(out.Bytes()), []byte("\n")) {
+		var fields map[string]any
+		g.Expect(json.Unmarshal(raw, &fields)).To(Succeed())
+		kinds[fields["event"].(string)]++
+	}
+	g.Expect(kinds["served"]).To(BeNumerically(">=", 5))
+	g.Expect(kinds["served"]).To(BeNumerically("<=", 10), "at most two seconds' worth")
+	g.Expect(kinds["failed"]).To(Equal(1))
+}
