A router that is behind doesn't send on an old view

The test fails without (TestRouterThatIsBehindDoesNotSendOnAnOldView); an outage of the platform alone stops nothing.

--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -63,6 +63,7 @@
 	cfg.Names = platform.Names()
 	cfg.Fit(int64(s.MemoryMB)<<20, s.Files)
 	cfg.Grace = s.Bounds.Grace()
+	cfg.OldView = s.Bounds.Apply() * 4 / 5
 	cfg.Linger = min(cfg.Linger, cfg.Grace/2)
 	cfg.Accept = min(cfg.Accept, cfg.Grace/3)
 	budget := retry.Budget{Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance, Window: s.Bounds.RetryWindow()}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -29,6 +29,9 @@
 	// were just found above their share, without asking again: a refusal costs a
 	// third of what a question does. Above ShedAll it refuses all streams.
 	ShedLag, ShedAll time.Duration
+	// OldView is how old the view may be for a router that is behind to send on
+	// it: within the bound for leaving upstreams, with room for the way there.
+	OldView time.Duration
 	// DefaultDeadline is for callers that don't say how long they wait.
 	DefaultDeadline time.Duration
 	// EndMargin is how long before a caller's deadline it is told that no answer
@@ -59,6 +62,7 @@
 		MaxRequests:     2000,
 		ShedLag:         25 * time.Millisecond,
 		ShedAll:         250 * time.Millisecond,
+		OldView:         1600 * time.Millisecond,
 		DefaultDeadline: 15 * time.Second,
 		EndMargin:       10 * time.Millisecond,
 	}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -38,6 +38,7 @@
 	mu       sync.Mutex
 	snapshot *feed.Snapshot
 	fresh    atomic.Bool
+	age      atomic.Int64
 }
 
 func (s *state) Snapshot() *feed.Snapshot {
@@ -53,7 +54,7 @@
 }
 
 func (s *state) Authorized() bool   { return s.fresh.Load() }
-func (s *state) Age() time.Duration { return time.Second }
+func (s *state) Age() time.Duration { return time.Duration(s.age.Load()) }
 
 // placer sends each request to the next upstream of a list.
 type placer struct {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -355,3 +355,26 @@
 		})
 	}
 }
+
+// A request would reach an upstream that left seconds ago. The router is so far
+// behind with its work that it hasn't read what its peers told it; it knows that
+// its view is old, and doesn't act on it.
+func TestRouterThatIsBehindDoesNotSendOnAnOldView(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t, map[string]script{"u1": ok("answer")})
+	r.placer.before = func() {
+		r.placer.lag.Store(int64(time.Second))
+		r.state.age.Store(int64(3 * time.Second))
+	}
+	resp, _, err := r.call("/safe/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(503))
+	g.Expect(r.runs()).To(BeEmpty())
+
+	// An outage of the platform alone, with nothing behind, stops nothing.
+	r.placer.before = func() { r.placer.lag.Store(0) }
+	r.placer.lag.Store(0)
+	resp, _, err = r.call("/safe/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(200))
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -135,6 +135,13 @@
 	if refused := s.stillAllowed(r); refused != nil {
 		return false, refused
 	}
+	// A flooded router reads what its peers tell it seconds late, and would send
+	// to upstreams that have left. While it is behind it trusts no old view;
+	// without that an outage of the platform would stop all.
+	if lag := s.placer.Lag(); lag > s.cfg.ShedLag && s.state.Age() > s.cfg.OldView {
+		r.record.lag = lag
+		return false, notRun("router_busy", "this router is behind and its view too old to send on", retryLater)
+	}
 	u := state.View.Upstream(id)
 	if u == nil || u.Service != r.service {
 		r.tried = append(r.tried, id)
