--- /dev/null
+++ b/gateway/busy_test.go
@@ -0,0 +1,71 @@
+package gateway_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/aspenswitch/aspenswitch/dispatch"
+)
+
+// The refusal tells when to come back.
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t, map[string]script{"u1": ok("answer")})
+	r.placer.refuse = &dispatch.Decision{Verdict: dispatch.Refuse, RetryAfter: 450 * time.Millisecond}
+	resp, _, err := r.call("/safe/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(503))
+	g.Expect(resp.Header.Get("Retry-After")).To(Equal("0.45"))
+}
+
+// A flood holds up a router: all its callers would wait. While it is behind, the
+// team that was just refused is refused without a question; others are served.
+func TestBusyRouterRefusesTheFloodAlone(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t, map[string]script{"u1": ok("answer")})
+	r.placer.refuse = &dispatch.Decision{Verdict: dispatch.Refuse, Over: true, RetryAfter: 100 * time.Millisecond}
+	resp, _, err := r.call("/safe/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(429))
+
+	r.placer.mu.Lock()
+	r.placer.refuse = nil
+	asked := 0
+	r.placer.before = func() { asked++ }
+	r.placer.mu.Unlock()
+	r.placer.lag.Store(int64(100 * time.Millisecond))
+	resp, _, err = r.call("/safe/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(429))
+	g.Expect(asked).To(Equal(0))
+
+	r.placer.lag.Store(0)
+	resp, _, err = r.call("/safe/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(200))
+}
+
+// A request would reach an upstream that left seconds ago. The router is so far
+// behind with its work that it hasn't read what its peers told it; it knows that
+// its view is old, and doesn't act on it.
+func TestRouterThatIsBehindDoesNotSendOnAnOldView(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t, map[string]script{"u1": ok("answer")})
+	r.placer.before = func() {
+		r.placer.lag.Store(int64(time.Second))
+		r.state.age.Store(int64(3 * time.Second))
+	}
+	resp, _, err := r.call("/safe/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(503))
+	g.Expect(r.runs()).To(BeEmpty())
+
+	// An outage of the platform alone, with nothing behind, stops nothing.
+	r.placer.before = func() { r.placer.lag.Store(0) }
+	r.placer.lag.Store(0)
+	resp, _, err = r.call("/safe/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(200))
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -170,52 +169,6 @@
 	}
 }
 
-// An answer that breaks off must not look whole.
-func TestCutStreamShowsThatItIsCut(t *testing.T) {
-	g := NewWithT(t)
-	r := newRig(t, map[string]script{"u1": events(1, 3, "id: 4\nda", false)})
-	resp, _, err := r.call("/stream/", nil)
-	g.Expect(resp == nil || err != nil).To(BeTrue(), "the caller sees a broken connection")
-	g.Expect(r.runs()).To(HaveLen(1))
-}
-
-// The caller sees one stream: the first upstream stops in the middle of an event
-// and the second goes on after the last whole one, under the first one's head.
-func TestStreamGoesOnAtAnotherUpstream(t *testing.T) {
-	g := NewWithT(t)
-	r := newRig(t, map[string]script{"u1": events(1, 3, "id: 4\nda", false), "u2": events(4, 6, "", true)})
-	resp, body, err := r.call("/resume/", nil)
-	g.Expect(err).NotTo(HaveOccurred())
-	want := ""
-	for i := 1; i <= 6; i++ {
-		want += fmt.Sprintf("id: %d\ndata: %d\n\n", i, i)
-	}
-	g.Expect(body).To(Equal(want))
-	g.Expect(resp.Header.Get("X-Seal")).To(Equal("s1"))
-	g.Expect(r.runs()[1].header.Get("Last-Event-Id")).To(Equal("3"))
-}
-
-// The second upstream begins again at the first event: none comes twice.
-func TestResumedStreamRepeatsNoEvent(t *testing.T) {
-	g := NewWithT(t)
-	r := newRig(t, map[string]script{"u1": events(1, 3, "", false), "u2": events(1, 5, "", true)})
-	_, body, err := r.call("/resume/", nil)
-	g.Expect(err).NotTo(HaveOccurred())
-	want := ""
-	for i := 1; i <= 5; i++ {
-		want += fmt.Sprintf("id: %d\ndata: %d\n\n", i, i)
-	}
-	g.Expect(body).To(Equal(want))
-}
-
-// A failure of the second upstream must not be taken for a part of the stream.
-func TestFailureIsNotMixedIntoAStream(t *testing.T) {
-	g := NewWithT(t)
-	r := newRig(t, map[string]script{"u1": events(1, 3, "", false), "u2": status(500, "X-Seal: s\r\n")})
-	resp, _, err := r.call("/resume/", nil)
-	g.Expect(resp == nil || err != nil).To(BeTrue())
-}
-
 // The upstream never answers; the caller is told at the route's time, not later,
 // and not that nothing ran.
 func TestSilentUpstreamIsAnsweredForInTime(t *testing.T) {
@@ -302,44 +255,6 @@
 	return len(b), nil
 }
 
-// The refusal tells when to come back.
-func TestRefusalTellsWhenToComeBack(t *testing.T) {
-	g := NewWithT(t)
-	r := newRig(t, map[string]script{"u1": ok("answer")})
-	r.placer.refuse = &dispatch.Decision{Verdict: dispatch.Refuse, RetryAfter: 450 * time.Millisecond}
-	resp, _, err := r.call("/safe/", nil)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(resp.StatusCode).To(Equal(503))
-	g.Expect(resp.Header.Get("Retry-After")).To(Equal("0.45"))
-}
-
-// A flood holds up a router: all its callers would wait. While it is behind, the
-// team that was just refused is refused without a question; others are served.
-func TestBusyRouterRefusesTheFloodAlone(t *testing.T) {
-	g := NewWithT(t)
-	r := newRig(t, map[string]script{"u1": ok("answer")})
-	r.placer.refuse = &dispatch.Decision{Verdict: dispatch.Refuse, Over: true, RetryAfter: 100 * time.Millisecond}
-	resp, _, err := r.call("/safe/", nil)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(resp.StatusCode).To(Equal(429))
-
-	r.placer.mu.Lock()
-	r.placer.refuse = nil
-	asked := 0
-	r.placer.before = func() { asked++ }
-	r.placer.mu.Unlock()
-	r.placer.lag.Store(int64(100 * time.Millisecond))
-	resp, _, err = r.call("/safe/", nil)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(resp.StatusCode).To(Equal(429))
-	g.Expect(asked).To(Equal(0))
-
-	r.placer.lag.Store(0)
-	resp, _, err = r.call("/safe/", nil)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(resp.StatusCode).To(Equal(200))
-}
-
 // The caller would be told that nothing ran, though the first upstream took the
 // request and broke off, or ran it and failed; there is no room for a second try.
 func TestRefusalAfterAFailedAttemptDoesNotSayNotRun(t *testing.T) {
@@ -355,26 +270,3 @@
 		})
 	}
 }
-
-// A request would reach an upstream that left seconds ago. The router is so far
-// behind with its work that it hasn't read what its peers told it; it knows that
-// its view is old, and doesn't act on it.
-func TestRouterThatIsBehindDoesNotSendOnAnOldView(t *testing.T) {
-	g := NewWithT(t)
-	r := newRig(t, map[string]script{"u1": ok("answer")})
-	r.placer.before = func() {
-		r.placer.lag.Store(int64(time.Second))
-		r.state.age.Store(int64(3 * time.Second))
-	}
-	resp, _, err := r.call("/safe/", nil)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(resp.StatusCode).To(Equal(503))
-	g.Expect(r.runs()).To(BeEmpty())
-
-	// An outage of the platform alone, with nothing behind, stops nothing.
-	r.placer.before = func() { r.placer.lag.Store(0) }
-	r.placer.lag.Store(0)
-	resp, _, err = r.call("/safe/", nil)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(resp.StatusCode).To(Equal(200))
-}
