Readiness, a held port, and a stop that starts nothing: the daemon's specs that failed once

(1) A router was ready by its own start time, while its voter's memory began a moment later, and UUIDv7 cuts mint times to a millisecond: a booking in the first milliseconds of readiness was answered 'unknown'. A router was also ready before the platform listed it, when it can't know who votes. (2) The tests' 'closed' port had been given back, and another test process listened there: one run's booking ran at another's stand-in, which then answered one booking too early. (3) Mesh.Close waited for goroutines while others were being added.

Ruled out: an upstream that failed (the first failing run has no upstream at all); net/http's own repeat (nothing was sent).

--- a/daemon/relay_test.go
+++ b/daemon/relay_test.go
@@ -10,6 +10,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/aspenswitch/aspenswitch/standin"
 )
 
 // relay passes TCP connections on until it is told to silence those that are
@@ -88,10 +90,10 @@
 	return b.String(), err
 }
 
-// closedAddress is one that nobody listens on.
+// closedAddress is one that nobody listens on, now or later in the test.
 func closedAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, release, err := standin.RefusedAddress()
 	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	DeferCleanup(release)
+	return address
 }
--- a/idempotency/voter.go
+++ b/idempotency/voter.go
@@ -73,6 +73,17 @@
 	return minted.After(v.started.Add(v.cfg.Skew))
 }
 
+// mintResolution is what a UUIDv7 tells of its mint time: it cuts off parts of a
+// millisecond.
+const mintResolution = time.Millisecond
+
+// VotesFrom is the wall time from which a voter that started at the given time
+// votes on keys that are made then, by a caller with the same clock. A router
+// that takes bookings earlier answers them "unknown" for nothing.
+func (cfg Config) VotesFrom(started time.Time) time.Time {
+	return started.Add(cfg.Skew + 2*mintResolution)
+}
+
 // Release takes back a vote whose owner says that it has not sent the request
 // and never will.
 func (v *Voter) Release(key string, owner Owner) {
--- a/peer/link.go
+++ b/peer/link.go
@@ -28,6 +28,7 @@
 	conn    *jsonrpc2.Conn
 }
 
+// newLink begins a link. The caller holds m.mu and has seen that m is open.
 func newLink(m *Mesh, name, address string) *link {
 	ctx, cancel := context.WithCancel(m.ctx)
 	l := &link{
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -23,6 +23,7 @@
 	sent     atomic.Int64
 	dropped  atomic.Int64
 	mu       sync.Mutex
+	closed   bool
 	links    map[string]*link
 	byMethod map[string]int64
 }
@@ -43,10 +44,25 @@
 		if err != nil {
 			return
 		}
-		m.wg.Go(func() { m.accept(conn) })
+		if !m.begin(func() { m.accept(conn) }) {
+			_ = conn.Close()
+			return
+		}
 	}
 }
 
+// begin starts a goroutine that Close waits for. It reports false after Close:
+// a goroutine that began then would go on after the router is gone.
+func (m *Mesh) begin(f func()) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return false
+	}
+	m.wg.Go(f)
+	return true
+}
+
 func (m *Mesh) accept(raw net.Conn) {
 	conn, err := m.serve(m.ctx, raw, m.cfg.Handler)
 	if err != nil {
@@ -77,6 +93,9 @@
 func (m *Mesh) SetAddresses(addresses map[string]string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.closed {
+		return
+	}
 	for name, address := range addresses {
 		if l, ok := m.links[name]; ok {
 			l.setAddress(address)
@@ -155,6 +174,9 @@
 
 // Close ends all connections and waits for their goroutines.
 func (m *Mesh) Close() {
+	m.mu.Lock()
+	m.closed = true
+	m.mu.Unlock()
 	m.cancel()
 	_ = m.listener.Close()
 	m.wg.Wait()
--- /dev/null
+++ b/peer/mesh_test.go
@@ -0,0 +1,35 @@
+package peer_test
+
+import (
+	"net"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/aspenswitch/aspenswitch/peer"
+)
+
+// A router stops in the very moment in which a peer connects and the list of VMs
+// changes. What those would begin either ends before Close returns or never
+// begins; a goroutine that outlives Close would talk for a router that is gone.
+func TestCloseBesideNewConnectionsAndLinks(t *testing.T) {
+	g := NewWithT(t)
+	for range 300 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(HaveOccurred())
+		address := l.Addr().String()
+		m := peer.NewMesh(peer.DefaultConfig(nil, zerolog.Nop()), l)
+		var beside sync.WaitGroup
+		beside.Go(m.Serve)
+		beside.Go(func() { m.SetAddresses(map[string]string{"a": address}) })
+		beside.Go(func() {
+			if c, err := net.Dial("tcp", address); err == nil {
+				_ = c.Close()
+			}
+		})
+		m.Close()
+		beside.Wait()
+	}
+}
--- a/router/control.go
+++ b/router/control.go
@@ -44,7 +44,7 @@
 		r:        r,
 		node:     sched.NewNode(now, r.cfg.Scheduler),
 		acceptor: bundle.NewAcceptor(r.cfg.Name),
-		voter:    idempotency.NewVoter(r.cfg.Idempotency, time.Now()),
+		voter:    idempotency.NewVoter(r.cfg.Idempotency, r.started),
 		answers:  idempotency.NewAnswers(r.cfg.Idempotency),
 		waiters:  map[sched.RequestID]*waiter{},
 		told:     map[string]tell{},
@@ -179,6 +179,9 @@
 	}
 	slices.Sort(names)
 	c.r.vms.Store(c.r.vms.Load().update(now, names))
+	if slices.Contains(names, c.r.cfg.Name) {
+		c.r.wasListed.Store(true)
+	}
 	if slices.Equal(list, c.list) {
 		return
 	}
--- /dev/null
+++ b/router/ready_test.go
@@ -0,0 +1,135 @@
+package router_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/json"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/aspenswitch/aspenswitch/bundle"
+	"github.com/aspenswitch/aspenswitch/bundlefeed"
+	"github.com/aspenswitch/aspenswitch/idempotency"
+	"github.com/aspenswitch/aspenswitch/membership"
+	"github.com/aspenswitch/aspenswitch/obs"
+	"github.com/aspenswitch/aspenswitch/router"
+	"github.com/aspenswitch/aspenswitch/settings"
+	"github.com/aspenswitch/aspenswitch/standin"
+)
+
+// patience bounds the wait for a condition that must come true.
+const patience = 10 * time.Second
+
+// fixture is one router, not started, before a stand-in of the platform that has
+// published a bundle.
+type fixture struct {
+	platform *standin.Platform
+	router   *router.Router
+	address  string
+}
+
+func newFixture(t *testing.T) *fixture {
+	g := NewWithT(t)
+	f := &fixture{platform: standin.NewPlatform()}
+	server := httptest.NewServer(f.platform.Handler())
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	signed, operators := signedBundle(g)
+	f.platform.Publish(signed)
+
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	f.address = peers.Addr().String()
+	s := settings.Default()
+	s.Name, s.FailureDomain, s.Operators = "vm1", "a", operators
+	cfg := router.NewConfig(s, 1)
+	cfg.Idempotency.Skew = 50 * time.Millisecond
+	cfg.PollEvery = 20 * time.Millisecond
+	cfg.WatchWait = time.Second
+	f.router = router.New(cfg, router.Deps{
+		Log: zerolog.Nop(), Metrics: obs.NewMetrics("test"), Peers: peers,
+		Platform: bundlefeed.NewClient(server.URL, cfg.WatchWait),
+	})
+	t.Cleanup(f.router.Stop)
+	return f
+}
+
+// listRouter publishes a list of VMs that names the router.
+func (f *fixture) listRouter(g *WithT) {
+	raw, err := json.Marshal([]membership.Listed{{Name: "vm1", FailureDomain: "a", Address: f.address}})
+	g.Expect(err).NotTo(HaveOccurred())
+	f.platform.SetVMs(raw)
+}
+
+func signedBundle(g *WithT) ([]byte, []bundle.Operator) {
+	text, err := json.Marshal(bundle.Bundle{
+		Version: 1,
+		Teams:   []bundle.Team{{ID: 1, Name: "vans", Share: 1, Keys: []string{bundle.HashKey("vans-key")}}},
+		Pools:   []bundle.Pool{{ID: 1, Name: "planning", Models: []string{"planner"}}},
+		Limits:  bundle.Limits{BodyBytes: 4096},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	signed := &bundle.Signed{Bundle: string(text)}
+	var operators []bundle.Operator
+	for _, name := range []string{"anna", "bert"} {
+		public, private, err := ed25519.GenerateKey(nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		operators = append(operators, bundle.Operator{Name: name, PublicKey: public})
+		signed.Sign(name, private)
+	}
+	raw, err := json.Marshal(signed)
+	g.Expect(err).NotTo(HaveOccurred())
+	return raw, operators
+}
+
+// awaitReady polls without a pause, so that what follows comes in the first
+// moment of readiness.
+func (f *fixture) awaitReady(g *WithT) {
+	deadline := time.Now().Add(patience)
+	for !f.router.Ready() {
+		g.Expect(time.Now().Before(deadline)).To(BeTrue(), "never ready")
+		time.Sleep(50 * time.Microsecond)
+	}
+}
+
+func freshKey() string { return "1/" + uuid.Must(uuid.NewV7()).String() }
+
+// A router is made, and its control loop starts a little later, as on a busy VM.
+// A booking that comes in the first moment of readiness gets a vote: its key is
+// younger than the voter. If readiness counted from an earlier moment than the
+// voter's memory, that booking would be answered "unknown" for nothing.
+func TestFirstBookingAfterReadinessGetsAVote(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t)
+	f.listRouter(g)
+	time.Sleep(150 * time.Millisecond)
+	f.router.Start()
+	f.awaitReady(g)
+	claimed := f.router.Claim(context.Background(), freshKey())
+	g.Expect(claimed.Result).To(Equal(idempotency.Won))
+	claimed.Run.Drop()
+}
+
+// The platform has a bundle but doesn't yet list this VM. The router can't know
+// who votes on a key, so every booking would be answered "unknown". It stays out
+// of the balancer's rotation until it is listed.
+func TestUnlistedRouterIsNotReady(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t)
+	f.router.Start()
+	g.Eventually(f.router.Bundle, patience, "5ms").ShouldNot(BeNil())
+	g.Consistently(f.router.Ready, "300ms", "5ms").Should(BeFalse())
+	f.listRouter(g)
+	f.awaitReady(g)
+	claimed := f.router.Claim(context.Background(), freshKey())
+	g.Expect(claimed.Result).To(Equal(idempotency.Won))
+	claimed.Run.Drop()
+}
--- a/router/router.go
+++ b/router/router.go
@@ -43,7 +43,10 @@
 	vms      atomic.Pointer[vmList]
 	watching atomic.Bool
 	leaving  atomic.Bool
-	started  time.Time
+	// wasListed is set once the platform's list of VMs has named this one.
+	wasListed atomic.Bool
+	// started is when this process's memory of votes began.
+	started time.Time
 }
 
 // Deps are what a Router is given to work with.
@@ -135,10 +138,14 @@
 }
 
 // Ready reports whether the router may take callers: it has a bundle in force,
-// its voter can vote on keys that are made now, and it does not shut down.
+// its voter votes on keys that are made now, the platform has listed it, and it
+// does not shut down. Without the list it could not tell who votes, and would
+// answer each booking "unknown". Once listed is enough: a list that loses VMs by
+// mistake must not empty the balancer.
 func (r *Router) Ready() bool {
-	voting := time.Since(r.started) > r.cfg.Idempotency.Skew
-	return voting && r.view.Load() != nil && !r.leaving.Load()
+	// Mint times are wall times, and so is what they are compared with.
+	voting := !time.Now().Round(0).Before(r.cfg.Idempotency.VotesFrom(r.started).Round(0))
+	return voting && r.wasListed.Load() && r.view.Load() != nil && !r.leaving.Load()
 }
 
 // Leaving reports whether the router shuts down.
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/aspenswitch/aspenswitch/standin"
 	"github.com/aspenswitch/aspenswitch/upstream"
 )
 
@@ -152,10 +153,9 @@
 
 func TestRefusedConnectionCountsAsNotSent(t *testing.T) {
 	g := NewWithT(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, release, err := standin.RefusedAddress()
 	g.Expect(err).NotTo(HaveOccurred())
-	address := l.Addr().String()
-	g.Expect(l.Close()).To(Succeed())
+	defer release()
 	_, err = newPool(t).Do(context.Background(), &upstream.Call{Address: address, Method: http.MethodGet, URI: "/", Host: "h"})
 	g.Expect(upstream.NotSent(err)).To(BeTrue())
 }
