Homes tell their state every two seconds; a request's line says how long its caller still waits

A home now writes one line a group in two seconds (use, unread work, shares, counts, the router's lag), the dump has the same, and a request's line has left_ms.

Nothing is decided differently here; at most half a line a second and group.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -46,7 +46,10 @@
 
 func (c *Core) refuse(now time.Duration, j *job, ch choice) {
 	c.teams.refusedAt = now
-	if !j.over {
+	c.counts.Refused++
+	if j.over {
+		c.counts.RefusedOver++
+	} else {
 		c.yieldShare(now)
 	}
 	delete(c.jobs, j.Ticket)
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -18,6 +18,7 @@
 	// overLeft is overUse at overAt.
 	overLeft float64
 	overAt   time.Duration
+	counts   Counts
 }
 
 // New returns a core without upstreams.
@@ -84,6 +85,7 @@
 	c.warm(&j.Request)
 	c.charge(now, j)
 	j.over = c.teams.over(now, r.Team)
+	c.counts.Asked++
 	c.jobs[r.Ticket] = j
 	c.place(now, j)
 	return c.take()
@@ -146,6 +148,7 @@
 
 func (c *Core) send(now time.Duration, u *upstream, j *job, wait time.Duration) {
 	u.take(j, now)
+	c.counts.Sent++
 	c.teams.serve(now, j.Team, j.tokens)
 	d := Decision{Ticket: j.Ticket, Verdict: Send, Upstream: u.ID, Wait: wait, Over: j.over}
 	if j.copyFrom != nil {
--- /dev/null
+++ b/dispatch/state.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// State is what a core knows and has decided, for operators.
+type State struct {
+	Upstreams int `json:"upstreams"`
+	// Banned upstreams get no work for a while.
+	Banned int `json:"banned"`
+	// Use is the part of the time in which upstreams had unread work, Unread the
+	// work ahead; both are means over the upstreams.
+	Use    float64       `json:"use"`
+	Unread time.Duration `json:"unread"`
+	// Waiting and Running are requests of all upstreams.
+	Waiting int `json:"waiting"`
+	Running int `json:"running"`
+	// Served is what teams got within the window, Room what they can get, Level
+	// the share up to which each is served in full (0: no bound), in tokens.
+	Served float64 `json:"served"`
+	Room   float64 `json:"room"`
+	Level  float64 `json:"level"`
+	// OverUse is the part of the target that teams above their share may wait.
+	OverUse float64 `json:"overUse"`
+	// Counts since the core was made.
+	Counts Counts `json:"counts"`
+}
+
+// Counts are decisions.
+type Counts struct {
+	Asked   int `json:"asked"`
+	Sent    int `json:"sent"`
+	Refused int `json:"refused"`
+	// RefusedOver is the part of Refused that concerned teams above their share.
+	RefusedOver int `json:"refusedOver"`
+}
+
+// State returns the core's state.
+func (c *Core) State(now time.Duration) State {
+	s := State{Upstreams: len(c.upstreams), Served: c.teams.got, OverUse: c.overUse(now), Counts: c.counts}
+	s.Level, s.Room = finite(c.teams.level), finite(c.teams.room(now))
+	for _, u := range c.upstreams {
+		u.touch(now)
+		s.Use += u.use
+		s.Unread += u.remaining(now)
+		s.Waiting += len(u.queue)
+		s.Running += u.running
+		if now < u.banned {
+			s.Banned++
+		}
+	}
+	if n := len(c.upstreams); n > 0 {
+		s.Use /= float64(n)
+		s.Unread /= time.Duration(n)
+	}
+	return s
+}
+
+// finite is 0 for what has no bound.
+func finite(x float64) float64 {
+	if math.IsInf(x, 1) {
+		return 0
+	}
+	return x
+}
+
+// Since is what was decided after an earlier state.
+func (c Counts) Since(earlier Counts) Counts {
+	return Counts{
+		Asked: c.Asked - earlier.Asked, Sent: c.Sent - earlier.Sent,
+		Refused: c.Refused - earlier.Refused, RefusedOver: c.RefusedOver - earlier.RefusedOver,
+	}
+}
--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -156,6 +156,7 @@
 	}
 	n.checkHomes(now)
 	n.pushState(now)
+	n.logGroups(now)
 }
 
 // seekEvery is the mean time between heartbeats to seeds that aren't members:
--- a/fleet/dump.go
+++ b/fleet/dump.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/aspenswitch/aspenswitch/boottime"
+	"github.com/aspenswitch/aspenswitch/dispatch"
 )
 
 // Dump is a node's state, for operators.
@@ -33,8 +35,9 @@
 
 // GroupDump is a group's.
 type GroupDump struct {
-	Group string `json:"group"`
-	Home  uint64 `json:"home"`
+	Group string         `json:"group"`
+	Home  uint64         `json:"home"`
+	State dispatch.State `json:"state"`
 }
 
 // Dump returns the node's state.
@@ -59,7 +62,7 @@
 		})
 	}
 	for _, g := range n.groups {
-		d.Groups = append(d.Groups, GroupDump{Group: g.key, Home: g.home})
+		d.Groups = append(d.Groups, GroupDump{Group: g.key, Home: g.home, State: g.core.State(time.Duration(now))})
 	}
 	return d
 }
@@ -74,3 +77,29 @@
 	}
 	return nil
 }
+
+// logGroupEvery is the time between two lines on a group: half of the span over
+// which shares are reckoned, so that none of their moves is missed.
+const logGroupEvery = 2 * time.Second
+
+// logGroups tells what this router has decided as a home, and from what state.
+func (n *Node) logGroups(now boottime.Time) {
+	for _, g := range n.groups {
+		if now.Sub(g.toldAt) < logGroupEvery {
+			continue
+		}
+		g.toldAt = now
+		s := g.core.State(time.Duration(now))
+		since := s.Counts.Since(g.told)
+		g.told = s.Counts
+		if since.Asked == 0 {
+			continue
+		}
+		n.log.Info().Str("event", "group").Str("group", g.key).Bool("home", g.home == n.self).
+			Int("upstreams", s.Upstreams).Int("banned", s.Banned).Float64("use", s.Use).Int64("unread_ms", s.Unread.Milliseconds()).
+			Int("waiting", s.Waiting).Int("running", s.Running).Int64("served_tokens", int64(s.Served)).
+			Int64("room_tokens", int64(s.Room)).Int64("share_tokens", int64(s.Level)).Float64("over_use", s.OverUse).
+			Int("asked", since.Asked).Int("sent", since.Sent).Int("refused", since.Refused).Int("refused_over", since.RefusedOver).
+			Int64("lag_us", n.Lag().Microseconds()).Msg("decisions of a group")
+	}
+}
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -28,6 +28,9 @@
 	core *dispatch.Core
 	// home is the router that decided last, 0 if none has yet.
 	home uint64
+	// told and toldAt are the counts in the last line of the log.
+	told   dispatch.Counts
+	toldAt boottime.Time
 }
 
 // groupCount divides a service's upstreams. It is a power of two, so that a few
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -12,6 +12,8 @@
 	id, route, team, service string
 	config                   int64
 	age                      time.Duration
+	// left is how long the caller still waited when its request came.
+	left time.Duration
 	upstream                 string
 	// copyFrom is the engine from which parts of the prompt were copied.
 	copyFrom string
@@ -33,7 +35,7 @@
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (r *record) MarshalZerologObject(e *zerolog.Event) {
 	e.Str("request", r.id).Str("route", r.route).Str("team", r.team).Str("service", r.service).
-		Int64("config", r.config).Int64("age_ms", r.age.Milliseconds()).
+		Int64("config", r.config).Int64("age_ms", r.age.Milliseconds()).Int64("left_ms", r.left.Milliseconds()).
 		Int("prompt", r.prompt).Int("output", r.output).Str("upstream", r.upstream).Int("attempts", r.attempts).
 		Int64("predicted_ms", r.predicted.Milliseconds()).Int64("placed_ms", r.placed.Milliseconds()).
 		Int64("first_ms", r.first.Milliseconds()).Int("status", r.status).Str("outcome", r.outcome)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -67,7 +67,8 @@
 	if refused := s.shed(r); refused != nil {
 		return r, refused
 	}
-	r.deadline = r.arrived.Add(s.timeLeft(r))
+	r.record.left = s.timeLeft(r)
+	r.deadline = r.arrived.Add(r.record.left)
 	if refused := s.readBody(r); refused != nil {
 		return r, refused
 	}
