Routers' transport is a seam; the fleet's tests run in virtual time over an in-memory network

Cause: fleet tests took ten seconds of real time over real sockets, waited on conditions with wall-clock patience, and could not show a lost datagram, a cut link or a router whose processor is taken away. The transport is an interface now (UDP and TCP in sockets.go), random numbers come from a seed in the configuration, and one event runs a function on the control state (the dump, and in tests a busy processor). Tests run under synctest; every old one stands unchanged in what it demands.

--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -51,10 +51,11 @@
 	nodeCfg.Cached = func(ctx context.Context, address string) ([]dispatch.Part, error) {
 		return platform.CachedParts(ctx, d.pool, address)
 	}
-	node, err := fleet.New(nodeCfg, boottime.Now, log)
+	transport, err := fleet.Listen(s.Peers.IP, s.Peers.Port)
 	if err != nil {
 		return nil, err
 	}
+	node := fleet.New(nodeCfg, transport, boottime.Now, log)
 	d.node = node
 	source := platform.NewSource(s.Platform, platformClient(), log)
 	d.feed = feed.New(feed.DefaultConfig(s.Bounds.Revoke(), s.Bounds.Apply()), source, boottime.Now, log, node.Reads, node.Changed)
--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/boottime"
@@ -166,7 +165,7 @@
 func (n *Node) seek(now boottime.Time) {
 	chance := float64(slowTick) / float64(seekEvery)
 	for _, ip := range n.cfg.Seeds {
-		if ip == n.cfg.IP || n.knows(ip) || rand.Float64() > chance {
+		if ip == n.cfg.IP || n.knows(ip) || n.random.Float64() > chance {
 			continue
 		}
 		if at, ok := n.addrOf(ip); ok {
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
@@ -42,6 +43,9 @@
 	// Cached asks an engine at an address which prompt parts it keeps; nil if
 	// engines can't be asked.
 	Cached func(ctx context.Context, address string) ([]dispatch.Part, error)
+	// Seed of the process's random numbers, among them its incarnation: two
+	// processes must not have the same.
+	Seed uint64
 	// Engine and Plain tune the decisions.
 	Engine, Plain dispatch.Config
 }
@@ -58,6 +62,7 @@
 		AskAgain:    45 * time.Millisecond,
 		AskLocal:    100 * time.Millisecond,
 		GroupSize:   32,
+		Seed:        rand.Uint64(),
 		Engine:      dispatch.DefaultConfig(true),
 		Plain:       dispatch.DefaultConfig(false),
 	}
--- a/fleet/dump.go
+++ b/fleet/dump.go
@@ -40,11 +40,16 @@
 	State dispatch.State `json:"state"`
 }
 
-// Dump returns the node's state.
+// Dump returns the node's state; it is empty once the node has ended.
 func (n *Node) Dump() Dump {
 	answer := make(chan Dump, 1)
-	n.events <- dumpEvent{answer: answer}
-	return <-answer
+	n.post(inspectEvent{do: func(now boottime.Time) { answer <- n.dump(now) }})
+	select {
+	case d := <-answer:
+		return d
+	case <-n.over:
+		return Dump{}
+	}
 }
 
 func (n *Node) dump(now boottime.Time) Dump {
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -36,7 +36,8 @@
 		parts    []dispatch.Part
 	}
 	seedsEvent struct{ ips []string }
-	dumpEvent  struct{ answer chan Dump }
+	// inspectEvent runs a function on the control state.
+	inspectEvent struct{ do func(now boottime.Time) }
 )
 
 // Changed tells that the published state has changed.
@@ -48,10 +49,10 @@
 }
 
 // SetSeeds replaces the routers that may be up.
-func (n *Node) SetSeeds(ips []string) { n.events <- seedsEvent{ips: ips} }
+func (n *Node) SetSeeds(ips []string) { n.post(seedsEvent{ips: ips}) }
 
 // Leave tells the peers that this router stops.
-func (n *Node) Leave() { n.events <- leaveEvent{} }
+func (n *Node) Leave() { n.post(leaveEvent{}) }
 
 func (n *Node) control(ctx context.Context) {
 	timer := time.NewTimer(0)
@@ -116,8 +117,8 @@
 		}
 	case seedsEvent:
 		n.cfg.Seeds = e.ips
-	case dumpEvent:
-		e.answer <- n.dump(now)
+	case inspectEvent:
+		e.do(now)
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -4,10 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -85,66 +86,76 @@
 	feed *feed.Feed
 	stop context.CancelFunc
 	done chan struct{}
+	addr netip.AddrPort
 }
 
-// freePort finds a port that is free on the addresses of all routers.
-func freePort(t *testing.T, routers int) int {
-	for range 50 {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		NewWithT(t).Expect(err).NotTo(HaveOccurred())
-		port := l.Addr().(*net.TCPAddr).Port
-		_ = l.Close()
-		if free(port, routers) {
-			return port
-		}
-	}
-	t.Fatal("no port is free on all addresses")
-	return 0
+// addr is the address of the i-th router.
+func addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7400)
 }
 
-func free(port, routers int) bool {
-	for i := range routers {
-		l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip(i), port))
-		if err != nil {
-			return false
-		}
-		_ = l.Close()
-	}
-	return true
+// settle is longer than any call of a router takes to end with it.
+const settle = 5 * time.Second
+
+// cluster is a fleet in virtual time, in one failure domain unless shape says
+// otherwise.
+type cluster struct {
+	t   *testing.T
+	net *network
+	all []*member
+	// shape changes a router's configuration.
+	shape func(i int, c *fleet.Config)
 }
 
-func ip(i int) string { return fmt.Sprintf("127.0.0.%d", 10+i) }
+func newCluster(t *testing.T) *cluster {
+	return &cluster{t: t, net: newNetwork(1), shape: func(int, *fleet.Config) {}}
+}
 
-// start runs n routers in one failure domain that know the first as a seed.
+// start runs n routers that know the first as a seed, and waits until they know
+// each other.
 func start(t *testing.T, n int, sources ...*source) []*member {
 	t.Helper()
-	port := freePort(t, n)
-	var all []*member
+	c := newCluster(t)
+	c.start(n, sources...)
+	return c.all
+}
+
+func (c *cluster) start(n int, sources ...*source) {
+	c.t.Helper()
 	for i := range n {
-		cfg := fleet.DefaultConfig()
-		cfg.IP, cfg.Port, cfg.Domain, cfg.Weight, cfg.Seeds = ip(i), port, "d", 1, []string{ip(0)}
-		cfg.LeadAge = feed.DefaultConfig(revoke, revoke).StaleAfter
-		node, err := fleet.New(cfg, boottime.Now, zerolog.Nop())
-		NewWithT(t).Expect(err).NotTo(HaveOccurred())
-		m := &member{node: node, done: make(chan struct{})}
-		m.feed = feed.New(feed.DefaultConfig(revoke, revoke), sources[i%len(sources)], boottime.Now, zerolog.Nop(), node.Reads, node.Changed)
-		node.Attach(m.feed)
-		ctx, cancel := context.WithCancel(context.Background())
-		m.stop = cancel
-		go m.feed.Run(ctx)
-		go func() {
-			defer close(m.done)
-			node.Run(ctx)
-		}()
-		t.Cleanup(cancel)
-		all = append(all, m)
+		c.run(i, sources[i%len(sources)])
 	}
-	g := NewWithT(t)
-	for _, m := range all {
-		g.Eventually(func() int { return len(m.node.Dump().Members) }, 10*time.Second, 10*time.Millisecond).Should(Equal(n - 1))
-		g.Eventually(m.feed.Snapshot, 10*time.Second, 10*time.Millisecond).ShouldNot(BeNil())
+	g := NewWithT(c.t)
+	for _, m := range c.all {
+		g.Eventually(func() int { return len(m.node.Dump().Members) }, time.Minute, 10*time.Millisecond).Should(Equal(n - 1))
+		g.Eventually(m.feed.Snapshot, time.Minute, 10*time.Millisecond).ShouldNot(BeNil())
 	}
-	return all
+}
+
+// run starts the i-th router.
+func (c *cluster) run(i int, s *source) {
+	cfg := fleet.DefaultConfig()
+	cfg.IP, cfg.Port, cfg.Domain, cfg.Weight = addr(i).Addr().String(), int(addr(i).Port()), "d", 1
+	cfg.Seeds, cfg.Seed = []string{addr(0).Addr().String()}, uint64(i+1)
+	cfg.LeadAge = feed.DefaultConfig(revoke, revoke).StaleAfter
+	c.shape(i, &cfg)
+	began := time.Now().Add(-time.Hour)
+	now := func() boottime.Time { return boottime.Time(time.Since(began)) }
+	m := &member{node: fleet.New(cfg, c.net.listen(addr(i)), now, zerolog.Nop()), done: make(chan struct{}), addr: addr(i)}
+	m.feed = feed.New(feed.DefaultConfig(revoke, revoke), s, now, zerolog.Nop(), m.node.Reads, m.node.Changed)
+	m.node.Attach(m.feed)
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	go m.feed.Run(ctx)
+	go func() {
+		defer close(m.done)
+		m.node.Run(ctx)
+	}()
+	c.t.Cleanup(func() {
+		cancel()
+		time.Sleep(settle)
+	})
+	c.all = append(c.all, m)
 }
 
 func ask(m *member, session uint64) (dispatch.Decision, dispatch.Ticket, error) {
@@ -161,50 +172,54 @@
 // A session's parts are cached at one upstream; whichever router its requests
 // reach, they go there.
 func TestAllRoutersSendASessionToTheSameUpstream(t *testing.T) {
-	g := NewWithT(t)
-	all := start(t, 4, &source{revision: 1, version: 1})
-	chosen := ""
-	for i := range 8 {
-		m := all[i%len(all)]
-		d, ticket, err := ask(m, 5)
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(d.Verdict).To(Equal(dispatch.Send))
-		if chosen == "" {
-			chosen = d.Upstream
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		all := start(t, 4, &source{revision: 1, version: 1})
+		chosen := ""
+		for i := range 8 {
+			m := all[i%len(all)]
+			d, ticket, err := ask(m, 5)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(d.Verdict).To(Equal(dispatch.Send))
+			if chosen == "" {
+				chosen = d.Upstream
+			}
+			g.Expect(d.Upstream).To(Equal(chosen))
+			m.node.Started("llm", ticket)
+			m.node.Done("llm", ticket, dispatch.Served, time.Second)
 		}
-		g.Expect(d.Upstream).To(Equal(chosen))
-		m.node.Started("llm", ticket)
-		m.node.Done("llm", ticket, dispatch.Served, time.Second)
-	}
+	})
 }
 
 // The home of a service dies with requests on their way to it. Callers must not
 // wait for it: the routers that asked decide, and a new home takes over.
 func TestRequestsArePlacedWhenTheHomeIsGone(t *testing.T) {
-	g := NewWithT(t)
-	all := start(t, 4, &source{revision: 1, version: 1})
-	_, _, err := ask(all[0], 5)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Eventually(func() uint64 { return home(all[0]) }, 5*time.Second, 10*time.Millisecond).ShouldNot(BeZero())
-	gone := home(all[0])
-	var left []*member
-	for _, m := range all {
-		if m.node.Dump().Router == gone {
-			m.stop()
-			<-m.done
-			continue
-		}
-		left = append(left, m)
-	}
-	g.Expect(left).To(HaveLen(3))
-	for i := range 12 {
-		d, ticket, err := ask(left[i%3], uint64(i))
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		all := start(t, 4, &source{revision: 1, version: 1})
+		_, _, err := ask(all[0], 5)
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(d.Verdict).To(Equal(dispatch.Send))
-		left[i%3].node.Done("llm", ticket, dispatch.Served, time.Second)
-	}
-	g.Eventually(func() []uint64 { return []uint64{home(left[0]), home(left[1]), home(left[2])} }, 10*time.Second, 20*time.Millisecond).
-		ShouldNot(ContainElement(gone))
+		g.Eventually(func() uint64 { return home(all[0]) }, 5*time.Second, 10*time.Millisecond).ShouldNot(BeZero())
+		gone := home(all[0])
+		var left []*member
+		for _, m := range all {
+			if m.node.Dump().Router == gone {
+				m.stop()
+				<-m.done
+				continue
+			}
+			left = append(left, m)
+		}
+		g.Expect(left).To(HaveLen(3))
+		for i := range 12 {
+			d, ticket, err := ask(left[i%3], uint64(i))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(d.Verdict).To(Equal(dispatch.Send))
+			left[i%3].node.Done("llm", ticket, dispatch.Served, time.Second)
+		}
+		g.Eventually(func() []uint64 { return []uint64{home(left[0]), home(left[1]), home(left[2])} }, 10*time.Second, 20*time.Millisecond).
+			ShouldNot(ContainElement(gone))
+	})
 }
 
 // home is the router that decides for the service, as m sees it.
@@ -218,59 +233,65 @@
 // A configuration would come into force late where the platform turns a router
 // away: it learns from its peers, and its view stays fresh.
 func TestRouterWithoutThePlatformLearnsFromPeers(t *testing.T) {
-	g := NewWithT(t)
-	good, bad := &source{revision: 1, version: 1}, &source{revision: 1, version: 1}
-	bad.away.Store(true)
-	all := start(t, 3, good, bad, good)
-	good.publish()
-	for _, m := range all {
-		g.Eventually(func() int64 { return m.feed.Snapshot().ConfigVersion() }, 10*time.Second, 10*time.Millisecond).Should(Equal(int64(2)))
-	}
-	g.Consistently(all[1].feed.Authorized, revoke+revoke/4, 50*time.Millisecond).Should(BeTrue())
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		good, bad := &source{revision: 1, version: 1}, &source{revision: 1, version: 1}
+		bad.away.Store(true)
+		all := start(t, 3, good, bad, good)
+		good.publish()
+		for _, m := range all {
+			g.Eventually(func() int64 { return m.feed.Snapshot().ConfigVersion() }, 10*time.Second, 10*time.Millisecond).Should(Equal(int64(2)))
+		}
+		g.Consistently(all[1].feed.Authorized, revoke+revoke/4, 50*time.Millisecond).Should(BeTrue())
+	})
 }
 
 // Calls to the platform must not grow with the fleet: one router of a failure
 // domain reads, the others ask it.
 func TestOneRouterOfADomainReadsThePlatform(t *testing.T) {
-	g := NewWithT(t)
-	s := &source{revision: 1, version: 1}
-	all := start(t, 6, s)
-	g.Eventually(func() int {
-		readers := 0
-		for _, m := range all {
-			if m.node.Reads() {
-				readers++
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &source{revision: 1, version: 1}
+		all := start(t, 6, s)
+		g.Eventually(func() int {
+			readers := 0
+			for _, m := range all {
+				if m.node.Reads() {
+					readers++
+				}
 			}
+			return readers
+		}, 10*time.Second, 20*time.Millisecond).Should(Equal(1))
+		const span = 2 * time.Second
+		before := s.calls.Load()
+		time.Sleep(span)
+		// One watch at a time, whatever the number of routers; one more for rounding.
+		most := int64(span/feed.DefaultConfig(revoke, revoke).WatchWait) + 1
+		g.Expect(s.calls.Load() - before).To(BeNumerically("<=", most))
+		for _, m := range all {
+			g.Expect(m.feed.Authorized()).To(BeTrue())
 		}
-		return readers
-	}, 10*time.Second, 20*time.Millisecond).Should(Equal(1))
-	const span = 2 * time.Second
-	before := s.calls.Load()
-	time.Sleep(span)
-	// One watch at a time, whatever the number of routers; one more for rounding.
-	most := int64(span/feed.DefaultConfig(revoke, revoke).WatchWait) + 1
-	g.Expect(s.calls.Load() - before).To(BeNumerically("<=", most))
-	for _, m := range all {
-		g.Expect(m.feed.Authorized()).To(BeTrue())
-	}
+	})
 }
 
 // A stopping router is no home any more; its peers hear it at once.
 func TestLeavingRouterGivesUpItsDuties(t *testing.T) {
-	g := NewWithT(t)
-	all := start(t, 3, &source{revision: 1, version: 1})
-	_, _, err := ask(all[0], 5)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Eventually(func() uint64 { return home(all[0]) }, 5*time.Second, 10*time.Millisecond).ShouldNot(BeZero())
-	leaver := home(all[0])
-	for _, m := range all {
-		if m.node.Dump().Router == leaver {
-			m.node.Leave()
-		}
-	}
-	g.Eventually(func() uint64 {
-		_, _, err := ask(all[0], 6)
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		all := start(t, 3, &source{revision: 1, version: 1})
+		_, _, err := ask(all[0], 5)
 		g.Expect(err).NotTo(HaveOccurred())
-		return home(all[0])
-	}, 10*time.Second, 20*time.Millisecond).ShouldNot(Equal(leaver))
+		g.Eventually(func() uint64 { return home(all[0]) }, 5*time.Second, 10*time.Millisecond).ShouldNot(BeZero())
+		leaver := home(all[0])
+		for _, m := range all {
+			if m.node.Dump().Router == leaver {
+				m.node.Leave()
+			}
+		}
+		g.Eventually(func() uint64 {
+			_, _, err := ask(all[0], 6)
+			g.Expect(err).NotTo(HaveOccurred())
+			return home(all[0])
+		}, 10*time.Second, 20*time.Millisecond).ShouldNot(Equal(leaver))
+	})
 }
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -44,14 +44,12 @@
 	}
 	cfg := DefaultConfig()
 	cfg.IP = "127.0.0.1"
-	n, err := New(cfg, boottime.Now, zerolog.Nop())
+	t, err := Listen(cfg.IP, 0)
 	if err != nil {
 		f.Fatal(err)
 	}
-	f.Cleanup(func() {
-		_ = n.conn.Close()
-		_ = n.listen.Close()
-	})
+	f.Cleanup(func() { _ = t.Close() })
+	n := New(cfg, t, boottime.Now, zerolog.Nop())
 	published := feed.New(feed.DefaultConfig(0, 0), noSource{}, boottime.Now, zerolog.Nop(), func() bool { return false }, func() {})
 	n.Attach(published)
 	published.Import(&feed.Export{Revision: 1, Config: &routing.Config{Version: 1, Services: []routing.Service{{Name: "llm"}}},
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -222,7 +222,7 @@
 	n.limited.Info("cached", func(e *obs.Event) {
 		e.Str("upstream", u.ID).Int("parts", len(parts)).Msg("engine said what it keeps")
 	})
-	n.events <- cachedEvent{key: key, upstream: u.ID, parts: parts}
+	n.post(cachedEvent{key: key, upstream: u.ID, parts: parts})
 }
 
 func (n *Node) tellHeld(now boottime.Time, g *group, home *member) {
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -33,9 +33,11 @@
 	limited *obs.Limited
 	feed    *feed.Feed
 
-	conn    *net.UDPConn
-	listen  net.Listener
-	events  chan any
+	net    Transport
+	random *rand.Rand
+	events chan any
+	// over is closed when the control goroutine has ended.
+	over    chan struct{}
 	seq     atomic.Uint64
 	routers atomic.Int64
 	reads   atomic.Bool
@@ -68,32 +70,20 @@
 	eventQueue = 512
 )
 
-// New returns a node that hears its peers at the configured address.
-func New(cfg Config, now boottime.Clock, log zerolog.Logger) (*Node, error) {
-	ip, err := netip.ParseAddr(cfg.IP)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	at := netip.AddrPortFrom(ip, uint16(cfg.Port))
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	listen, err := net.Listen("tcp4", at.String())
-	if err != nil {
-		_ = conn.Close()
-		return nil, Error.Wrap(err)
-	}
+// New returns a node that talks to its peers over a transport, which it closes
+// when Run ends.
+func New(cfg Config, t Transport, now boottime.Clock, log zerolog.Logger) *Node {
 	n := &Node{
-		cfg: cfg, self: rand.Uint64(), now: now, log: log, conn: conn, listen: listen,
+		cfg: cfg, now: now, log: log, net: t, random: rand.New(rand.NewPCG(cfg.Seed, 0)),
 		limited: obs.NewLimited(log, logLines),
-		events:  make(chan any, eventQueue),
+		events:  make(chan any, eventQueue), over: make(chan struct{}),
 		members: map[uint64]*member{}, groups: map[groupKey]*group{},
 		pending: map[uint64]*pending{}, held: map[uint64]*heldRequest{}, warm: map[uint64]string{},
 	}
+	n.self = n.random.Uint64()
 	n.routers.Store(1)
 	n.reads.Store(true)
-	return n, nil
+	return n
 }
 
 // Attach gives the node the feed whose freshness it spreads.
@@ -118,8 +108,18 @@
 	go n.receive()
 	go n.servePulls()
 	n.control(ctx)
-	_ = n.conn.Close()
-	_ = n.listen.Close()
+	close(n.over)
+	if err := n.net.Close(); err != nil {
+		n.log.Warn().Str("event", "stop").Err(err).Msg("peers' listener not closed")
+	}
+}
+
+// post hands an event to the control goroutine. After its end nobody takes it.
+func (n *Node) post(e any) {
+	select {
+	case n.events <- e:
+	case <-n.over:
+	}
 }
 
 // maxDatagram fits in what the path carries without fragments, with room.
@@ -129,7 +129,7 @@
 func (n *Node) receive() {
 	buf := make([]byte, maxDatagram)
 	for {
-		size, from, err := n.conn.ReadFromUDPAddrPort(buf)
+		size, from, err := n.net.Receive(buf)
 		if err != nil {
 			return // closed
 		}
@@ -141,7 +141,7 @@
 		if p.From == n.self {
 			continue
 		}
-		n.events <- received{packet: p, from: from}
+		n.post(received{packet: p, from: from})
 	}
 }
 
@@ -154,7 +154,7 @@
 		return
 	}
 	n.sent.Add(1)
-	if _, err := n.conn.WriteToUDPAddrPort(raw, to); err != nil {
+	if err := n.net.Send(to, raw); err != nil {
 		n.log.Debug().Str("event", "peer").Stringer("to", to).Err(err).Msg("datagram not sent")
 	}
 }
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -52,12 +52,12 @@
 
 // Started implements gateway.Placer.
 func (n *Node) Started(_ string, t dispatch.Ticket) {
-	n.events <- reportEvent{kind: began, seq: t.Seq}
+	n.post(reportEvent{kind: began, seq: t.Seq})
 }
 
 // Done implements gateway.Placer.
 func (n *Node) Done(_ string, t dispatch.Ticket, o dispatch.Outcome, took time.Duration) {
-	n.events <- reportEvent{kind: ended, seq: t.Seq, outcome: o, took: took}
+	n.post(reportEvent{kind: ended, seq: t.Seq, outcome: o, took: took})
 }
 
 // maxWarm bounds the memory of where sessions were sent.
--- a/fleet/pull.go
+++ b/fleet/pull.go
@@ -39,8 +39,7 @@
 }
 
 func (n *Node) pull(ctx context.Context, at netip.AddrPort) error {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", at.String())
+	conn, err := n.net.Dial(ctx, at)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -70,7 +69,7 @@
 // servePulls answers peers that fetch the state.
 func (n *Node) servePulls() {
 	for {
-		conn, err := n.listen.Accept()
+		conn, err := n.net.Accept()
 		if err != nil {
 			return // closed
 		}
