A line on the load: requests, connections, processor time and lag, each two seconds

Cause: a flooded router's limits could not be seen in the log. Cost: half a line a second, only while callers ask.

--- /dev/null
+++ b/daemon/load.go
@@ -0,0 +1,49 @@
+package daemon
+
+import (
+	"context"
+	"runtime"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/aspenswitch/aspenswitch/gateway"
+)
+
+// loadEvery is the time between two lines on the load: short enough to see a flood
+// of some seconds, at half a line a second.
+const loadEvery = 2 * time.Second
+
+// tellLoad writes what callers asked for and what it cost, while they ask.
+func (d *Fleet) tellLoad(ctx context.Context) {
+	ticker := time.NewTicker(loadEvery)
+	defer ticker.Stop()
+	var last gateway.Load
+	var used time.Duration
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		l, cpu := d.gateway.Load(), processorTime()
+		if l.Asked != last.Asked {
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			d.log.Info().Str("event", "load").Int64("asked", l.Asked-last.Asked).Int64("refused", l.Refused-last.Refused).
+				Int64("shed", l.Shed-last.Shed).Int64("opened", l.Opened-last.Opened).Int64("connections", l.Connections).
+				Int64("held", l.Requests).Int64("processor_ms", (cpu-used).Milliseconds()).
+				Int64("lag_ms", d.node.Lag().Milliseconds()).Uint64("heap_kb", m.HeapAlloc>>10).Uint32("collections", m.NumGC).Msg("load")
+		}
+		last, used = l, cpu
+	}
+}
+
+// processorTime is what the process has used; 0 if the kernel doesn't tell.
+func processorTime() time.Duration {
+	var u unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -41,6 +41,7 @@
 	stopping atomic.Int64
 	conns    atomic.Int64
 	requests atomic.Int64
+	counts   counts
 	http     *http.Server
 }
 
@@ -104,6 +105,7 @@
 	switch state {
 	case http.StateNew:
 		s.conns.Add(1)
+		s.counts.opened.Add(1)
 	case http.StateClosed, http.StateHijacked:
 		s.conns.Add(-1)
 	case http.StateActive, http.StateIdle:
@@ -154,6 +156,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	s.stats.begin()
+	s.counts.asked.Add(1)
 	held := s.requests.Add(1)
 	defer s.requests.Add(-1)
 	r, refused := s.accept(in, held > int64(s.cfg.MaxRequests))
@@ -162,6 +165,9 @@
 		refused, cut = s.serve(w, r)
 	}
 	if refused != nil {
+		if refused.outcome == retry.NotRun {
+			s.counts.refused.Add(1)
+		}
 		r.record.status = refused.status
 		r.record.outcome = string(refused.outcome)
 		r.record.retryAfter = refused.retryAfter
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -51,11 +51,13 @@
 	}
 	r.record.lag = lag
 	if s.over.recent(r.teamName(), r.arrived) {
+		s.counts.shed.Add(1)
 		no := notRun("over_share", "the team has had its share; the request was not run", overRetry)
 		no.status = http.StatusTooManyRequests
 		return no
 	}
 	if lag > s.cfg.ShedAll && r.route.Kind == routing.Streaming {
+		s.counts.shed.Add(1)
 		return notRun("router_busy", "this router is behind with its work; the request was not run", retryLater)
 	}
 	return nil
