--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -86,6 +86,7 @@
 	j.memory = r.Output
 	c.warm(&j.Request)
 	c.charge(now, j)
+	c.teams.use = c.meanUse(now) / c.teams.known(now, useWindow)
 	j.over = c.teams.over(now, r.Team)
 	c.counts.Asked++
 	c.jobs[r.Ticket] = j
@@ -93,6 +94,20 @@
 	return c.take()
 }
 
+// meanUse is the part of the time in which upstreams had unread work.
+func (c *Core) meanUse(now time.Duration) float64 {
+	sum, n := 0.0, 0
+	for _, u := range c.upstreams {
+		if now < u.banned {
+			continue
+		}
+		u.touch(now)
+		sum += u.use
+		n++
+	}
+	return sum / float64(max(n, 1))
+}
+
 // newJob begins a job. The target of a caller that comes back counts from its first
 // attempt.
 func (c *Core) newJob(now time.Duration, r Request) *job {
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -20,6 +20,8 @@
 	most float64
 	// got is what all teams together were served within the window.
 	got float64
+	// use is the part of the time in which the upstreams had unread work.
+	use float64
 	// startAt is when the first request came.
 	startAt time.Duration
 	// refusedAt is when a request was last refused for want of room.
@@ -172,18 +174,38 @@
 // saturatedFor is how long after a refusal the upstreams count as full.
 const saturatedFor = time.Second
 
-// room is what the upstreams yield within the window: while requests are refused,
-// what was served. The figure that operators publish is for a typical mix; with
-// warm caches the engines yield more, after a loss less, and a share of the wrong
-// total lets large teams take what others are owed.
+// room is what the upstreams can yield within the window: what was served, and the
+// same for the time in which they had nothing to read. Without the second a share of
+// what was served collapses: refusals lower what is served, which lowers the share,
+// which brings more refusals, while engines are idle. The figure that operators
+// publish is for a typical mix; with warm caches the engines yield more, after a loss
+// less.
 func (s *shares) room(now time.Duration) float64 {
 	if s.refusedAt == 0 || now-s.refusedAt >= saturatedFor {
 		return math.Inf(1)
 	}
-	known := 1 - math.Exp(-float64(now-s.startAt)/float64(s.window))
-	return max(s.got, leastYield*s.capacity*s.window.Seconds()*known)
+	least := leastYield * s.capacity * s.window.Seconds() * s.known(now, s.window)
+	return max(s.got*max(fullUse/max(s.use, leastUse), 1), least)
 }
 
+// known is the part of a decaying average over a window that the time since the
+// first request can have filled.
+func (s *shares) known(now, window time.Duration) float64 {
+	const least = 0.01
+	return max(1-math.Exp(-float64(now-s.startAt)/float64(window)), least)
+}
+
+const (
+	// fullUse is the part of the time in which engines have unread work from which on
+	// no more is made of the rest. Where sessions wait for the engine that keeps
+	// their parts, others are idle meanwhile; taking 0.85 for full let large teams in
+	// where small ones were refused (small teams' worth 0.914 to 0.885 over six
+	// seeds of the grown load).
+	fullUse = 0.5
+	// leastUse bounds what is made of a short past.
+	leastUse = 0.2
+)
+
 // leastYield is the part of the published yield that is taken for granted. A
 // share of what was served alone can collapse: refusals lower what is served,
 // which lowers the share, which brings more refusals; a new home would start
--- a/lab/world.go
+++ b/lab/world.go
@@ -73,7 +73,9 @@
 var speeds = []float64{1, 1, 1.3}
 
 // Play plays a load under a policy. The same seed gives the same result.
-func Play(l Load, s Shape, p Policy) Result {
+func Play(l Load, s Shape, p Policy) Result { return playWorld(l, s, p).sum() }
+
+func playWorld(l Load, s Shape, p Policy) *world {
 	w := &world{
 		clock: &clock{}, load: l, byID: map[string]*engine{}, requests: map[uint64]*request{},
 		rnd: rand.New(rand.NewPCG(l.Seed, 1)), result: Result{Policy: p, ByClass: map[string]float64{}},
@@ -95,7 +97,7 @@
 		w.clock.after(a.at, func() { w.arrive(r) })
 	}
 	w.clock.run(l.Length + 20*time.Second)
-	return w.sum()
+	return w
 }
 
 // parts names a request's prompt: group, session and its own.
