--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -91,3 +91,17 @@
 	g := NewWithT(t)
 	g.Expect(lab.Play(heavy(3), shape, lab.Home)).To(Equal(lab.Play(heavy(3), shape, lab.Home)))
 }
+
+// The largest team alone asks for more than the engines give, two smaller ones flood
+// in turn, and callers who are refused come back. What is owed is served, small
+// teams get theirs, and no team that waits gets less than half of what another got
+// (over six seconds, second by second).
+func TestFloodsOfTheGrownDeploymentAreSharedOut(t *testing.T) {
+	g := NewWithT(t)
+	for _, seed := range seeds {
+		r := lab.Play(lab.Grown(seed), lab.Shape{Engines: lab.GrownVilaine().EnginesPublished, Routers: 6}, lab.Home)
+		g.Expect(r.Owed).To(BeNumerically(">", 0.9))
+		g.Expect(r.SmallTeams).To(BeNumerically(">", 0.85))
+		g.Expect(r.Gap).To(BeNumerically(">", 0.6))
+	}
+}
--- a/lab/table.go
+++ b/lab/table.go
@@ -43,13 +43,13 @@
 // Table plays the days under all policies and prints what callers got.
 func Table(out io.Writer, s Shape, seed uint64) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "day\tpolicy\tworth\tof owed\tworst teams\tsmall teams\ton time\tlate\trefused\tcut\tread again")
+	fmt.Fprintln(w, "day\tpolicy\tworth\tof owed\tworst teams\tgap\tsmall teams\ton time\tlate\trefused\tcut\tread again")
 	loads := days(seed)
 	for _, day := range dayNames {
 		for _, p := range Policies() {
 			r := Play(loads[day], s.of(day), p)
-			fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\n",
-				day, p, r.Worth, r.Owed, r.WorstTeams, r.SmallTeams, r.OnTime, r.Late, r.Refused, r.Cut, r.Reread)
+			fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\n",
+				day, p, r.Worth, r.Owed, r.WorstTeams, r.Gap, r.SmallTeams, r.OnTime, r.Late, r.Refused, r.Cut, r.Reread)
 		}
 	}
 	return Error.Wrap(w.Flush())
--- a/lab/world.go
+++ b/lab/world.go
@@ -19,6 +19,7 @@
 	rnd      *rand.Rand
 	result   Result
 	owed     *ledger
+	gap      *fairnessGap
 	// seq names attempts.
 	seq uint64
 }
@@ -59,6 +60,8 @@
 	// its max-min share of the published yield counts neither way. WorstTeams is
 	// the same for the tenth of the teams that got least of theirs.
 	Owed, WorstTeams float64
+	// Gap is the least part of its due that a team got over six seconds.
+	Gap float64
 	// OnTime, Late, Refused, Cut are parts of the requests.
 	OnTime, Late, Refused, Cut float64
 	// Reread is the part of the tokens read that shared parts read again took.
@@ -79,7 +82,7 @@
 	w := &world{
 		clock: &clock{}, load: l, byID: map[string]*engine{}, requests: map[uint64]*request{},
 		rnd: rand.New(rand.NewPCG(l.Seed, 1)), result: Result{Policy: p, ByClass: map[string]float64{}},
-		owed: newLedger(l.Sheet),
+		owed: newLedger(l.Sheet), gap: newGap(l.Sheet.Teams),
 	}
 	for i := range s.Engines {
 		e := newEngine(fmt.Sprintf("e%d", i), w.clock, l.Sheet, speeds[i%len(speeds)])
@@ -127,6 +130,7 @@
 }
 
 func (w *world) arrive(r *request) {
+	w.gap.at(w.clock.now, r.team).asked += r.charge()
 	w.clock.after(w.class(r).Deadline, func() { w.expire(r) })
 	w.try(r)
 }
@@ -156,6 +160,9 @@
 	r.atEngine = &sequence{parts: r.parts, prompt: r.prompt(), output: r.output}
 	r.atEngine.first = func() {
 		r.first = w.clock.now
+		second := w.gap.at(w.clock.now, r.team)
+		second.began += r.charge()
+		second.held = second.held || r.first-r.at > w.class(r).Aim
 		w.decider.started(r)
 	}
 	r.atEngine.done = func() { w.answered(r) }
@@ -167,6 +174,7 @@
 
 // refused ends a request, or lets its caller come back when it was told to.
 func (w *world) refused(r *request, after time.Duration) {
+	w.gap.at(w.clock.now, r.team).held = true
 	if r.tries <= w.load.Returns {
 		w.clock.after(min(after, w.left(r)/longestReturn), func() {
 			if !r.ended {
@@ -228,7 +236,7 @@
 		res.ByClass[c.Name] /= float64(asked[i]) * c.Worth
 	}
 	res.Worth, res.SmallTeams = w.owed.all(), w.owed.small()
-	res.Owed, res.WorstTeams = w.owed.owed(), w.owed.worst()
+	res.Owed, res.WorstTeams, res.Gap = w.owed.owed(), w.owed.worst(), w.gap.worst()
 	read, reread := 0, 0
 	for _, e := range w.engines {
 		read += e.read
