Peers that are a little behind get what has changed, not the whole state

A router remembers which upstreams changed at which revision, for the last thousand changes; a listing or a full state begins anew.

Found on the way: a state that could not be taken in must not confirm the one that is known (it could not happen before, as all were whole).

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -32,6 +32,7 @@
 	// mu guards what follows.
 	mu       sync.Mutex
 	upstream *registry.Registry
+	changes  changeLog
 	table    *routing.Table
 	revision int64
 	// regained is when the platform answered again after a failure.
@@ -112,6 +113,7 @@
 		return f.adopt(c.Config)
 	case c.Upstream != nil:
 		f.upstream.Put(*c.Upstream)
+		f.changes.add(c.Revision, c.Upstream.ID)
 		f.log.Info().Str("event", "upstream").Str("upstream", c.Upstream.ID).Str("service", c.Upstream.Service).
 			Str("address", c.Upstream.Address).Bool("draining", c.Upstream.Draining).Int64("revision", c.Revision).Msg("upstream published")
 	default:
@@ -124,6 +126,7 @@
 // though their upstreams live; those get the time to come back.
 func (f *Feed) remove(c Change) {
 	now := f.now()
+	f.changes.add(c.Revision, c.Gone)
 	if f.regained != 0 && now.Sub(f.regained) < returnTime {
 		f.upstream.Lapse(c.Gone, now.Add(registry.LapseGrace))
 		f.log.Info().Str("event", "upstream").Str("upstream", c.Gone).Int64("revision", c.Revision).Msg("upstream lapsed")
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -212,7 +212,7 @@
 		clock := func() boottime.Time { return boottime.Time(time.Since(begin) + time.Hour) }
 		peer := feed.New(feed.DefaultConfig(revoke, apply), &scripted{list: func(ctx context.Context) (feed.Batch, error) { return silent(ctx, 0, 0) }, watch: silent},
 			clock, zerolog.Nop(), func() bool { return false }, func() {})
-		peer.Import(f.Export(0), clock())
+		peer.Import(f.Export(feed.Have{}), clock())
 		ctx, cancel := context.WithCancel(context.Background())
 		t.Cleanup(cancel)
 		go peer.Run(ctx)
--- a/feed/peer.go
+++ b/feed/peer.go
@@ -8,47 +8,83 @@
 	"github.com/aspenswitch/aspenswitch/routing"
 )
 
+// Have is what a router has that asks a peer for its state.
+type Have struct {
+	ConfigVersion int64
+	Revision      int64
+}
+
 // Export is a router's state as its peers get it.
 type Export struct {
 	Revision int64
 	// AgeNanos is how long ago the state was confirmed when it was sent.
 	AgeNanos int64
 	// Config is left out if the asker has this version.
-	Config    *routing.Config
+	Config *routing.Config
+	// Since, if not 0, is the revision after which Upstreams and Gone tell what has
+	// changed. Else Upstreams are all.
+	Since     int64 `json:",omitempty"`
 	Upstreams []registry.Upstream
+	Gone      []string `json:",omitempty"`
 	// Lapsed are upstreams whose entries went missing, with the nanoseconds for
 	// which they may still be used. Without them a peer would keep an upstream
 	// that has left until the next change.
 	Lapsed map[string]int64 `json:",omitempty"`
 }
 
-// Export returns the state for a peer that has a version of the configuration.
-// It returns nil if there is none.
-func (f *Feed) Export(haveConfig int64) *Export {
+// Have is what this router has.
+func (f *Feed) Have() Have {
+	s := f.Snapshot()
+	if s == nil {
+		return Have{}
+	}
+	return Have{ConfigVersion: s.ConfigVersion(), Revision: s.Revision}
+}
+
+// Export returns the state for a peer. It returns nil if there is none.
+func (f *Feed) Export(have Have) *Export {
 	// The date is read before the state: a state that is newer than its date
 	// only looks older than it is.
 	age := f.Age()
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	s := f.Snapshot()
-	lapsed := f.upstream.Lapsed()
-	f.mu.Unlock()
 	if s == nil {
 		return nil
 	}
-	e := &Export{Revision: s.Revision, AgeNanos: int64(age), Upstreams: s.View.All()}
+	e := &Export{Revision: s.Revision, AgeNanos: int64(age)}
+	f.exportUpstreams(e, s, have.Revision)
 	now := f.now()
-	for id, until := range lapsed {
+	for id, until := range f.upstream.Lapsed() {
 		if e.Lapsed == nil {
 			e.Lapsed = map[string]int64{}
 		}
 		e.Lapsed[id] = int64(until.Sub(now))
 	}
-	if s.ConfigVersion() > haveConfig {
+	if s.ConfigVersion() > have.ConfigVersion {
 		e.Config = s.Table.Config
 	}
 	return e
 }
 
+// exportUpstreams tells a peer what has changed after its revision, or all if that
+// isn't known any more.
+func (f *Feed) exportUpstreams(e *Export, s *Snapshot, revision int64) {
+	ids, known := f.changes.since(revision)
+	if !known || revision == 0 {
+		e.Upstreams = s.View.All()
+		return
+	}
+	e.Since = revision
+	for id := range ids {
+		if u, found := f.upstream.Get(id); found {
+			e.Upstreams = append(e.Upstreams, u)
+		} else {
+			e.Gone = append(e.Gone, id)
+		}
+	}
+}
+
 // Import takes in a peer's state that was asked for at a moment.
 func (f *Feed) Import(e *Export, asked boottime.Time) {
 	f.mu.Lock()
@@ -56,23 +92,20 @@
 	if e.Config != nil {
 		changed = f.adopt(e.Config)
 	}
-	if e.Revision > f.revision {
-		f.upstream = registry.New()
-		for _, u := range e.Upstreams {
-			f.upstream.Put(u)
-		}
+	if e.Revision > f.revision && f.importUpstreams(e) {
 		for id, left := range e.Lapsed {
 			f.upstream.Lapse(id, asked.Add(time.Duration(left)))
 		}
 		f.revision = e.Revision
 		changed = true
-		f.log.Info().Str("event", "peer_state").Int64("revision", e.Revision).
-			Int("upstreams", len(e.Upstreams)).Int64("age_ms", e.AgeNanos/1e6).Msg("state taken from a peer")
+		f.log.Info().Str("event", "peer_state").Int64("revision", e.Revision).Int64("since", e.Since).
+			Int("upstreams", len(e.Upstreams)).Int("gone", len(e.Gone)).Int64("age_ms", e.AgeNanos/1e6).Msg("state taken from a peer")
 	}
-	current := f.revision
+	// A state that could not be taken in says nothing of the one that is known.
+	newest := e.Revision == f.revision
 	f.publish(changed)
 	f.mu.Unlock()
-	if e.Revision >= current {
+	if newest {
 		f.confirm(asked - boottime.Time(e.AgeNanos))
 	}
 	if changed {
@@ -80,6 +113,31 @@
 	}
 }
 
+// importUpstreams takes in upstreams. It reports false for changes that don't join
+// what is known: one between them would be missing for good.
+func (f *Feed) importUpstreams(e *Export) bool {
+	if e.Since == 0 {
+		f.upstream = registry.New()
+		f.changes.reset(e.Revision)
+		for _, u := range e.Upstreams {
+			f.upstream.Put(u)
+		}
+		return true
+	}
+	if e.Since > f.revision {
+		return false
+	}
+	for _, u := range e.Upstreams {
+		f.upstream.Put(u)
+		f.changes.add(u.Revision, u.ID)
+	}
+	for _, id := range e.Gone {
+		f.upstream.Delete(id, e.Revision)
+		f.changes.add(e.Revision, id)
+	}
+	return true
+}
+
 // Vouch takes a peer's word that a revision was the newest as of a moment. It
 // reports whether the peer knows more than this router.
 func (f *Feed) Vouch(revision int64, at boottime.Time) (newer bool) {
--- a/feed/read.go
+++ b/feed/read.go
@@ -69,6 +69,8 @@
 		}
 	}
 	f.upstream.Keep(listed, f.now())
+	// What went missing before the listing has no revision that tells of it.
+	f.changes.reset(b.Revision)
 	f.mu.Unlock()
 	f.apply(b, sent)
 	return true
--- a/fleet/pull.go
+++ b/fleet/pull.go
@@ -17,6 +17,7 @@
 // stateParams say what the asker has.
 type stateParams struct {
 	ConfigVersion int64 `json:"configVersion"`
+	Revision      int64 `json:"revision"`
 }
 
 // pullTimeout bounds the transfer of a state: a megabyte takes a few
@@ -53,7 +54,7 @@
 	defer func() { _ = rpc.Close() }()
 	asked := n.now()
 	var state feed.Export
-	params := stateParams{ConfigVersion: n.feed.Snapshot().ConfigVersion()}
+	params := stateParams(n.feed.Have())
 	if err := rpc.Call(ctx, methodState, params, &state); err != nil {
 		return Error.Wrap(err)
 	}
@@ -99,7 +100,7 @@
 	if err := decodeParams(req, &params); err != nil {
 		return nil, err
 	}
-	state := n.feed.Export(params.ConfigVersion)
+	state := n.feed.Export(feed.Have(params))
 	if state == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "no state yet"}
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -50,6 +50,12 @@
 	r.forget()
 }
 
+// Get returns an entry.
+func (r *Registry) Get(id string) (Upstream, bool) {
+	u, found := r.entries[id]
+	return u, found
+}
+
 // maxGone bounds the memory for deletions; a listing takes seconds, in which no
 // fleet loses as many upstreams.
 const maxGone = 4096
