A soak: routers as processes, hurt from outside by a seeded plan, checked from both ends

Now aspenswitch-soak starts routers as separate processes before stand-ins of the store and of the upstreams, passes callers, store and upstreams through loopback proxies that delay, reset, cut one way or silence connections, signals the processes (kill, pause, planned stop, reload, all at once), changes keys and routes, and lets upstreams leave, crash, come back at the same address as another service, and misbehave in ten ways. 26 kinds, a quarter in series. The stand-in runner streams, works for a while and tells when its caller leaves; the adapter can write what it reads, so that stand-ins publish with the one copy of the wire's types (TestEntriesSurviveTheWay).

Ruled out: a proxy between routers (they share one port at addresses of their own and tell each other these addresses); a paused process stands for one that isn't heard.

--- /dev/null
+++ b/soak/config.go
@@ -0,0 +1,43 @@
+package soak
+
+import (
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/settings"
+)
+
+// Config is the size of a run and where its programs are.
+type Config struct {
+	Seed uint64
+	// Duration is how long faults come; Settle follows it without any.
+	Duration time.Duration
+	Settle   time.Duration
+	// Daemon is the program of a router.
+	Daemon string
+	// Dir is where settings and logs are written.
+	Dir string
+	// Slot tells runs on one machine apart: each has addresses of its own.
+	Slot    int
+	Routers int
+	// Upstreams is how many each of the two services has.
+	Upstreams int
+	Callers   int
+	// Faults is the mean number of faults a second.
+	Faults float64
+	Bounds settings.Bounds
+}
+
+// DefaultConfig returns a run of some twenty seconds with five routers.
+func DefaultConfig() Config {
+	return Config{
+		Duration: 15 * time.Second, Settle: 8 * time.Second, Routers: 5, Upstreams: 3, Callers: 24, Faults: 1.2,
+		Bounds: settings.Bounds{
+			RevokeMs: 5000, ApplyMs: 2000, LeaveMs: 2000, GraceS: 4,
+			RetryRatio: 0.2, RetryAllowance: 40, RetryWindowS: 10, ShareWindowS: 4,
+		},
+	}
+}
+
+// contact is how long a router must have been left alone before bounds on time
+// hold for it, as deployments have it.
+const contact = 3 * time.Second
--- /dev/null
+++ b/soak/fault.go
@@ -0,0 +1,67 @@
+package soak
+
+import "time"
+
+// FaultKind is what is done to a part of the deployment.
+type FaultKind string
+
+// Kinds of faults. Each has a part: a router, an upstream, or the store as a whole.
+const (
+	// RouterKill ends a router's process without notice; it starts again.
+	RouterKill FaultKind = "router-kill"
+	// RouterPause stops a process by a signal and wakes it later.
+	RouterPause FaultKind = "router-pause"
+	// RouterStop is a planned stop: a signal, the grace, and a start.
+	RouterStop FaultKind = "router-stop"
+	// RouterReload says that the settings have changed.
+	RouterReload FaultKind = "router-reload"
+	// HerdKill ends all routers' processes at one moment.
+	HerdKill FaultKind = "herd-kill"
+	// CallersDelay, CallersReset, CallersHush and CallersCut harm the link from the
+	// callers to a router.
+	CallersDelay FaultKind = "callers-delay"
+	CallersReset FaultKind = "callers-reset"
+	CallersHush  FaultKind = "callers-hush"
+	CallersCut   FaultKind = "callers-cut"
+	// StoreDelay, StoreReset, StoreHush and StoreCut harm a router's link to the store.
+	StoreDelay FaultKind = "store-delay"
+	StoreReset FaultKind = "store-reset"
+	StoreHush  FaultKind = "store-hush"
+	StoreCut   FaultKind = "store-cut"
+	// StoreAway makes the store turn one router away.
+	StoreAway FaultKind = "store-away"
+	// StoreDown makes the store answer nobody; StoreForget drops its history and
+	// cuts all watches.
+	StoreDown   FaultKind = "store-down"
+	StoreForget FaultKind = "store-forget"
+	// UpstreamDelay, UpstreamReset, UpstreamHush and UpstreamCut harm the routers'
+	// link to an upstream.
+	UpstreamDelay FaultKind = "upstream-delay"
+	UpstreamReset FaultKind = "upstream-reset"
+	UpstreamHush  FaultKind = "upstream-hush"
+	UpstreamCut   FaultKind = "upstream-cut"
+	// UpstreamLeave is a planned leave; UpstreamCrash has none. Another
+	// incarnation, of either service, comes up at the same address.
+	UpstreamLeave FaultKind = "upstream-leave"
+	UpstreamCrash FaultKind = "upstream-crash"
+	// UpstreamGrey makes an upstream fail part of its requests, break off its
+	// answers, send them twice, or send what is no answer.
+	UpstreamGrey FaultKind = "upstream-grey"
+	// KeyChange takes a team's key away and gives it another; RouteMove sends a
+	// route to the other service; RouteAdd adds one.
+	KeyChange FaultKind = "key-change"
+	RouteMove FaultKind = "route-move"
+	RouteAdd  FaultKind = "route-add"
+)
+
+// Fault is one entry of a plan.
+type Fault struct {
+	At   time.Duration `json:"at"`
+	Kind FaultKind     `json:"kind"`
+	// Target is the index of the router or upstream.
+	Target int `json:"target"`
+	// For is how long it lasts, where it does.
+	For time.Duration `json:"for"`
+	// Variant picks among the forms of a kind.
+	Variant int `json:"variant"`
+}
--- /dev/null
+++ b/soak/history.go
@@ -0,0 +1,116 @@
+package soak
+
+import (
+	"sync"
+	"time"
+)
+
+// History is what callers and upstreams saw and what was done to the fleet. All
+// times are counted from the start of the run.
+type History struct {
+	Requests     []Request     `json:"requests"`
+	Runs         []Run         `json:"runs"`
+	Disturbances []Disturbance `json:"disturbances"`
+	KeysGone     []Change      `json:"keysGone"`
+	Departures   []Change      `json:"departures"`
+	Moves        []Change      `json:"moves"`
+	Additions    []Change      `json:"additions"`
+	Exits        []Exit        `json:"exits"`
+}
+
+// Request is one request of a caller.
+type Request struct {
+	ID          string    `json:"id"`
+	Kind        RouteKind `json:"kind"`
+	Prefix      string    `json:"prefix"`
+	Key         string    `json:"key"`
+	Router      int       `json:"router"`
+	Incarnation int       `json:"incarnation"`
+	// Sent is when the last byte was written, Ended when the answer or the
+	// connection ended.
+	Sent  time.Duration `json:"sent"`
+	Ended time.Duration `json:"ended"`
+	// Status is 0 if no answer began.
+	Status int `json:"status"`
+	// Whole is set if the answer came to its end.
+	Whole bool `json:"whole"`
+	// Left is set if the caller closed the connection before the answer's end.
+	Left bool `json:"left"`
+	// Wrong says what is wrong with an answer.
+	Wrong string `json:"wrong,omitempty"`
+}
+
+// Run is one run of a request at an upstream.
+type Run struct {
+	Request  string        `json:"request"`
+	Upstream string        `json:"upstream"`
+	Service  string        `json:"service"`
+	Began    time.Duration `json:"began"`
+	Ended    time.Duration `json:"ended"`
+	// Cancelled is set if the connection ended before the answer was whole.
+	Cancelled bool `json:"cancelled"`
+}
+
+// Disturbance is a fault while it was in force, and a while after, as long as its
+// traces last.
+type Disturbance struct {
+	Kind   FaultKind     `json:"kind"`
+	Target int           `json:"target"`
+	From   time.Duration `json:"from"`
+	To     time.Duration `json:"to"`
+}
+
+// Change is something that the store acknowledged at a moment: a key taken away,
+// an upstream leaving, a route moved to a service or added.
+type Change struct {
+	Name string        `json:"name"`
+	At   time.Duration `json:"at"`
+}
+
+// Exit is an end of a router's process that nobody ordered, or one that took
+// longer than the grace.
+type Exit struct {
+	Router int           `json:"router"`
+	At     time.Duration `json:"at"`
+	How    string        `json:"how"`
+}
+
+// Recorder collects a History from many goroutines.
+type Recorder struct {
+	start time.Time
+	mu    sync.Mutex
+	h     History
+}
+
+// NewRecorder starts the run's clock.
+func NewRecorder() *Recorder { return &Recorder{start: time.Now()} }
+
+// Now is the time since the start.
+func (r *Recorder) Now() time.Duration { return time.Since(r.start) }
+
+// Add notes something.
+func (r *Recorder) Add(note func(*History)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	note(&r.h)
+}
+
+// Began notes a run; the function returned notes its end.
+func (r *Recorder) Began(request, upstream, service string) (ended func(gone bool)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := len(r.h.Runs)
+	r.h.Runs = append(r.h.Runs, Run{Request: request, Upstream: upstream, Service: service, Began: r.Now()})
+	return func(gone bool) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.h.Runs[at].Ended, r.h.Runs[at].Cancelled = r.Now(), gone
+	}
+}
+
+// History returns what was noted. Nothing may be noted any more.
+func (r *Recorder) History() *History {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return &r.h
+}
--- /dev/null
+++ b/soak/link_test.go
@@ -0,0 +1,76 @@
+package soak
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// echoServer answers each line with itself.
+func echoServer(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+type lineConn struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func dialLine(g *WithT, k *Link) *lineConn {
+	c, err := net.Dial("tcp", k.Address())
+	g.Expect(err).NotTo(HaveOccurred())
+	return &lineConn{Conn: c, in: bufio.NewReader(c)}
+}
+
+// say sends a line and returns what came back in time.
+func (c *lineConn) say(within time.Duration) (string, error) {
+	_ = c.SetDeadline(time.Now().Add(within))
+	if _, err := io.WriteString(c, "hello\n"); err != nil {
+		return "", err
+	}
+	return c.in.ReadString('\n')
+}
+
+// A link that harms nothing, or never ends to harm, would make every check of the
+// soak pass or fail for no reason.
+func TestLinkDoesWhatItIsTold(t *testing.T) {
+	g := NewWithT(t)
+	k, err := NewLink("127.0.0.1", echoServer(t))
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(k.Close)
+	c := dialLine(g, k)
+	g.Expect(c.say(10 * time.Second)).To(Equal("hello\n"))
+
+	k.Cut(Back, true)
+	_, err = c.say(50 * time.Millisecond)
+	g.Expect(err).To(MatchError(ContainSubstring("timeout")))
+	k.Cut(Back, false)
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	g.Expect(c.in.ReadString('\n')).To(Equal("hello\n"), "what a cut held up arrives")
+
+	k.Hush()
+	_, err = c.say(50 * time.Millisecond)
+	g.Expect(err).To(MatchError(ContainSubstring("timeout")))
+	fresh := dialLine(g, k)
+	g.Expect(fresh.say(10*time.Second)).To(Equal("hello\n"), "new connections work")
+
+	k.Reset()
+	_, err = fresh.say(10 * time.Second)
+	g.Expect(err).To(HaveOccurred())
+}
--- /dev/null
+++ b/soak/plan.go
@@ -0,0 +1,103 @@
+package soak
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// weighted is a kind of fault with how often it is drawn and how long it lasts.
+type weighted struct {
+	kind     FaultKind
+	weight   int
+	min, max time.Duration
+}
+
+// menu has all kinds. Changes are drawn most, since faults matter most beside
+// them; a herd kill leaves nothing to check for seconds and is rare.
+var menu = []weighted{
+	{RouterKill, 6, 100 * time.Millisecond, 2 * time.Second},
+	{RouterPause, 8, 200 * time.Millisecond, 7 * time.Second},
+	{RouterStop, 8, 200 * time.Millisecond, time.Second},
+	{RouterReload, 4, 0, 0},
+	{HerdKill, 1, 100 * time.Millisecond, time.Second},
+	{CallersDelay, 3, 500 * time.Millisecond, 2 * time.Second},
+	{CallersReset, 4, 0, 0},
+	{CallersHush, 2, 0, 0},
+	{CallersCut, 3, 300 * time.Millisecond, 3 * time.Second},
+	{StoreDelay, 3, 500 * time.Millisecond, 3 * time.Second},
+	{StoreReset, 3, 0, 0},
+	{StoreHush, 4, 0, 0},
+	{StoreCut, 4, 500 * time.Millisecond, 6 * time.Second},
+	{StoreAway, 4, 500 * time.Millisecond, 6 * time.Second},
+	{StoreDown, 2, 500 * time.Millisecond, 6 * time.Second},
+	{StoreForget, 3, 0, 0},
+	{UpstreamDelay, 3, 300 * time.Millisecond, 2 * time.Second},
+	{UpstreamReset, 4, 0, 0},
+	{UpstreamHush, 3, 0, 0},
+	{UpstreamCut, 3, 300 * time.Millisecond, 3 * time.Second},
+	{UpstreamLeave, 8, time.Second, 3 * time.Second},
+	{UpstreamCrash, 6, time.Second, 3 * time.Second},
+	{UpstreamGrey, 8, time.Second, 4 * time.Second},
+	{KeyChange, 10, 0, 0},
+	{RouteMove, 8, 0, 0},
+	{RouteAdd, 4, 0, 0},
+}
+
+// repeatShare is how many faults in a hundred come in series: the same kind again
+// within half a second, beside what the first one left.
+const repeatShare = 25
+
+// Plan draws the faults of a run. Equal configurations give equal plans.
+func Plan(cfg Config) []Fault {
+	rnd := rand.New(rand.NewPCG(cfg.Seed, 0))
+	var plan []Fault
+	at := time.Second
+	for {
+		at += time.Duration(rnd.ExpFloat64() / cfg.Faults * float64(time.Second))
+		if at >= cfg.Duration {
+			break
+		}
+		f := draw(rnd, cfg, at)
+		plan = append(plan, f)
+		if rnd.IntN(100) < repeatShare {
+			f.At += time.Duration(rnd.IntN(int(500 * time.Millisecond)))
+			f.Target = target(rnd, cfg, f.Kind)
+			plan = append(plan, f)
+		}
+	}
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
+func draw(rnd *rand.Rand, cfg Config, at time.Duration) Fault {
+	total := 0
+	for _, w := range menu {
+		total += w.weight
+	}
+	pick := rnd.IntN(total)
+	for _, w := range menu {
+		if pick -= w.weight; pick >= 0 {
+			continue
+		}
+		f := Fault{At: at, Kind: w.kind, Target: target(rnd, cfg, w.kind), For: w.min, Variant: rnd.IntN(1 << 16)}
+		if w.max > w.min {
+			f.For += time.Duration(rnd.Int64N(int64(w.max - w.min)))
+		}
+		// Nothing lasts into the time in which the fleet must serve as before.
+		f.For = min(f.For, cfg.Duration-at)
+		return f
+	}
+	panic("soak: weights and total differ")
+}
+
+// target draws the part that a kind of fault meets.
+func target(rnd *rand.Rand, cfg Config, kind FaultKind) int {
+	switch kind {
+	case UpstreamDelay, UpstreamReset, UpstreamHush, UpstreamCut, UpstreamLeave, UpstreamCrash, UpstreamGrey:
+		return rnd.IntN(2 * cfg.Upstreams)
+	default:
+		return rnd.IntN(cfg.Routers)
+	}
+}
--- /dev/null
+++ b/soak/plan_test.go
@@ -0,0 +1,32 @@
+package soak
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// A seed that failed must play the same faults again, none after the end, and
+// over many seeds every kind must come.
+func TestPlans(t *testing.T) {
+	seen := map[FaultKind]bool{}
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		cfg := DefaultConfig()
+		cfg.Seed = rapid.Uint64().Draw(t, "seed")
+		plan := Plan(cfg)
+		g.Expect(Plan(cfg)).To(Equal(plan))
+		for i, f := range plan {
+			seen[f.Kind] = true
+			g.Expect(f.At + f.For).To(BeNumerically("<=", cfg.Duration+cfg.Duration/10))
+			g.Expect(f.Target).To(BeNumerically("<", 2*cfg.Upstreams))
+			if i > 0 {
+				g.Expect(f.At).To(BeNumerically(">=", plan[i-1].At))
+			}
+		}
+	})
+	for _, w := range menu {
+		NewWithT(t).Expect(seen).To(HaveKey(w.kind))
+	}
+}
--- /dev/null
+++ b/soak/play.go
@@ -0,0 +1,138 @@
+package soak
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/standin"
+)
+
+// play brings the faults about, each at its time and beside those before it, and
+// returns when the last has ended.
+func (d *deployment) play(plan []Fault) error {
+	start := time.Now()
+	var running sync.WaitGroup
+	var mu sync.Mutex
+	var failed error
+	for _, f := range plan {
+		time.Sleep(time.Until(start.Add(f.At)))
+		running.Go(func() {
+			if err := d.bring(f); err != nil {
+				mu.Lock()
+				failed = errors.Join(failed, err)
+				mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(time.Until(start.Add(d.cfg.Duration)))
+	running.Wait()
+	return failed
+}
+
+// bring brings one fault about and notes how long it lasted.
+func (d *deployment) bring(f Fault) error {
+	from := d.rec.Now()
+	at := 0
+	// It is noted at its beginning, so that nothing that it causes comes before it.
+	d.rec.Add(func(h *History) {
+		at = len(h.Disturbances)
+		h.Disturbances = append(h.Disturbances, Disturbance{Kind: f.Kind, Target: f.Target, From: from, To: from + time.Hour})
+	})
+	err := d.apply(f)
+	to := d.rec.Now()
+	d.rec.Add(func(h *History) { h.Disturbances[at].To = to })
+	return err
+}
+
+// apply does what a fault says and returns when it is over.
+func (d *deployment) apply(f Fault) error {
+	switch f.Kind {
+	case RouterKill, RouterPause, RouterStop, RouterReload:
+		d.hitRouter(d.routers[f.Target], f)
+	case HerdKill:
+		for _, r := range d.routers {
+			r.kill(f.For)
+		}
+		time.Sleep(f.For)
+	case CallersDelay, CallersReset, CallersHush, CallersCut:
+		hitLink(d.routers[f.Target].callers, f)
+	case StoreDelay, StoreReset, StoreHush, StoreCut:
+		hitLink(d.routers[f.Target].store, f)
+	case UpstreamDelay, UpstreamReset, UpstreamHush, UpstreamCut:
+		hitLink(d.places[f.Target].link, f)
+	case StoreAway, StoreDown, StoreForget:
+		d.hitStore(f)
+	case UpstreamLeave:
+		return d.places[f.Target].leave(f.For)
+	case UpstreamCrash:
+		return d.places[f.Target].crash(f.For)
+	case UpstreamGrey:
+		d.places[f.Target].grey(f.Variant, f.For)
+	case KeyChange:
+		return d.op.changeKey()
+	case RouteMove:
+		return d.op.move()
+	case RouteAdd:
+		return d.op.add()
+	}
+	return nil
+}
+
+func (d *deployment) hitRouter(r *router, f Fault) {
+	switch f.Kind {
+	case RouterKill:
+		r.kill(f.For)
+		time.Sleep(f.For)
+	case RouterPause:
+		r.pause(f.For)
+	case RouterStop:
+		r.stop(f.For)
+	default:
+		r.reload()
+	}
+}
+
+// linkDelay is what a slow link adds to each piece.
+const linkDelay = 80 * time.Millisecond
+
+// hitLink harms a link; variants are the ways that a cut may have.
+func hitLink(k *Link, f Fault) {
+	switch f.Kind {
+	case CallersDelay, StoreDelay, UpstreamDelay:
+		k.Delay(linkDelay)
+		time.Sleep(f.For)
+		k.Delay(0)
+	case CallersReset, StoreReset, UpstreamReset:
+		k.Reset()
+	case CallersHush, StoreHush, UpstreamHush:
+		k.Hush()
+	default:
+		forth, back := f.Variant%3 != 1, f.Variant%3 != 2
+		k.Cut(Forth, forth)
+		k.Cut(Back, back)
+		time.Sleep(f.For)
+		k.Cut(Forth, false)
+		k.Cut(Back, false)
+	}
+}
+
+// storeFaults are the forms in which the store turns callers away.
+var storeFaults = []standin.StoreFault{standin.StoreBusy, standin.StoreLimited, standin.StoreSilent, standin.StoreReset}
+
+func (d *deployment) hitStore(f Fault) {
+	fault := storeFaults[f.Variant%len(storeFaults)]
+	switch f.Kind {
+	case StoreAway:
+		d.store.SetFaultFor(storeName(f.Target), fault)
+		time.Sleep(f.For)
+		d.store.SetFaultFor(storeName(f.Target), standin.StoreWell)
+	case StoreDown:
+		d.store.SetFault(fault)
+		time.Sleep(f.For)
+		d.store.SetFault(standin.StoreWell)
+	default:
+		d.store.Forget()
+		d.store.CutWatches()
+	}
+}
--- /dev/null
+++ b/soak/touched.go
@@ -0,0 +1,76 @@
+package soak
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// side says which disturbances excuse a router.
+type side uint8
+
+const (
+	// callerSide are those of its process and of its link to the callers.
+	callerSide side = iota
+	// storeSide are those and the ones of the store and of the link to it.
+	storeSide
+)
+
+// touched reports whether a router was disturbed within a span, other than by
+// planned work.
+func (c *checker) touched(router int, from, to time.Duration, s side) bool {
+	for _, d := range c.h.Disturbances {
+		if d.To >= from && d.From <= to && d.concerns(router, s) {
+			return true
+		}
+	}
+	return false
+}
+
+func (d Disturbance) concerns(router int, s side) bool {
+	switch d.Kind {
+	case HerdKill:
+		return true
+	case StoreDown, StoreForget:
+		return s == storeSide
+	case StoreDelay, StoreReset, StoreHush, StoreCut, StoreAway:
+		return s == storeSide && d.Target == router
+	case RouterKill, RouterPause, CallersDelay, CallersReset, CallersHush, CallersCut:
+		return d.Target == router
+	default:
+		return false
+	}
+}
+
+// upstreamsTouched reports whether one of the upstreams that ran a request was
+// disturbed, or is not known to have been the last to run it.
+func (c *checker) upstreamsTouched(req Request, runs []Run) bool {
+	for _, run := range runs {
+		place, ok := placeOf(run.Upstream)
+		if !ok {
+			continue
+		}
+		for _, d := range c.h.Disturbances {
+			if d.onUpstream() && d.Target == place && d.To >= req.Sent-contact && d.From <= req.Ended {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (d Disturbance) onUpstream() bool {
+	switch d.Kind {
+	case UpstreamDelay, UpstreamReset, UpstreamHush, UpstreamCut, UpstreamLeave, UpstreamCrash, UpstreamGrey:
+		return true
+	default:
+		return false
+	}
+}
+
+// placeOf is the number of the place at which an upstream ran.
+func placeOf(id string) (int, bool) {
+	number, _, found := strings.Cut(strings.TrimPrefix(id, "u"), "-")
+	place, err := strconv.Atoi(number)
+	return place, found && err == nil
+}
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -2,13 +2,12 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // RunnerFault is how a Runner misbehaves.
@@ -43,24 +42,51 @@
 // RunnerNames are the headers that a Runner reads and writes.
 type RunnerNames struct{ RequestID, Instance, Seal, NotRun string }
 
+// RunnerOptions say how a Runner works. The zero value answers at once.
+type RunnerOptions struct {
+	// Work is what a request takes; nil is nothing.
+	Work func(*http.Request) Work
+	// Began is told that a request begins to run, and what it returns is told
+	// the end; gone is set if the connection ended before the answer was whole.
+	Began func(id string) (ended func(gone bool))
+	// FaultEvery is how often a fault comes: at each of so many requests; 0 is
+	// every one.
+	FaultEvery int
+}
+
+// Work is what a request takes.
+type Work struct {
+	// Takes is the time to the answer, or to the first event.
+	Takes time.Duration
+	// Events is the number of events of a stream; 0 is a plain answer. A caller
+	// that names the last event it has gets those after it.
+	Events int
+	// Gap is the time between two events.
+	Gap time.Duration
+}
+
 // Runner is an upstream that answers the way the platform's upstreams do, and
 // misbehaves on request. It counts what it ran by the requests' ids.
 type Runner struct {
-	id    string
-	names RunnerNames
-	fault atomic.Uint32
-	l     net.Listener
-	mu    sync.Mutex
-	ran   map[string]int
+	id       string
+	names    RunnerNames
+	opts     RunnerOptions
+	fault    atomic.Uint32
+	requests atomic.Int64
+	l        net.Listener
+	mu       sync.Mutex
+	ran      map[string]int
+	conns    map[net.Conn]struct{}
+	crashed  bool
 }
 
 // NewRunner listens on a free port of loopback.
-func NewRunner(id string, names RunnerNames) (*Runner, error) {
+func NewRunner(id string, names RunnerNames, opts RunnerOptions) (*Runner, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	r := &Runner{id: id, names: names, l: l, ran: map[string]int{}}
+	r := &Runner{id: id, names: names, opts: opts, l: l, ran: map[string]int{}, conns: map[net.Conn]struct{}{}}
 	go r.accept()
 	return r, nil
 }
@@ -89,9 +115,20 @@
 	return n
 }
 
-// Close ends the listener.
+// Close ends the listener; open connections go on.
 func (r *Runner) Close() error { return r.l.Close() }
 
+// Crash ends the listener and breaks all connections.
+func (r *Runner) Crash() {
+	_ = r.l.Close() // it may be closed already
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashed = true
+	for c := range r.conns {
+		abort(c)
+	}
+}
+
 func (r *Runner) accept() {
 	for {
 		c, err := r.l.Accept()
@@ -102,9 +139,27 @@
 	}
 }
 
+// keep notes a connection; it returns false if the runner has crashed.
+func (r *Runner) keep(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conns[c] = struct{}{}
+	return !r.crashed
+}
+
+func (r *Runner) drop(c net.Conn) {
+	_ = c.Close() // the caller may have ended it
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, c)
+}
+
 // serve answers the requests of a connection until one ends it.
 func (r *Runner) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	defer r.drop(c)
+	if !r.keep(c) {
+		return
+	}
 	in := bufio.NewReader(c)
 	last := ""
 	for {
@@ -115,59 +170,72 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
-		raw, keep := r.answer(req, last)
-		if _, err := io.WriteString(c, raw); err != nil || !keep {
+		if !r.handle(c, in, req, last) {
 			return
 		}
 		last = r.whole(req.Header.Get(r.names.RequestID))
 	}
 }
 
-// answer returns the bytes to send and whether the connection goes on.
-func (r *Runner) answer(req *http.Request, last string) (raw string, keep bool) {
-	id := req.Header.Get(r.names.RequestID)
-	if meant := req.Header.Get(r.names.Instance); meant != "" && meant != r.id {
-		return r.head(http.StatusMisdirectedRequest, id, "Content-Length: 0"), true
-	}
-	fault := RunnerFault(r.fault.Load())
-	if fault == RunnerFull {
-		return r.head(http.StatusServiceUnavailable, id, r.names.NotRun+": 1", "Content-Length: 0"), true
+// handle answers one request and reports whether the connection goes on.
+func (r *Runner) handle(c net.Conn, in *bufio.Reader, req *http.Request, last string) bool {
+	id, fault := req.Header.Get(r.names.RequestID), r.nextFault()
+	if raw := r.reject(req, fault); raw != "" {
+		_, err := io.WriteString(c, raw)
+		return err == nil
 	}
 	r.mu.Lock()
 	r.ran[id]++
 	r.mu.Unlock()
-	switch fault {
-	case RunnerFailing:
-		return r.head(http.StatusInternalServerError, id, r.names.Seal+": seal", "Content-Length: 0"), true
-	case RunnerLosing:
-		return "", false
-	case RunnerExtra:
-		return r.whole(id) + r.whole(id), true
-	case RunnerLate:
-		return last + r.whole(id), true
-	case RunnerGarbled:
-		return "\x00\xffnothing of the kind\r\n\r\n", false
-	case RunnerCut:
-		return r.head(http.StatusOK, id, r.names.Seal+": seal", "Content-Length: 100") + "half", false
-	case RunnerUnframed:
-		return r.head(http.StatusOK, id, r.names.Seal+": seal", "Connection: close") + r.body(id), false
-	case RunnerMute:
-		return "", true
-	case RunnerUnsealed:
-		return r.head(http.StatusOK, id, "Content-Length: 0"), true
-	case RunnerWell, RunnerFull:
+	ended := func(bool) {}
+	if r.opts.Began != nil {
+		ended = r.opts.Began(id)
+	}
+	next := afterAnswer(in)
+	var work Work
+	if r.opts.Work != nil {
+		work = r.opts.Work(req)
+	}
+	keep := r.run(c, req, next, work, fault, last)
+	ended(!keep)
+	return keep && <-next == nil
+}
+
+// nextFault is the fault that the next request meets.
+func (r *Runner) nextFault() RunnerFault {
+	n := r.requests.Add(1)
+	if every := int64(r.opts.FaultEvery); every > 1 && n%every != 0 {
+		return RunnerWell
 	}
-	return r.whole(id), true
+	return RunnerFault(r.fault.Load())
 }
 
-func (r *Runner) body(id string) string { return r.id + " ran " + id }
+// afterAnswer tells when the caller sends on, with nil, or ends the connection.
+func afterAnswer(in *bufio.Reader) <-chan error {
+	next := make(chan error, 1)
+	go func() {
+		_, err := in.Peek(1)
+		next <- err
+	}()
+	return next
+}
 
-func (r *Runner) whole(id string) string {
-	body := r.body(id)
-	return r.head(http.StatusOK, id, r.names.Seal+": seal", fmt.Sprintf("Content-Length: %d", len(body))) + body
+// reject is the answer to a request that isn't run, empty if it is.
+func (r *Runner) reject(req *http.Request, fault RunnerFault) string {
+	id := req.Header.Get(r.names.RequestID)
+	if meant := req.Header.Get(r.names.Instance); meant != "" && meant != r.id {
+		return r.head(http.StatusMisdirectedRequest, id, "Content-Length: 0")
+	}
+	if fault == RunnerFull {
+		return r.head(http.StatusServiceUnavailable, id, r.names.NotRun+": 1", "Content-Length: 0")
+	}
+	return ""
 }
 
-func (r *Runner) head(status int, id string, lines ...string) string {
-	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n", status, http.StatusText(status), r.names.RequestID, id)
-	return head + strings.Join(lines, "\r\n") + "\r\n\r\n"
+// abort ends a connection with a reset.
+func abort(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // an ended socket has nothing to reset
+	}
+	_ = c.Close()
 }
