--- /dev/null
+++ b/soak/check_test.go
@@ -0,0 +1,125 @@
+package soak
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const second = time.Second
+
+// promises are the short names of what was broken.
+func promises(h *History) []string {
+	var names []string
+	for _, v := range Check(h, DefaultConfig().Bounds, 20*second, 30*second) {
+		names = append(names, v.Promise)
+	}
+	return names
+}
+
+// calm is a history in which all is well: a request once faults have ended.
+func calm() *History {
+	return &History{Requests: []Request{{
+		ID: "ok", Kind: Lookup, Key: fixedKey, Sent: 28 * second, Ended: 28*second + 20*time.Millisecond, Status: http.StatusOK, Whole: true,
+	}}}
+}
+
+// booking is one that was answered as usual; change alters it.
+func booking(change func(*Request)) Request {
+	r := Request{ID: "b", Kind: Booking, Prefix: "/book/", Key: fixedKey, Sent: 10 * second, Ended: 10*second + 50*time.Millisecond, Status: http.StatusOK, Whole: true}
+	change(&r)
+	return r
+}
+
+func run(upstream, service string, at time.Duration) Run {
+	return Run{Request: "b", Upstream: upstream, Service: service, Began: at, Ended: at + 10*time.Millisecond}
+}
+
+// A check that finds nothing in a history that breaks its promise would let every
+// seed pass. Each row breaks one promise and no other.
+func TestEachCheckFindsItsPromiseBroken(t *testing.T) {
+	at := 10 * second
+	for promise, breakIt := range map[string]func(*History){
+		"whole answer to its own request": func(h *History) {
+			h.Requests = append(h.Requests, booking(func(r *Request) { r.Wrong = "the answer to c" }))
+		},
+		"refused is not run": func(h *History) {
+			h.Requests = append(h.Requests, booking(func(r *Request) { r.Status = http.StatusServiceUnavailable }))
+			h.Runs = append(h.Runs, run("u0-1", services[0], at))
+		},
+		"runs once": func(h *History) {
+			h.Requests = append(h.Requests, booking(func(*Request) {}))
+			h.Runs = append(h.Runs, run("u0-1", services[0], at), run("u1-1", services[0], at))
+		},
+		"keys end in time": func(h *History) {
+			h.Requests = append(h.Requests, booking(func(r *Request) { r.Key = "key-0" }))
+			h.Runs = append(h.Runs, run("u0-1", services[0], at))
+			h.KeysGone = []Change{{Name: "key-0", At: 4 * second}}
+			// Nothing excuses a key that is served too long.
+			h.Disturbances = []Disturbance{{Kind: RouterPause, From: 5 * second, To: 11 * second}}
+		},
+		"leaving upstreams get no work": func(h *History) {
+			h.Requests = append(h.Requests, booking(func(*Request) {}))
+			h.Runs = append(h.Runs, run("u0-1", services[0], at))
+			h.Departures = []Change{{Name: "u0-1", At: 7 * second}}
+		},
+		"answered in time": func(h *History) {
+			h.Requests = append(h.Requests, booking(func(r *Request) { r.Ended = r.Sent + requestTimeout + second }))
+		},
+		"nothing is cut": func(h *History) {
+			h.Requests = append(h.Requests, booking(func(r *Request) { r.Whole, r.Status, r.Ended = false, 0, r.Sent+second }))
+		},
+		"what is allowed is not denied": func(h *History) {
+			h.Requests = append(h.Requests, booking(func(r *Request) { r.Status = http.StatusNotFound }))
+		},
+		"changes are in force in time": func(h *History) {
+			h.Requests = append(h.Requests, booking(func(r *Request) { r.Kind = Moving }))
+			h.Runs = append(h.Runs, run("u0-1", services[0], at))
+			h.Moves = []Change{{Name: services[1], At: 7 * second}}
+		},
+		"retries stay within the budget": func(h *History) {
+			h.Requests = append(h.Requests, booking(func(r *Request) { r.Kind = Lookup }))
+			for range 60 {
+				h.Runs = append(h.Runs, run("u0-1", services[0], at))
+			}
+		},
+		"work ends when callers leave": func(h *History) {
+			for i := range fewLeft {
+				r := booking(func(r *Request) { r.Kind, r.Left, r.Whole = Stream, true, false })
+				r.ID += string(rune('0' + i))
+				h.Requests = append(h.Requests, r)
+				h.Runs = append(h.Runs, Run{Request: r.ID, Upstream: "u0-1", Service: services[1], Began: at, Ended: at + 2*second})
+			}
+		},
+		"serves as before": func(h *History) { h.Requests[0].Status = http.StatusServiceUnavailable },
+		"processes end when told": func(h *History) {
+			h.Exits = []Exit{{Router: 1, At: at, How: "ended by itself"}}
+		},
+	} {
+		t.Run(promise, func(t *testing.T) {
+			g := NewWithT(t)
+			h := calm()
+			g.Expect(promises(h)).To(BeEmpty())
+			breakIt(h)
+			g.Expect(promises(h)).To(HaveEach(promise))
+			g.Expect(promises(h)).NotTo(BeEmpty())
+		})
+	}
+}
+
+// A router that was paused isn't blamed for what it did late, but for what must
+// hold whatever happens.
+func TestDisturbancesExcuseWhatTheyCause(t *testing.T) {
+	g := NewWithT(t)
+	h := calm()
+	h.Requests = append(h.Requests, booking(func(r *Request) { r.Whole, r.Status, r.Ended = false, 0, r.Sent+3*second }))
+	g.Expect(promises(h)).To(ContainElements("answered in time", "nothing is cut"))
+	h.Disturbances = []Disturbance{{Kind: RouterPause, Target: 0, From: 9 * second, To: 11 * second}}
+	g.Expect(promises(h)).To(BeEmpty())
+	h.Disturbances[0].Target = 1
+	g.Expect(promises(h)).NotTo(BeEmpty(), "another router's pause excuses nothing")
+	h.Disturbances[0] = Disturbance{Kind: RouterStop, Target: 0, From: 9 * second, To: 11 * second}
+	g.Expect(promises(h)).NotTo(BeEmpty(), "a planned stop excuses nothing")
+}
