Signals are taken from a process's first moments on

The handler was installed once all listeners were open; the default of the signal is to end the process. On a VM with a fifth of a core that is a tenth of a second at each start, in which a change of the settings costs the VM a start more.

A package of its own that needs little is initialised before the large libraries.

In the own mode the signal to reload now does nothing, as there is nothing to reload.

--- a/cmd/aspenswitchd/fleet.go
+++ b/cmd/aspenswitchd/fleet.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"syscall"
 
 	"github.com/aspenswitch/aspenswitch/daemon"
 	"github.com/aspenswitch/aspenswitch/obs"
 	"github.com/aspenswitch/aspenswitch/settings"
+	"github.com/aspenswitch/aspenswitch/startup"
 )
 
 // serveFleet serves until SIGTERM, then lets answers end. A second SIGTERM
@@ -20,12 +20,10 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	drained := make(chan struct{})
 	go func() {
 		draining := false
-		for sig := range signals {
+		for sig := range startup.Signals() {
 			switch {
 			case sig == syscall.SIGHUP:
 				d.Reload(file)
--- a/cmd/aspenswitchd/own.go
+++ b/cmd/aspenswitchd/own.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"syscall"
 
 	"github.com/aspenswitch/aspenswitch/daemon"
 	"github.com/aspenswitch/aspenswitch/obs"
 	"github.com/aspenswitch/aspenswitch/settings"
+	"github.com/aspenswitch/aspenswitch/startup"
 )
 
 // serveOwn serves until a signal. The first SIGTERM or SIGINT drains, a second
@@ -21,14 +21,22 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-signals
+		awaitStop()
 		d.Drain()
-		<-signals
+		awaitStop()
 		log.Error().Msg("second signal: ending at once")
 		cancel()
 	}()
 	return d.Run(ctx)
 }
+
+// awaitStop waits for a signal to stop. There is nothing to reload: certificates
+// are read again by themselves, and the rest is in bundles.
+func awaitStop() {
+	for sig := range startup.Signals() {
+		if sig != syscall.SIGHUP {
+			return
+		}
+	}
+}
