--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build demo demo-freeze test bench bench-quick bench-capacity prove lint clean
+.PHONY: build demo demo-freeze soak test bench bench-quick bench-capacity prove lint clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -14,6 +14,10 @@
 demo-freeze: build
 	./demo/run.sh $(BIN) freeze
 
+# Ten seeds of the fault soak that nobody has played; see docs/SOAK.md.
+soak: build
+	$(BIN)/aspenswitch-soak --daemon $(BIN)/aspenswitchd --first $$(date +%s) --seeds 10
+
 test:
 	$(GO) test -race ./...
 
--- a/cmd/aspenswitch-soak/main.go
+++ b/cmd/aspenswitch-soak/main.go
@@ -26,27 +26,46 @@
 	app.Flag("faults", "Mean number of faults a second.").Default(fmt.Sprint(cfg.Faults)).Float64Var(&cfg.Faults)
 	first := app.Flag("first", "First seed.").Default("1").Uint64()
 	seeds := app.Flag("seeds", "Number of seeds.").Default("1").Uint64()
+	known := app.Flag("regressions", "File of seeds that once failed, to be played instead.").ExistingFile()
 	jobs := app.Flag("jobs", "Runs at once.").Default("2").Int()
 	out := app.Flag("out", "Folder for logs and histories of runs that failed.").Default("out/soak").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	failed, err := play(cfg, *first, *seeds, *jobs, *out)
+	all, err := configs(cfg, *known, *first, *seeds)
 	app.FatalIfError(err, "")
-	fmt.Printf("%d of %d seeds broke a promise\n", failed, *seeds)
+	failed, err := play(all, *jobs, *out)
+	app.FatalIfError(err, "")
+	fmt.Printf("%d of %d seeds broke a promise\n", failed, len(all))
 	if failed > 0 {
 		os.Exit(1)
 	}
 }
 
-// play runs the seeds, a few at once, and returns how many failed.
-func play(cfg soak.Config, first, seeds uint64, jobs int, out string) (failed int, err error) {
-	next := make(chan uint64)
+// configs are the runs to play: the seeds that once failed, or a range.
+func configs(base soak.Config, known string, first, seeds uint64) ([]soak.Config, error) {
+	var all []soak.Config
+	if known != "" {
+		list, err := soak.LoadRegressions(known)
+		for _, r := range list {
+			all = append(all, r.Config(base))
+		}
+		return all, err
+	}
+	for seed := range seeds {
+		base.Seed = first + seed
+		all = append(all, base)
+	}
+	return all, nil
+}
+
+// play plays the runs, a few at once, and returns how many failed.
+func play(all []soak.Config, jobs int, out string) (failed int, err error) {
+	next := make(chan soak.Config)
 	var runs sync.WaitGroup
 	var mu sync.Mutex
 	for slot := range jobs {
 		runs.Go(func() {
-			for seed := range next {
-				one := cfg
-				one.Seed, one.Slot = seed, slot
+			for one := range next {
+				one.Slot = slot
 				bad, runErr := playOne(one, out)
 				mu.Lock()
 				if bad {
@@ -59,8 +78,8 @@
 			}
 		})
 	}
-	for seed := range seeds {
-		next <- first + seed
+	for _, cfg := range all {
+		next <- cfg
 	}
 	close(next)
 	runs.Wait()
--- a/daemon/proofs_test.go
+++ b/daemon/proofs_test.go
@@ -16,6 +16,9 @@
 		Expect(err).NotTo(HaveOccurred())
 		files, err := filepath.Glob("../*/*_test.go")
 		Expect(err).NotTo(HaveOccurred())
+		programs, err := filepath.Glob("../cmd/*/*_test.go")
+		Expect(err).NotTo(HaveOccurred())
+		files = append(files, programs...)
 		var source strings.Builder
 		for _, file := range files {
 			raw, err := os.ReadFile(file)
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -95,7 +95,7 @@
 		if r.ctx.Err() == nil {
 			o = dispatch.Failed
 		}
-		return result{refused: unknown(http.StatusGatewayTimeout, "deadline", "no answer came in time; the request may have run")}, o
+		return result{refused: noAnswer(r)}, o
 	}
 	return s.broken(r, nil), dispatch.Failed
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/gateway"
 	"github.com/aspenswitch/aspenswitch/registry"
 )
 
@@ -236,6 +237,38 @@
 	g.Expect(<-stopped).To(Succeed())
 }
 
+// An upstream has fallen silent, and the router stops. Its caller must not find out
+// by a connection that ends without an answer when the grace is over: it is told, at
+// once and on a whole answer, that the request may have run.
+func TestStopAnswersWhatIsGivenUp(t *testing.T) {
+	g := NewWithT(t)
+	begun, release := make(chan struct{}), make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	r := newRig(t, map[string]script{"u1": func(*http.Request, io.Writer) bool {
+		close(begun)
+		<-release
+		return false
+	}})
+	type outcome struct {
+		resp *http.Response
+		err  error
+	}
+	running := make(chan outcome, 1)
+	go func() {
+		resp, _, err := r.call("/unsafe/", nil)
+		running <- outcome{resp, err}
+	}()
+	<-begun
+	grace, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+	defer cancel()
+	_ = r.server.Shutdown(grace)
+	r.server.Close()
+	o := <-running
+	g.Expect(o.err).NotTo(HaveOccurred())
+	g.Expect(o.resp.StatusCode).To(Equal(504))
+	g.Expect(o.resp.Header.Get(gateway.HeaderOutcome)).To(Equal("unknown"))
+}
+
 func TestBodyOverTheLimitIsRefused(t *testing.T) {
 	g := NewWithT(t)
 	r := newRig(t, map[string]script{"u1": ok("answer")})
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -109,8 +109,11 @@
 // unplaced is the answer when placing ended without a decision.
 func (s *Server) unplaced(r *request, err error) *refusal {
 	r.record.cause = err.Error()
+	if errors.Is(context.Cause(r.ctx), errStopping) {
+		return notRun("stopping", "this router is stopping; the request was not run", minRetryAfter)
+	}
 	if len(r.tried) > 0 && !r.route.Repeatable() {
-		return unknown(http.StatusGatewayTimeout, "deadline", "no answer came in time; the request may have run")
+		return noAnswer(r)
 	}
 	if errors.Is(err, context.Canceled) {
 		return notRun("caller_left", "the caller left before its request was sent", 0)
@@ -118,6 +121,15 @@
 	return notRun("not_placed", "no upstream could take the request in time", retryLater)
 }
 
+// noAnswer is for a request that was sent and is given up: its time is over, or this
+// router's.
+func noAnswer(r *request) *refusal {
+	if errors.Is(context.Cause(r.ctx), errStopping) {
+		return unknown(http.StatusGatewayTimeout, "stopping", "this router is stopping and no answer has come; the request may have run")
+	}
+	return unknown(http.StatusGatewayTimeout, "deadline", "no answer came in time; the request may have run")
+}
+
 // refuse tells the caller when to come back.
 func (s *Server) refuse(r *request, d dispatch.Decision) *refusal {
 	if d.Over {
@@ -249,7 +261,7 @@
 			o = dispatch.Silent
 		}
 		s.placer.Done(r.service, t, o, took)
-		return result{refused: unknown(http.StatusGatewayTimeout, "deadline", "no answer came in time; the request may have run")}
+		return result{refused: noAnswer(r)}
 	}
 	s.placer.Done(r.service, t, lostOutcome(err), took)
 	return s.broken(r, nil)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -43,13 +43,22 @@
 	requests atomic.Int64
 	counts   counts
 	http     *http.Server
+
+	// base ends when waiting requests are given up at the end of a stop.
+	base   context.Context
+	giveUp context.CancelCauseFunc
 }
 
+// errStopping is why requests end that are given up at the end of a stop.
+var errStopping = errors.New("the router is stopping")
+
 // New returns a server.
 func New(cfg Config, state State, placer Placer, pool *upstream.Pool, budget retry.Budget, log *obs.Limited, metrics *obs.Metrics) *Server {
+	base, giveUp := context.WithCancelCause(context.Background())
 	return &Server{
 		cfg: cfg, state: state, placer: placer, pool: pool, budget: budget,
 		log: log, stats: newStats(metrics.Scope), start: time.Now(), throttle: newThrottle(),
+		base: base, giveUp: giveUp,
 	}
 }
 
@@ -78,6 +87,7 @@
 	h := &http.Server{
 		Handler:                      s,
 		ConnState:                    s.connState,
+		BaseContext:                  func(net.Listener) context.Context { return s.base },
 		ReadHeaderTimeout:            s.cfg.HeaderTimeout,
 		IdleTimeout:                  s.cfg.IdleTimeout,
 		MaxHeaderBytes:               s.cfg.MaxHeaderBytes,
@@ -138,7 +148,25 @@
 	if server == nil {
 		return nil
 	}
-	return Error.Wrap(server.Shutdown(ctx))
+	if err := server.Shutdown(ctx); err != nil {
+		return Error.Wrap(errors.Join(err, s.answerAll(server)))
+	}
+	return nil
+}
+
+// lastAnswers is the time to tell the callers that still wait that nothing comes: a
+// write to each of some hundred connections.
+const lastAnswers = 200 * time.Millisecond
+
+// answerAll gives up the requests that still wait, so that their callers get an
+// answer. Those of an upstream that has fallen silent would else see a connection
+// that ends without one, at the very end of the grace. Streams that have begun are
+// cut. It returns an error if some were not answered in time.
+func (s *Server) answerAll(server *http.Server) error {
+	s.giveUp(errStopping)
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
+	return server.Shutdown(ctx)
 }
 
 // Close cuts what still runs.
--- a/soak/router.go
+++ b/soak/router.go
@@ -29,6 +29,9 @@
 	mu          sync.Mutex
 	cmd         *exec.Cmd
 	incarnation int
+	running     bool
+	// began is when the incarnation was started.
+	began time.Duration
 	// ordered is set once this incarnation's end was ordered.
 	ordered bool
 	// paused is when it was last woken, or far ahead while it sleeps.
@@ -94,8 +97,10 @@
 	}
 	r.cmd = exec.Command(r.cfg.Daemon, "platform", "--settings", r.settings)
 	r.cmd.Stdout, r.cmd.Stderr = log, log
-	r.cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
-	r.ordered, r.paused = false, 0
+	// The race detector lets a process that ends sleep for a second otherwise,
+	// beyond its grace.
+	r.cmd.Env = append(os.Environ(), "GOMAXPROCS=2", "GORACE=atexit_sleep_ms=0")
+	r.ordered, r.paused, r.running, r.began = false, 0, true, r.rec.Now()
 	if err := r.cmd.Start(); err != nil {
 		return Error.Wrap(err)
 	}
@@ -108,6 +113,7 @@
 	err := cmd.Wait()
 	_ = log.Close() // the process has ended; nothing more is written
 	r.mu.Lock()
+	r.running = false
 	if !r.ordered {
 		r.note(fmt.Sprintf("ended by itself: %v", err))
 	}
@@ -165,7 +171,7 @@
 	time.Sleep(r.cfg.Bounds.Grace())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.cmd != cmd {
+	if r.cmd != cmd || !r.running {
 		return
 	}
 	if r.paused == 0 {
@@ -174,10 +180,21 @@
 	r.signal(syscall.SIGKILL)
 }
 
+// firstSteps is how long a process needs until it can take any signal: before its
+// runtime has begun (12 ms with the race detector, 3 ms without) the default of a
+// signal to reload ends every program.
+const firstSteps = 50 * time.Millisecond
+
 func (r *router) reload() {
+	r.mu.Lock()
+	began := r.began
+	r.mu.Unlock()
+	time.Sleep(began + firstSteps - r.rec.Now())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.signal(syscall.SIGHUP)
+	if r.began == began {
+		r.signal(syscall.SIGHUP)
+	}
 }
 
 // current is the number of the incarnation that runs now.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,8 +1,7 @@
 package soak_test
 
 import (
-	"encoding/json"
-	"os"
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -13,12 +12,6 @@
 	"github.com/aspenswitch/aspenswitch/soak"
 )
 
-// regression is a seed that once broke a promise.
-type regression struct {
-	Seed  uint64 `json:"seed"`
-	Cause string `json:"cause"`
-}
-
 // buildDaemon builds a router with the race detector.
 func buildDaemon(t *testing.T) string {
 	t.Helper()
@@ -33,31 +26,34 @@
 // must not run twice, keys must end in time, and all must serve as before in the
 // end. Fast faults, so that a short run meets many beside each other.
 func TestShortSoak(t *testing.T) {
+	cfg := soak.DefaultConfig()
+	cfg.Seed, cfg.Daemon = 1, buildDaemon(t)
+	cfg.Duration, cfg.Routers, cfg.Callers, cfg.Faults = 6*time.Second, 3, 8, 2.5
+	play(t, cfg)
+}
+
+// The seeds that once broke a promise.
+func TestRegressions(t *testing.T) {
+	g := NewWithT(t)
+	known, err := soak.LoadRegressions("regressions.json")
+	g.Expect(err).NotTo(HaveOccurred())
 	daemon := buildDaemon(t)
-	for _, seed := range seeds(t) {
-		g := NewWithT(t)
-		cfg := soak.DefaultConfig()
-		cfg.Seed, cfg.Daemon, cfg.Dir = seed, daemon, t.TempDir()
-		cfg.Duration, cfg.Routers, cfg.Callers, cfg.Faults = 6*time.Second, 3, 8, 2.5
-		r, err := soak.Play(cfg)
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(r.Violations).To(BeEmpty(), "seed %d", seed)
-		g.Expect(r.Served).To(BeNumerically(">", 100), "seed %d", seed)
+	for slot, r := range known {
+		t.Run(fmt.Sprint(r.Seed), func(t *testing.T) {
+			t.Parallel()
+			cfg := r.Config(soak.DefaultConfig())
+			cfg.Daemon, cfg.Slot = daemon, slot+1
+			play(t, cfg)
+		})
 	}
 }
 
-// seeds are the one that is always played and those that once failed.
-func seeds(t *testing.T) []uint64 {
+func play(t *testing.T, cfg soak.Config) {
 	t.Helper()
 	g := NewWithT(t)
-	raw, err := os.ReadFile("regressions.json")
+	cfg.Dir = t.TempDir()
+	r, err := soak.Play(cfg)
 	g.Expect(err).NotTo(HaveOccurred())
-	var known []regression
-	g.Expect(json.Unmarshal(raw, &known)).To(Succeed())
-	all := []uint64{1}
-	for _, r := range known {
-		g.Expect(r.Cause).NotTo(BeEmpty())
-		all = append(all, r.Seed)
-	}
-	return all
+	g.Expect(r.Violations).To(BeEmpty(), "seed %d", cfg.Seed)
+	g.Expect(r.Served).To(BeNumerically(">", 100), "seed %d", cfg.Seed)
 }
