Only an outage makes a departure a lapse

Now a departure is a lapse only if no read of any router confirmed the view for two seconds (entries lapse after three heartbeats, 2.4 s into an outage at the fastest).

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -35,7 +35,7 @@
 	changes  changeLog
 	table    *routing.Table
 	revision int64
-	// regained is when the platform answered again after a failure.
+	// regained is when the platform answered again after an outage.
 	regained boottime.Time
 	failing  bool
 }
@@ -136,9 +136,18 @@
 	f.log.Info().Str("event", "upstream").Str("upstream", c.Gone).Int64("revision", c.Revision).Msg("upstream gone")
 }
 
-// returnTime is how long after the platform's return entries may still lapse
-// and come back.
-const returnTime = 2 * time.Second
+const (
+	// outage is the least time without a confirmed view after which entries may have
+	// lapsed. An upstream lapses after three heartbeats of silence; at the fastest in
+	// use, 1.2 s, the last one before an outage holds 2.4 s into it. After a shorter
+	// failure, or one of this router alone, what is gone has left: with the grace on
+	// top of the time until it is heard of it would get work beyond the two seconds
+	// within which that must end.
+	outage = 2 * time.Second
+	// returnTime is how long after the platform's return entries may still lapse
+	// and come back.
+	returnTime = 2 * time.Second
+)
 
 // adopt puts a newer configuration in force. A version never goes back within
 // one process, whatever a late or stale read says.
--- a/feed/read.go
+++ b/feed/read.go
@@ -48,8 +48,7 @@
 	return true
 }
 
-// list reads everything. What it lacks is gone, unless the platform was away:
-// then it may have lapsed meanwhile and comes back.
+// list reads everything. What it lacks has gone, or has lapsed in an outage.
 func (f *Feed) list(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.WatchWait+f.cfg.CallMargin)
 	defer cancel()
@@ -68,7 +67,9 @@
 			listed[c.Upstream.ID] = true
 		}
 	}
-	f.upstream.Keep(listed, f.now())
+	for _, id := range f.upstream.Missing(listed) {
+		f.remove(Change{Gone: id, Revision: b.Revision})
+	}
 	// What went missing before the listing has no revision that tells of it.
 	f.changes.reset(b.Revision)
 	f.mu.Unlock()
@@ -96,6 +97,9 @@
 		return
 	}
 	f.failing = false
-	f.regained = f.now()
-	f.log.Info().Str("event", "platform").Dur("age", f.Age()).Msg("platform regained")
+	age := f.Age()
+	if age >= outage {
+		f.regained = f.now()
+	}
+	f.log.Info().Str("event", "platform").Dur("age", age).Msg("platform regained")
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -78,13 +78,15 @@
 	}
 }
 
-// Keep lapses what is not on a complete listing.
-func (r *Registry) Keep(listed map[string]bool, now boottime.Time) {
+// Missing returns the entries that a complete listing lacks.
+func (r *Registry) Missing(listed map[string]bool) []string {
+	var missing []string
 	for id := range r.entries {
 		if !listed[id] {
-			r.Lapse(id, now.Add(LapseGrace))
+			missing = append(missing, id)
 		}
 	}
+	return missing
 }
 
 // Expire removes lapsed entries whose grace is over. It reports whether any was
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -34,22 +34,24 @@
 	r := registry.New()
 	r.Put(entry("a", 3))
 	now := boottime.Time(time.Second)
-	r.Keep(map[string]bool{}, now)
+	g.Expect(r.Missing(map[string]bool{"b": true})).To(ConsistOf("a"))
+	g.Expect(r.Missing(map[string]bool{"a": true})).To(BeEmpty())
+	r.Lapse("a", now.Add(registry.LapseGrace))
 	g.Expect(r.View().Upstream("a")).NotTo(BeNil())
 	g.Expect(r.Expire(now.Add(registry.LapseGrace - 1))).To(BeFalse())
 	g.Expect(r.Expire(now.Add(registry.LapseGrace))).To(BeTrue())
 	g.Expect(r.View().Upstream("a")).To(BeNil())
 }
 
-// The grace isn't renewed by a second listing that lacks the entry too: an
+// The grace isn't renewed by a second word of the same: an
 // upstream that has left would be used for ever.
 func TestLapseIsNotPutOff(t *testing.T) {
 	g := NewWithT(t)
 	r := registry.New()
 	r.Put(entry("a", 3))
 	now := boottime.Time(time.Second)
-	r.Keep(nil, now)
-	r.Keep(nil, now.Add(time.Second))
+	r.Lapse("a", now.Add(registry.LapseGrace))
+	r.Lapse("a", now.Add(time.Second+registry.LapseGrace))
 	g.Expect(r.Expire(now.Add(registry.LapseGrace))).To(BeTrue())
 }
 
