--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -130,6 +130,25 @@
 	// got are the requests that upstreams read, by upstream.
 	mu  sync.Mutex
 	got []seenRequest
+	log logText
+}
+
+// logText is a log that a test reads.
+type logText struct {
+	mu  sync.Mutex
+	buf strings.Builder
+}
+
+func (l *logText) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(b)
+}
+
+func (l *logText) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.String()
 }
 
 type seenRequest struct {
@@ -160,7 +179,7 @@
 	metrics := obs.NewMetrics("test")
 	t.Cleanup(func() { _ = metrics.Close() })
 	budget := retry.Budget{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second}
-	r.server = gateway.New(cfg, r.state, r.placer, upstream.NewPool(upstream.DefaultPoolConfig()), budget, obs.NewLimited(zerolog.Nop(), 10), metrics)
+	r.server = gateway.New(cfg, r.state, r.placer, upstream.NewPool(upstream.DefaultPoolConfig()), budget, obs.NewLimited(zerolog.New(&r.log), 10), metrics)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	r.addr = l.Addr().String()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -202,6 +202,8 @@
 	g.Expect(err).To(HaveOccurred())
 	g.Eventually(cancelled, 5*time.Second).Should(BeClosed())
 	g.Eventually(r.placer.seen, 5*time.Second).Should(Equal([]dispatch.Outcome{dispatch.Cancelled}))
+	// The log must not blame a deadline that was seconds away.
+	g.Eventually(r.log.String, 5*time.Second).Should(ContainSubstring(`"cause":"caller_left`))
 }
 
 // A stopping router lets running answers end, sends new requests on, and says so.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -121,11 +121,14 @@
 	return notRun("not_placed", "no upstream could take the request in time", retryLater)
 }
 
-// noAnswer is for a request that was sent and is given up: its time is over, or this
-// router's.
+// noAnswer is for a request that was sent and is given up: its time is over, this
+// router's is, or its caller has left and only the log is told.
 func noAnswer(r *request) *refusal {
-	if errors.Is(context.Cause(r.ctx), errStopping) {
+	switch cause := context.Cause(r.ctx); {
+	case errors.Is(cause, errStopping):
 		return unknown(http.StatusGatewayTimeout, "stopping", "this router is stopping and no answer has come; the request may have run")
+	case cause != nil:
+		return unknown(http.StatusGatewayTimeout, "caller_left", "the caller left before an answer came; the request may have run")
 	}
 	return unknown(http.StatusGatewayTimeout, "deadline", "no answer came in time; the request may have run")
 }
