--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -322,6 +322,22 @@
 	g.Expect(f.Age()).To(Equal(time.Second), "its word isn't about this state")
 }
 
+// A peer tells what has changed since a revision that this router hasn't reached, as
+// it may have mistaken it for another. The changes before would be missing for good,
+// and an upstream that left among them would be used on: nothing is taken in, and the
+// old state isn't taken for confirmed.
+func TestChangesThatDontJoinAreNotTakenIn(t *testing.T) {
+	g := NewWithT(t)
+	now := boottime.Time(time.Hour)
+	f := feed.New(feed.DefaultConfig(revoke, apply), &scripted{}, func() boottime.Time { return now }, zerolog.Nop(), func() bool { return false }, func() {})
+	asked := now.Add(-time.Second)
+	f.Import(&feed.Export{Revision: 4, Config: &routing.Config{Version: 1}, Upstreams: []registry.Upstream{{ID: "leaves", Revision: 2}}}, asked)
+	f.Import(&feed.Export{Revision: 9, Since: 7, Upstreams: []registry.Upstream{{ID: "comes", Revision: 8}}}, now)
+	g.Expect(f.Have().Revision).To(Equal(int64(4)))
+	g.Expect(f.Snapshot().View.Upstream("comes")).To(BeNil())
+	g.Expect(f.Age()).To(Equal(time.Second))
+}
+
 // A suspended VM wakes with a view that is long out of date.
 func TestAuthorityCountsTheTimeOfASuspension(t *testing.T) {
 	g := NewWithT(t)
--- a/soak/check.go
+++ b/soak/check.go
@@ -20,6 +20,7 @@
 // had ended, end when the callers stopped.
 func Check(h *History, b settings.Bounds, settled, end time.Duration) []Violation {
 	c := newChecker(h, b)
+	// Promises to each request, in this file.
 	for _, req := range h.Requests {
 		c.answer(req)
 		c.notRun(req)
@@ -29,9 +30,11 @@
 		c.stopped(req)
 		c.unknown(req)
 	}
+	// Promises about all of them.
 	c.once()
 	c.retries()
 	c.moved()
+	c.neverBack()
 	c.cancelled()
 	c.recovered(settled, end)
 	for _, e := range h.Exits {
@@ -87,16 +90,6 @@
 	}
 }
 
-// once: what must not be repeated runs once at most, also if its caller never
-// learnt what came of it.
-func (c *checker) once() {
-	for id, runs := range c.runs {
-		if len(runs) > 1 && c.byID[id].Kind.once() {
-			c.add("runs once", runs[1].Began, "%s ran at %s and %s", id, runs[0].Upstream, runs[1].Upstream)
-		}
-	}
-}
-
 // revoked: a key that was taken away is not served beyond the bound, whatever
 // happened to the router.
 func (c *checker) revoked(req Request) {
@@ -171,135 +164,3 @@
 	}
 	c.add("what is allowed is not denied", req.Ended, "%s got %d at router %d", req.ID, req.Status, req.Router)
 }
-
-// moved: a route's requests go to its service soon after a change, and an
-// incarnation that has followed a change never goes back.
-func (c *checker) moved() {
-	apply := time.Duration(c.b.ApplyMs * float64(time.Millisecond))
-	for _, req := range c.h.Requests {
-		if req.Kind != Moving {
-			continue
-		}
-		allowed := c.allowedServices(req.Sent - apply)
-		for _, run := range c.runs[req.ID] {
-			if !allowed[run.Service] && !c.touched(req.Router, req.Sent-apply-contact, run.Began, storeSide) {
-				c.add("changes are in force in time", run.Began, "%s was run by %s at router %d", req.ID, run.Service, req.Router)
-			}
-		}
-	}
-}
-
-// allowedServices are those that the moving route had at a moment or later.
-func (c *checker) allowedServices(from time.Duration) map[string]bool {
-	allowed := map[string]bool{}
-	current := services[0]
-	for _, m := range c.h.Moves {
-		if m.At > from {
-			allowed[m.Name] = true
-			continue
-		}
-		current = m.Name
-	}
-	allowed[current] = true
-	return allowed
-}
-
-// retries: arrivals beyond the first of each request stay within the budget.
-func (c *checker) retries() {
-	window := c.b.RetryWindow()
-	type arrival struct {
-		at     time.Duration
-		repeat bool
-	}
-	byService := map[string][]arrival{}
-	for _, runs := range c.runs {
-		for i, run := range runs {
-			byService[run.Service] = append(byService[run.Service], arrival{run.Began, i > 0})
-		}
-	}
-	for service, all := range byService {
-		for _, start := range all {
-			first, repeats := 0, 0
-			for _, a := range all {
-				if a.at < start.at || a.at > start.at+window {
-					continue
-				}
-				if a.repeat {
-					repeats++
-				} else {
-					first++
-				}
-			}
-			if float64(repeats) > c.b.RetryRatio*float64(first)+c.b.RetryAllowance {
-				c.add("retries stay within the budget", start.at, "%s got %d beyond %d first ones", service, repeats, first)
-				break
-			}
-		}
-	}
-}
-
-const (
-	// cancelWithin is how soon an upstream stops work for a caller that left.
-	cancelWithin = 500 * time.Millisecond
-	// fewLeft is the least number of such runs from which a share says something.
-	fewLeft = 8
-)
-
-// cancelled: upstreams stop work for callers that left.
-func (c *checker) cancelled() {
-	left, worked := 0, 0
-	for _, req := range c.h.Requests {
-		if !req.Left || !req.Kind.streams() || c.touched(req.Router, req.Ended-contact, req.Ended+cancelWithin, callerSide) {
-			continue
-		}
-		for _, run := range c.runs[req.ID] {
-			if run.Began > req.Ended {
-				continue
-			}
-			left++
-			if run.Ended > req.Ended+cancelWithin || run.Ended == 0 {
-				worked++
-			}
-		}
-	}
-	if left >= fewLeft && worked*4 > left {
-		c.add("work ends when callers leave", 0, "%d of %d runs went on", worked, left)
-	}
-}
-
-const (
-	// recoverWithin is how long after the last fault the fleet must serve as before.
-	recoverWithin = 6 * time.Second
-	// servedShare is the least part of proper requests that is then served.
-	servedShare = 0.95
-)
-
-// recovered: when faults have ended, nearly all proper requests are served.
-func (c *checker) recovered(settled, end time.Duration) {
-	proper, served := 0, 0
-	for _, req := range c.h.Requests {
-		if req.Sent < settled+recoverWithin || req.Sent > end || !c.proper(req) {
-			continue
-		}
-		proper++
-		if req.served() {
-			served++
-		}
-	}
-	if proper == 0 || float64(served) < servedShare*float64(proper) {
-		c.add("serves as before", end, "%d of %d requests served once faults had ended", served, proper)
-	}
-}
-
-// proper reports whether a request can be served: its key is good and its caller
-// stayed.
-func (c *checker) proper(req Request) bool { return !req.Left && !c.gone(req.Key) }
-
-func (c *checker) gone(key string) bool {
-	for _, g := range c.h.KeysGone {
-		if g.Name == key {
-			return true
-		}
-	}
-	return false
-}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -79,6 +79,16 @@
 			h.Runs = append(h.Runs, run("u0-1", services[0], at))
 			h.Moves = []Change{{Name: services[1], At: 7 * second}}
 		},
+		"configuration never goes back": func(h *History) {
+			h.Requests = append(h.Requests, booking(func(r *Request) { r.Key = "key-1" }),
+				booking(func(r *Request) {
+					r.ID, r.Key, r.Sent, r.Ended, r.Status = "c", "key-1", 11*second, 11*second, http.StatusUnauthorized
+				}))
+			h.Runs = append(h.Runs, run("u0-1", services[0], at))
+			// Another key went meanwhile, and the router was paused.
+			h.KeysGone = []Change{{Name: "key-0", At: 10 * second}}
+			h.Disturbances = []Disturbance{{Kind: RouterPause, From: 10 * second, To: 11 * second}}
+		},
 		"retries stay within the budget": func(h *History) {
 			h.Requests = append(h.Requests, booking(func(r *Request) { r.Kind = Lookup }))
 			for range 60 {
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -66,9 +66,14 @@
 	o.keys++
 	o.old, o.key = o.key, fmt.Sprint("key-", o.keys)
 	o.cfg.Teams = []routing.Team{o.cfg.Teams[0], {Name: "homes", Keys: []string{o.key}}}
+	// A router may deny the old key before this knows that it was published.
+	gone := 0
+	o.rec.Add(func(h *History) {
+		gone = len(h.KeysGone)
+		h.KeysGone = append(h.KeysGone, Change{Name: o.old, At: o.rec.Now()})
+	})
 	at, err := o.publish()
-	gone := Change{Name: o.old, At: at}
-	o.rec.Add(func(h *History) { h.KeysGone = append(h.KeysGone, gone) })
+	o.rec.Add(func(h *History) { h.KeysGone[gone].At = at })
 	return err
 }
 
--- a/soak/router.go
+++ b/soak/router.go
@@ -34,11 +34,13 @@
 	began time.Duration
 	// ordered is set once this incarnation's end was ordered.
 	ordered bool
-	// paused is when it was last woken, or far ahead while it sleeps.
+	// paused is when this incarnation is woken, or was; 0 if it was never paused.
 	paused time.Duration
+	// rest is how long the VM stays without a process.
 	rest   time.Duration
 	closed bool
-	ended  chan struct{}
+	// ended is closed once no process follows any more.
+	ended chan struct{}
 }
 
 // Ports of a router at its own address.
--- a/soak/touched.go
+++ b/soak/touched.go
@@ -43,7 +43,7 @@
 }
 
 // upstreamsTouched reports whether one of the upstreams that ran a request was
-// disturbed, or is not known to have been the last to run it.
+// disturbed meanwhile.
 func (c *checker) upstreamsTouched(req Request, runs []Run) bool {
 	for _, run := range runs {
 		place, ok := placeOf(run.Upstream)
