--- a/soak/config.go
+++ b/soak/config.go
@@ -38,6 +38,21 @@
 	}
 }
 
+// check reports what can't be played.
+func (c Config) check() error {
+	switch {
+	case c.Routers < 1 || c.Routers > maxRouters:
+		return Error.New("routers: %d, must be 1 to %d", c.Routers, maxRouters)
+	case c.Slot < 0 || c.Slot > maxSlot:
+		return Error.New("runs at once: %d, must be 1 to %d", c.Slot+1, maxSlot+1)
+	case c.Upstreams < 1 || c.Callers < 1:
+		return Error.New("upstreams: %d, callers: %d, must be 1 or more", c.Upstreams, c.Callers)
+	case c.Faults <= 0 || c.Duration <= 0:
+		return Error.New("faults: %g a second, duration: %v, must be more than 0", c.Faults, c.Duration)
+	}
+	return nil
+}
+
 // contact is how long a router must have been left alone before bounds on time
 // hold for it, as deployments have it.
 const contact = 3 * time.Second
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -34,10 +34,18 @@
 }
 
 // Play plays the plan of a seed and checks what came of it.
-func Play(cfg Config) (*Result, error) { return PlayPlan(cfg, Plan(cfg)) }
+func Play(cfg Config) (*Result, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	return PlayPlan(cfg, Plan(cfg))
+}
 
 // PlayPlan plays a plan and checks what came of it.
 func PlayPlan(cfg Config, plan []Fault) (*Result, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
 	d := &deployment{cfg: cfg, rec: NewRecorder(), store: standin.NewStore()}
 	defer d.close()
 	if err := d.open(); err != nil {
--- a/soak/router.go
+++ b/soak/router.go
@@ -58,8 +58,12 @@
 	return fmt.Sprintf("127.%d.%d.%d", 130+pid>>8&0x3f, pid&0xff, 1+cfg.Slot*maxRouters+number)
 }
 
-// maxRouters bounds the routers of a run, so that runs have addresses apart.
-const maxRouters = 12
+const (
+	// maxRouters bounds the routers of a run, so that runs have addresses apart.
+	maxRouters = 12
+	// maxSlot is the last one whose addresses fit in their last byte.
+	maxSlot = 254/maxRouters - 1
+)
 
 func newRouter(number int, cfg Config, rec *Recorder, store string) (*router, error) {
 	ip := routerIP(cfg, number)
@@ -72,15 +76,7 @@
 	if r.store, err = NewLink("127.0.0.1", store); err != nil {
 		return nil, err
 	}
-	s := settings.DefaultFleet()
-	s.Name, s.FailureDomain = fmt.Sprint("r", number), fmt.Sprint("d", number%2)
-	s.Callers, s.Readiness, s.Control = fmt.Sprintf("%s:%d", ip, callersPort), fmt.Sprintf("%s:%d", ip, readyPort), fmt.Sprintf("%s:%d", ip, controlPort)
-	s.Metrics, s.Platform = metricsPort, r.store.Address()
-	s.Peers = settings.Peers{IP: ip, Port: peersPort}
-	for i := range min(3, cfg.Routers) {
-		s.Peers.Seeds = append(s.Peers.Seeds, fmt.Sprintf("%s:%d", routerIP(cfg, i), controlPort))
-	}
-	s.Bounds, s.Processor, s.LogLines = cfg.Bounds, 0.5, 200
+	s := routerSettings(number, cfg, r.store.Address())
 	raw, err := json.MarshalIndent(s, "", "  ")
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -89,6 +85,26 @@
 	return r, Error.Wrap(os.WriteFile(r.settings, raw, 0o600))
 }
 
+// seeds is how many routers each one is told of.
+const seeds = 3
+
+func routerSettings(number int, cfg Config, store string) settings.Fleet {
+	ip := routerIP(cfg, number)
+	s := settings.DefaultFleet()
+	s.Name, s.FailureDomain = fmt.Sprint("r", number), fmt.Sprint("d", number%2)
+	s.Callers = fmt.Sprintf("%s:%d", ip, callersPort)
+	s.Readiness = fmt.Sprintf("%s:%d", ip, readyPort)
+	s.Control = fmt.Sprintf("%s:%d", ip, controlPort)
+	s.Metrics, s.Platform = metricsPort, store
+	s.Peers = settings.Peers{IP: ip, Port: peersPort}
+	for i := range min(seeds, cfg.Routers) {
+		s.Peers.Seeds = append(s.Peers.Seeds, fmt.Sprintf("%s:%d", routerIP(cfg, i), controlPort))
+	}
+	// Half a core, and lines enough to explain a run of a few thousand requests.
+	s.Bounds, s.Processor, s.LogLines = cfg.Bounds, 0.5, 200
+	return s
+}
+
 // start begins an incarnation and watches for its end; the caller holds mu or is
 // the only one that knows the router.
 func (r *router) start() error {
@@ -183,9 +199,9 @@
 }
 
 // firstSteps is how long a process needs until it can take any signal: before its
-// runtime has begun (12 ms with the race detector, 3 ms without) the default of a
-// signal to reload ends every program.
-const firstSteps = 50 * time.Millisecond
+// runtime has begun the default of a signal to reload ends every program. That is
+// 12 ms with the race detector and 3 ms without, and more on a busy machine.
+const firstSteps = 500 * time.Millisecond
 
 func (r *router) reload() {
 	r.mu.Lock()
