--- a/gateway/busy_test.go
+++ b/gateway/busy_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -69,3 +70,27 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(resp.StatusCode).To(Equal(200))
 }
+
+// A route or a key was added three seconds ago, and a flooded router hasn't read that
+// yet. It must not tell callers that they are unknown, which they would take for final:
+// it sends them to another router.
+func TestRouterThatIsBehindDeniesNothingOnAnOldView(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t, map[string]script{"u1": ok("answer")})
+	status := func(path, key string) int {
+		resp, _, err := r.call(path, func(req *http.Request) { req.Header.Set(names.Key, key) })
+		g.Expect(err).NotTo(HaveOccurred())
+		return resp.StatusCode
+	}
+	r.placer.lag.Store(int64(100 * time.Millisecond))
+	r.state.age.Store(int64(3 * time.Second))
+	g.Expect(status("/added/", "k1")).To(Equal(503))
+	g.Expect(status("/safe/", "added")).To(Equal(503))
+
+	// One that keeps up, or whose view is young, denies them.
+	r.placer.lag.Store(0)
+	g.Expect(status("/added/", "k1")).To(Equal(404))
+	r.placer.lag.Store(int64(100 * time.Millisecond))
+	r.state.age.Store(int64(time.Second))
+	g.Expect(status("/safe/", "added")).To(Equal(401))
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -87,6 +87,9 @@
 	if !s.state.Authorized() {
 		return notRun("stale_view", "this router's view of the configuration is too old to decide", time.Second)
 	}
+	if s.tooOld() {
+		return notRun("router_busy", "this router is behind and its view too old to deny a request", retryLater)
+	}
 	return bad(status, code, message)
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -153,11 +153,8 @@
 	if refused := s.stillAllowed(r); refused != nil {
 		return false, refused
 	}
-	// A flooded router reads what its peers tell it seconds late, and would send
-	// to upstreams that have left. While it is behind it trusts no old view;
-	// without that an outage of the platform would stop all.
-	if lag := s.placer.Lag(); lag > s.cfg.ShedLag && s.state.Age() > s.cfg.OldView {
-		r.record.lag = lag
+	if s.tooOld() {
+		r.record.lag = s.placer.Lag()
 		return false, notRun("router_busy", "this router is behind and its view too old to send on", retryLater)
 	}
 	u := state.View.Upstream(id)
@@ -169,6 +166,16 @@
 	return false, nil
 }
 
+// tooOld reports whether this router is behind and its view too old to act upon.
+//
+// A flooded router reads what its peers tell it seconds late. It would send to
+// upstreams that have left, and deny routes and keys that were added long ago. While
+// it is behind it trusts no old view; without that condition an outage of the
+// platform would stop all.
+func (s *Server) tooOld() bool {
+	return s.placer.Lag() > s.cfg.ShedLag && s.state.Age() > s.cfg.OldView
+}
+
 // stillAllowed checks the key against the newest configuration.
 func (s *Server) stillAllowed(r *request) *refusal {
 	if r.team == nil {
