No heartbeat of an earlier process dates a view in the future

A VM lost power and was back before its peers had missed it. They still echoed the time of a heartbeat from before, of a boot clock two hours ahead of the new one; the router took it for its own, dated its view in the future and told its peers, whose views were then dated so too. No router read the platform any more or gave up its right to serve: changes, departures and keys taken away went unheard of.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -76,8 +76,13 @@
 // serve keyed requests ends by itself.
 func (f *Feed) Authorized() bool { return f.Age() < f.cfg.Authority }
 
-// confirm dates the snapshot; a date only moves forward.
+// confirm dates the snapshot; a date only moves forward. One that lies ahead is a
+// fault of whoever gave it, and would keep the right to serve for as long.
 func (f *Feed) confirm(at boottime.Time) {
+	if now := f.now(); at > now {
+		f.log.Error().Str("event", "peer_state").Dur("ahead", at.Sub(now)).Msg("date in the future left out")
+		return
+	}
 	for {
 		old := f.fresh.Load()
 		if old >= int64(at) || f.fresh.CompareAndSwap(old, int64(at)) {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -338,6 +338,22 @@
 	g.Expect(f.Age()).To(Equal(time.Second))
 }
 
+// A date in the future would keep a router's right to serve for as long, whatever it
+// doesn't hear. No word of a peer can give one.
+func TestNoWordDatesAViewInTheFuture(t *testing.T) {
+	g := NewWithT(t)
+	now := boottime.Time(time.Hour)
+	f := feed.New(feed.DefaultConfig(revoke, apply), &scripted{}, func() boottime.Time { return now }, zerolog.Nop(), func() bool { return false }, func() {})
+	f.Import(&feed.Export{Revision: 4, AgeNanos: int64(time.Second), Config: &routing.Config{Version: 1}}, now)
+	g.Expect(f.Age()).To(Equal(time.Second))
+	f.Vouch(4, now.Add(time.Hour))
+	g.Expect(f.Age()).To(Equal(time.Second))
+	f.Import(&feed.Export{Revision: 4, AgeNanos: -int64(time.Hour)}, now)
+	g.Expect(f.Age()).To(Equal(time.Second))
+	now = now.Add(revoke)
+	g.Expect(f.Authorized()).To(BeFalse())
+}
+
 // A suspended VM wakes with a view that is long out of date.
 func TestAuthorityCountsTheTimeOfASuspension(t *testing.T) {
 	g := NewWithT(t)
--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -62,7 +62,10 @@
 		return
 	}
 	at := boottime.Time(b.Echo - b.AgeNanos)
-	if b.Echo == 0 {
+	// A peer that hasn't heard of this incarnation echoes the one before. After a loss
+	// of power its clock was another, hours ahead: the view would be dated in the
+	// future, and the right to serve on it would not end.
+	if b.Echo == 0 || b.EchoOf != uint32(n.self) {
 		at = 0
 	}
 	if n.feed.Vouch(b.Revision, at) {
@@ -112,7 +115,7 @@
 func (n *Node) beatTo(now boottime.Time, m *member, answer bool) {
 	m.beatAt = now
 	b := n.newBeat(now, m.theirs, answer)
-	b.Hub = m.hub
+	b.EchoOf, b.Hub = uint32(m.id), m.hub
 	n.send(m.addr, &packet{Beat: b})
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -136,10 +136,12 @@
 	all []*member
 	// shape changes a router's configuration.
 	shape func(i int, c *fleet.Config)
+	// up is how long VMs have been up when a router starts.
+	up time.Duration
 }
 
 func newCluster(t *testing.T) *cluster {
-	return &cluster{t: t, net: newNetwork(1), shape: func(int, *fleet.Config) {}}
+	return &cluster{t: t, net: newNetwork(1), shape: func(int, *fleet.Config) {}, up: time.Hour}
 }
 
 // start runs n routers that know the first as a seed, and waits until they know
@@ -175,7 +177,7 @@
 	cfg.Seeds, cfg.Seed = []string{addr(0).Addr().String()}, uint64(i+1)
 	cfg.LeadAge = feed.DefaultConfig(revoke, revoke).StaleAfter
 	c.shape(i, &cfg)
-	began := time.Now().Add(-time.Hour)
+	began := time.Now().Add(-c.up)
 	now := func() boottime.Time { return boottime.Time(time.Since(began)) }
 	m := &member{node: fleet.New(cfg, c.net.listen(addr(i)), now, zerolog.Nop()), done: make(chan struct{}), addr: addr(i)}
 	m.feed = feed.New(feed.DefaultConfig(revoke, revoke), s, now, zerolog.Nop(), m.node.Reads, m.node.Changed)
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -21,7 +21,10 @@
 	Sent int64
 	// Echo is the newest Sent that the sender has from the receiver, 0 if none.
 	// It proves that the sender's other words were said after that moment.
-	Echo   int64
+	Echo int64
+	// EchoOf is the low half of the incarnation that Echo is from. The next one at
+	// the address may have another clock.
+	EchoOf uint32
 	IP     string
 	Domain string
 	// Weight is the sender's share of a core.
