--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -203,7 +203,7 @@
 	flood(6, "first", "second")
 	first, second := run.served["first"]-before, run.served["second"]
 	t.Logf("in six seconds the first got %d, the second %d", first, second)
-	g.Expect(first * 10).To(BeNumerically(">=", second*8), "52 to 86 with what was spare owed back")
+	g.Expect(first*10).To(BeNumerically(">=", second*8), "52 to 86 with what was spare owed back")
 }
 
 // All routers have been replaced: the new home knows no caches and no shares.
