Tried, reverted: accounts cut to a multiple of the share

Reverted with its test; the finding is open, its cause known: the first flood's spare service is owed back while the second gets a whole window's share at once. Next to try: bound what a team that begins gets at once.

--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -177,35 +177,6 @@
 	g.Expect(run.served["thin"] * 2).To(BeNumerically(">=", run.served["dense"]))
 }
 
-// One team floods alone, and takes what nobody else asks for. Then a second one
-// floods too. What the first one took was spare: it isn't owed back, or the first
-// would get next to nothing for seconds while the second gets a whole window's share.
-func TestServiceThatWasSpareIsNotOwedBack(t *testing.T) {
-	g := NewWithT(t)
-	c := newCore(4)
-	c.SetCapacity(80000)
-	run := newRun(c)
-	flood := func(seconds int, teams ...string) {
-		for i := range seconds * 100 {
-			run.step(10 * time.Millisecond)
-			for j, team := range teams {
-				for range 2 {
-					run.ask(team, uint64(100*j+int(run.seq)%40))
-				}
-			}
-			if i%20 == 0 {
-				run.ask("small", 1000)
-			}
-		}
-	}
-	flood(8, "first")
-	before := run.served["first"]
-	flood(6, "first", "second")
-	first, second := run.served["first"]-before, run.served["second"]
-	t.Logf("in six seconds the first got %d, the second %d", first, second)
-	g.Expect(first*10).To(BeNumerically(">=", second*8), "52 to 86 with what was spare owed back")
-}
-
 // All routers have been replaced: the new home knows no caches and no shares.
 // It must not refuse everything on the word of accounts that have just begun.
 func TestSharesOfANewHomeDoNotCollapse(t *testing.T) {
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -165,30 +165,12 @@
 		share := left / float64(len(asked)-i)
 		if want > share {
 			s.level = share
-			s.forgive()
 			return
 		}
 		left -= want
 	}
 }
 
-// spareKept is how far above its share a team's account may stand.
-//
-// A team may take what nobody else asks for. Once others ask, its account is far above
-// what is now its share, and it would get next to nothing until the window has passed
-// while a team that has just begun gets a whole window's share: 0.41 of it over six
-// seconds (a day with two floods, one ten seconds after the other). What was spare
-// isn't owed back. Some is kept, or a team could take its share anew each time that the
-// level is computed.
-const spareKept = 1.15
-
-// forgive bounds the accounts that are above the level.
-func (s *shares) forgive() {
-	for _, a := range s.teams {
-		a.served = min(a.served, spareKept*s.level)
-	}
-}
-
 // saturatedFor is how long after a refusal the upstreams count as full.
 const saturatedFor = time.Second
 
