--- a/soak/caller.go
+++ b/soak/caller.go
@@ -93,12 +93,15 @@
 		deadline = time.Now().Add(time.Duration(c.rnd.IntN(300)) * time.Millisecond)
 	}
 	_ = c.conn.SetDeadline(deadline) // a broken connection shows at the write
+	keep := false
 	if err := out.Write(c.conn); err != nil {
-		c.hangUp()
-		return // it isn't known what was read; upstreams tell if it ran
+		// What was read of it isn't known, so no answer is owed. It must not run
+		// twice all the same.
+		req.Left, req.Sent = true, c.rec.Now()
+	} else {
+		req.Sent = c.rec.Now()
+		keep = c.read(&req, out)
 	}
-	req.Sent = c.rec.Now()
-	keep := c.read(&req, out)
 	req.Ended = c.rec.Now()
 	if req.Whole {
 		req.Left = false
