--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -12,7 +12,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/aspenswitch/aspenswitch/boottime"
-	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/feed"
 	"github.com/aspenswitch/aspenswitch/fleet"
 	"github.com/aspenswitch/aspenswitch/gateway"
@@ -48,7 +47,7 @@
 		return nil, err
 	}
 	nodeCfg := nodeConfig(s)
-	nodeCfg.Cached = func(ctx context.Context, address string) ([]dispatch.Part, error) {
+	nodeCfg.Cached = func(ctx context.Context, address string) (fleet.Kept, error) {
 		return platform.CachedParts(ctx, d.pool, address)
 	}
 	transport, err := fleet.Listen(s.Peers.IP, s.Peers.Port)
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -33,12 +33,17 @@
 
 // SetMembers replaces the group's upstreams. What waits for one that has gone
 // is placed anew.
+//
+// One that has started again under its ID is a new upstream: what was believed of its
+// caches, its unread and running work, its speed and its failures ends. Else requests
+// would go where nothing of theirs is kept any more, and wait behind work that nobody
+// does. Ends of the earlier start's requests that come late count there.
 func (c *Core) SetMembers(now time.Duration, members []Member) []Decision {
 	next := make([]*upstream, 0, len(members))
 	byID := make(map[string]*upstream, len(members))
 	for i, m := range members {
 		u := c.byID[m.ID]
-		if u == nil {
+		if u == nil || !u.Same(m.Incarnation) {
 			u = newUpstream(m, &c.cfg)
 			u.useAt = now
 		}
@@ -49,7 +54,7 @@
 	old := c.upstreams
 	c.upstreams, c.byID = next, byID
 	for _, u := range old {
-		if byID[u.ID] != nil {
+		if byID[u.ID] == u {
 			continue
 		}
 		for _, j := range u.queue {
@@ -194,7 +199,7 @@
 		return nil
 	}
 	j.upstream.started(j, now)
-	c.drain(now, j.upstream)
+	c.drainMember(now, j.upstream)
 	return c.take()
 }
 
@@ -217,15 +222,23 @@
 		return
 	}
 	u.ended(j, now, o, took)
-	c.drain(now, u)
+	c.drainMember(now, u)
+}
+
+// drainMember sends what waits for an upstream, unless it has left or started again:
+// nothing waits for it then, and it must not take over what waits for others.
+func (c *Core) drainMember(now time.Duration, u *upstream) {
+	if c.byID[u.ID] == u {
+		c.drain(now, u)
+	}
 }
 
 // Seed takes in what an upstream says that it keeps. A new home knows nothing of
 // the caches; it would take every prompt for unread, refuse what could be served
 // and scatter the sessions.
-func (c *Core) Seed(id string, parts []Part) {
-	u := c.byID[id]
-	if u == nil {
+func (c *Core) Seed(from Incarnation, parts []Part) {
+	u := c.byID[from.ID]
+	if u == nil || !u.Same(from) {
 		return
 	}
 	for i := range parts {
@@ -234,9 +247,9 @@
 }
 
 // Held takes in a request that a router sent before this core was its home.
-func (c *Core) Held(now time.Duration, r Request, upstreamID string, begun bool) {
-	u := c.byID[upstreamID]
-	if u == nil || c.jobs[r.Ticket] != nil {
+func (c *Core) Held(now time.Duration, r Request, at Incarnation, begun bool) {
+	u := c.byID[at.ID]
+	if u == nil || !u.Same(at) || c.jobs[r.Ticket] != nil {
 		return
 	}
 	j := &job{Request: r, targetAt: now + r.Target, expires: now + r.Left + time.Second}
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -24,12 +24,15 @@
 	var members []dispatch.Member
 	for i := range n {
 		members = append(members, dispatch.Member{
-			ID: fmt.Sprintf("e%d", i), Slots: 64, KVTokens: 232000, CopyPerToken: 4767 * time.Nanosecond,
+			Incarnation: named(fmt.Sprintf("e%d", i)), Slots: 64, KVTokens: 232000, CopyPerToken: 4767 * time.Nanosecond,
 		})
 	}
 	return members
 }
 
+// named is an upstream that says nothing of its start.
+func named(id string) dispatch.Incarnation { return dispatch.Incarnation{ID: id} }
+
 // request is a question of a session: a shared part of 6,000 tokens and a part
 // of its own.
 func request(seq uint64, team string, session uint64) dispatch.Request {
@@ -211,7 +214,7 @@
 func TestLostEndsExpire(t *testing.T) {
 	g := NewWithT(t)
 	c := dispatch.New(dispatch.DefaultConfig(false))
-	c.SetMembers(time.Second, []dispatch.Member{{ID: "s", Slots: 1}})
+	c.SetMembers(time.Second, []dispatch.Member{{Incarnation: named("s"), Slots: 1}})
 	r := dispatch.Request{Ticket: ticket(1), Target: 150 * time.Millisecond, Left: time.Second}
 	g.Expect(c.Ask(2*time.Second, r)[0].Verdict).To(Equal(dispatch.Send))
 	r.Ticket = ticket(2)
@@ -273,7 +276,7 @@
 func TestSeededHomeKeepsSessionsTogether(t *testing.T) {
 	g := NewWithT(t)
 	c := newCore(6)
-	c.Seed("e4", []dispatch.Part{{ID: 5, Tokens: 6000}})
+	c.Seed(named("e4"), []dispatch.Part{{ID: 5, Tokens: 6000}})
 	g.Expect(c.Ask(2*time.Second, request(1, "a", 5))[0].Upstream).To(Equal("e4"))
 }
 
@@ -281,7 +284,7 @@
 func TestBusySessionIsCopiedToAnIdleEngine(t *testing.T) {
 	g := NewWithT(t)
 	c := newCore(2)
-	c.Seed("e0", []dispatch.Part{{ID: 5, Tokens: 6000}})
+	c.Seed(named("e0"), []dispatch.Part{{ID: 5, Tokens: 6000}})
 	now := 2 * time.Second
 	var other dispatch.Decision
 	for seq := range uint64(12) {
--- a/dispatch/plain_test.go
+++ b/dispatch/plain_test.go
@@ -59,7 +59,7 @@
 	c := dispatch.New(dispatch.DefaultConfig(false))
 	var members []dispatch.Member
 	for i := range upstreams {
-		members = append(members, dispatch.Member{ID: fmt.Sprint("p", i), Slots: slots})
+		members = append(members, dispatch.Member{Incarnation: named(fmt.Sprint("p", i)), Slots: slots})
 	}
 	c.SetMembers(0, members)
 	return &plain{
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -8,7 +8,7 @@
 
 // Member describes an upstream of the group.
 type Member struct {
-	ID       string
+	Incarnation
 	Slots    int
 	KVTokens int
 	// CopyPerToken is how long the upstream takes to copy a cached token from
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -120,7 +120,7 @@
 		f.upstream.Put(*c.Upstream)
 		f.changes.add(c.Revision, c.Upstream.ID)
 		f.log.Info().Str("event", "upstream").Str("upstream", c.Upstream.ID).Str("service", c.Upstream.Service).
-			Str("address", c.Upstream.Address).Bool("draining", c.Upstream.Draining).Int64("revision", c.Revision).Msg("upstream published")
+			Str("address", c.Upstream.Address).Int64("started", c.Upstream.Started).Bool("draining", c.Upstream.Draining).Int64("revision", c.Revision).Msg("upstream published")
 	default:
 		f.remove(c)
 	}
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -46,7 +46,7 @@
 	GroupSize int
 	// Cached asks an engine at an address which prompt parts it keeps; nil if
 	// engines can't be asked.
-	Cached func(ctx context.Context, address string) ([]dispatch.Part, error)
+	Cached func(ctx context.Context, address string) (Kept, error)
 	// Seed of the process's random numbers, among them its incarnation: two
 	// processes must not have the same.
 	Seed uint64
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -32,7 +32,7 @@
 	leaveEvent  struct{}
 	cachedEvent struct {
 		key      groupKey
-		upstream string
+		upstream dispatch.Incarnation
 		parts    []dispatch.Part
 	}
 	seedsEvent struct{ ips []string }
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -94,7 +94,7 @@
 		if groupOfUpstream(u.ID, count) != key.index {
 			continue
 		}
-		m := dispatch.Member{ID: u.ID, Slots: slots(u)}
+		m := dispatch.Member{Incarnation: incarnation(u), Slots: slots(u)}
 		if svc != nil && svc.Engine != nil {
 			m.KVTokens = svc.Engine.KVTokens
 			m.CopyPerToken = copyTime(svc.Engine)
@@ -115,6 +115,10 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+func incarnation(u *registry.Upstream) dispatch.Incarnation {
+	return dispatch.Incarnation{ID: u.ID, Started: u.Started}
+}
+
 func slots(u *registry.Upstream) int { return max(u.Slots, 1) }
 
 // yield is the part of the engines' tokens a second that some of them give.
@@ -212,7 +216,7 @@
 func (n *Node) askCachedOf(key groupKey, u *registry.Upstream) {
 	ctx, cancel := context.WithTimeout(context.Background(), cachedTimeout)
 	defer cancel()
-	parts, err := n.cfg.Cached(ctx, u.Address)
+	kept, err := n.cfg.Cached(ctx, u.Address)
 	if err != nil {
 		n.limited.Warn("cached", func(e *obs.Event) {
 			e.Str("upstream", u.ID).Err(err).Msg("engine didn't say what it keeps")
@@ -220,9 +224,9 @@
 		return
 	}
 	n.limited.Info("cached", func(e *obs.Event) {
-		e.Str("upstream", u.ID).Int("parts", len(parts)).Msg("engine said what it keeps")
+		e.Str("upstream", u.ID).Int("parts", len(kept.Parts)).Msg("engine said what it keeps")
 	})
-	n.post(cachedEvent{key: key, upstream: u.ID, parts: parts})
+	n.post(cachedEvent{key: key, upstream: kept.from(u), parts: kept.Parts})
 }
 
 func (n *Node) tellHeld(now boottime.Time, g *group, home *member) {
@@ -231,13 +235,12 @@
 			continue
 		}
 		if home == nil {
-			r := h.request
-			g.core.Held(time.Duration(now), r, h.upstream, h.begun)
+			g.core.Held(time.Duration(now), h.request, h.upstream, h.begun)
 			continue
 		}
 		n.send(home.addr, &packet{Report: &report{
 			Kind: holds, Seq: h.request.Ticket.Seq, Service: h.key.service, Group: h.key.index,
-			Held: newAsk(h.key, h.request), Upstream: h.upstream, Begun: h.begun,
+			Held: newAsk(h.key, h.request), Upstream: h.upstream.ID, Started: h.upstream.Started, Begun: h.begun,
 		}})
 	}
 }
--- a/fleet/home.go
+++ b/fleet/home.go
@@ -73,7 +73,7 @@
 		n.deliver(now, key, g.core.Done(at, ticket, r.Outcome, duration(r.TookMs)))
 	case holds:
 		if r.Held != nil {
-			g.core.Held(at, r.Held.request(from), r.Upstream, r.Begun)
+			g.core.Held(at, r.Held.request(from), dispatch.Incarnation{ID: r.Upstream, Started: r.Started}, r.Begun)
 		}
 	}
 }
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -106,7 +106,9 @@
 	// Held and Upstream are set with holds; Begun if the answer has begun.
 	Held     *ask
 	Upstream string
-	Begun    bool
+	// Started tells which start of the upstream has the request.
+	Started int64
+	Begun   bool
 }
 
 // shed tells a home of a team's requests that a router has refused by itself, so
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -54,7 +54,7 @@
 	groups  map[groupKey]*group
 	pending map[uint64]*pending
 	held    map[uint64]*heldRequest
-	warm    map[uint64]string
+	warm    map[uint64]dispatch.Incarnation
 	pushed  int64
 	// filled is the state from which the groups have their upstreams.
 	filled *feed.Snapshot
@@ -86,7 +86,7 @@
 		limited: obs.NewLimited(log, logLines),
 		events:  make(chan any, eventQueue), over: make(chan struct{}),
 		members: map[uint64]*member{}, byIP: map[string]*member{}, groups: map[groupKey]*group{},
-		pending: map[uint64]*pending{}, held: map[uint64]*heldRequest{}, warm: map[uint64]string{},
+		pending: map[uint64]*pending{}, held: map[uint64]*heldRequest{}, warm: map[uint64]dispatch.Incarnation{},
 	}
 	n.self = n.random.Uint64()
 	n.routers.Store(1)
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -6,6 +6,7 @@
 
 	"github.com/aspenswitch/aspenswitch/boottime"
 	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/feed"
 )
 
 // pending is a request of this router that waits for a decision.
@@ -28,7 +29,7 @@
 	request  dispatch.Request
 	key      groupKey
 	group    *group
-	upstream string
+	upstream dispatch.Incarnation
 	begun    bool
 	// home was told of it.
 	home *member
@@ -78,13 +79,37 @@
 		e.answer <- dispatch.Decision{Verdict: dispatch.Refuse, RetryAfter: time.Second}
 		return
 	}
-	e.request.Warm = n.warm[sessionOf(e.request.Parts)]
+	e.request.Warm = n.warmFor(s, e.request.Parts)
 	p := &pending{request: e.request, key: key, group: g, answer: e.answer, asked: now}
 	n.pending[e.request.Ticket.Seq] = p
 	p.local = now.Add(n.cfg.AskLocal)
 	n.ask(now, p)
 }
 
+// warmFor is the upstream to which the session was last sent, if it hasn't started
+// again since.
+func (n *Node) warmFor(s *feed.Snapshot, parts []dispatch.Part) string {
+	last, found := n.warm[sessionOf(parts)]
+	if !found {
+		return ""
+	}
+	u := s.View.Upstream(last.ID)
+	if u == nil || !incarnation(u).Same(last) {
+		return ""
+	}
+	return u.ID
+}
+
+// incarnationOf is the present start of an upstream, as far as this router knows.
+func (n *Node) incarnationOf(id string) dispatch.Incarnation {
+	if s := n.feed.Snapshot(); s != nil {
+		if u := s.View.Upstream(id); u != nil {
+			return incarnation(u)
+		}
+	}
+	return dispatch.Incarnation{ID: id}
+}
+
 // replied takes in a home's decision. One for a request that is not waiting, or
 // that was decided elsewhere, is given back: else the home would take an idle
 // upstream for busy.
@@ -116,12 +141,13 @@
 	}
 	delete(n.pending, d.Ticket.Seq)
 	if d.Verdict == dispatch.Send {
-		n.held[d.Ticket.Seq] = &heldRequest{request: p.request, key: p.key, group: p.group, upstream: d.Upstream, home: p.home}
+		at := n.incarnationOf(d.Upstream)
+		n.held[d.Ticket.Seq] = &heldRequest{request: p.request, key: p.key, group: p.group, upstream: at, home: p.home}
 		if session := sessionOf(p.request.Parts); session != 0 {
 			if len(n.warm) >= maxWarm {
 				clear(n.warm)
 			}
-			n.warm[session] = d.Upstream
+			n.warm[session] = at
 		}
 	}
 	p.answer <- d
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,6 +11,7 @@
 	"github.com/aspenswitch/aspenswitch/headers"
 	"github.com/aspenswitch/aspenswitch/limits"
 	"github.com/aspenswitch/aspenswitch/obs"
+	"github.com/aspenswitch/aspenswitch/registry"
 	"github.com/aspenswitch/aspenswitch/retry"
 	"github.com/aspenswitch/aspenswitch/routing"
 	"github.com/aspenswitch/aspenswitch/upstream"
@@ -201,7 +202,7 @@
 	s.count(r)
 	r.record.upstream = id
 	at := time.Now()
-	call := s.call(r, out, u.Address, id)
+	call := s.call(r, out, u)
 	if from := s.state.Snapshot().View.Upstream(d.CopyFrom); from != nil {
 		call.Header.Set(s.cfg.Names.CopyFrom, from.Address)
 		r.record.copyFrom = from.ID
@@ -310,7 +311,7 @@
 }
 
 // call is the request as it goes to an upstream.
-func (s *Server) call(r *request, out *relay, address, id string) *upstream.Call {
+func (s *Server) call(r *request, out *relay, u *registry.Upstream) *upstream.Call {
 	h := r.in.Header.Clone()
 	headers.RemoveHopByHop(h)
 	n := s.cfg.Names
@@ -324,13 +325,13 @@
 	if r.team != nil {
 		h.Set(n.Team, r.team.Name)
 	}
-	h.Set(n.Upstream, id)
+	h.Set(n.Upstream, u.ID)
 	h.Set(n.Deadline, formatMillis(time.Until(r.deadline)))
 	if out.lastID != "" {
 		h.Set("Last-Event-Id", out.lastID)
 	}
 	return &upstream.Call{
-		Address: address, Method: r.in.Method, URI: r.in.RequestURI, Host: r.in.Host, Header: h, Body: r.body,
+		Address: u.Address, Started: u.Started, Method: r.in.Method, URI: r.in.RequestURI, Host: r.in.Host, Header: h, Body: r.body,
 		IDHeader: n.RequestID, ID: r.id, Repeatable: r.route.Kind == routing.Safe || r.route.Repeatable(),
 	}
 }
--- a/lab/policy.go
+++ b/lab/policy.go
@@ -67,7 +67,7 @@
 	c := &cored{w: w, core: dispatch.New(dispatch.DefaultConfig(true)), delay: delay}
 	var members []dispatch.Member
 	for _, e := range w.engines {
-		members = append(members, dispatch.Member{ID: e.id, Slots: w.load.Sheet.Batch, KVTokens: kvTokens, CopyPerToken: copyPerToken})
+		members = append(members, dispatch.Member{Incarnation: dispatch.Incarnation{ID: e.id}, Slots: w.load.Sheet.Batch, KVTokens: kvTokens, CopyPerToken: copyPerToken})
 	}
 	c.core.SetCapacity(w.load.Sheet.TokensPerSecond * float64(len(w.engines)) / float64(w.load.Sheet.EnginesPublished))
 	c.core.SetMembers(0, members)
--- a/prove/main.go
+++ b/prove/main.go
@@ -1,6 +1,7 @@
 // Command prove shows that the failure tests can fail: it takes one safeguard at
 // a time out of a copy of the source and expects the named test to fail without
-// it. It is a tool for developers, no part of the product.
+// it. It is a tool for developers, no part of the product. An argument picks the
+// safeguards whose names hold it.
 package main
 
 import (
@@ -51,6 +52,9 @@
 	}
 	survived := 0
 	for _, s := range all {
+		if !picked(s.Name) {
+			continue
+		}
 		failed, err := s.withoutIt(dir)
 		if err != nil {
 			return fmt.Errorf("%s: %w", s.Name, err)
@@ -68,6 +72,11 @@
 	return nil
 }
 
+// picked reports whether a safeguard is asked for.
+func picked(name string) bool {
+	return len(os.Args) < 2 || strings.Contains(name, os.Args[1])
+}
+
 // copyTree copies what git tracks.
 func copyTree(dir string) error {
 	names, err := exec.Command("git", "ls-files", "-z").Output()
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -36,6 +36,9 @@
 		return
 	}
 	delete(r.lapsed, u.ID)
+	if u.Started == 0 {
+		u.Started = r.entries[u.ID].Started
+	}
 	r.entries[u.ID] = u
 }
 
--- a/registry/upstream.go
+++ b/registry/upstream.go
@@ -4,7 +4,8 @@
 
 import "time"
 
-// Upstream is one incarnation of an upstream: a restart gets a new ID.
+// Upstream is one incarnation of an upstream. A restart may keep the ID; Started then
+// tells the two apart.
 type Upstream struct {
 	ID      string
 	Service string
@@ -17,6 +18,16 @@
 	Draining bool
 	// ColdFor is how much longer it was slow after its start when it registered.
 	ColdFor time.Duration
+	// Started is when its process started by its own clock, in Unix milliseconds; 0 if
+	// it doesn't say. Clocks are set back: another moment is another start, an earlier
+	// one too.
+	Started int64
 	// Revision is the platform's, of the entry's last change.
 	Revision int64
 }
+
+// RestartOf reports whether u is another start of the same upstream. One that says
+// nothing of its start may be either and counts as the same.
+func (u *Upstream) RestartOf(earlier *Upstream) bool {
+	return u.Started != 0 && earlier.Started != 0 && u.Started != earlier.Started
+}
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -49,6 +49,9 @@
 	// Began is told that a request begins to run, and what it returns is told
 	// the end; gone is set if the connection ended before the answer was whole.
 	Began func(id string) (ended func(gone bool))
+	// Address is where it listens, a free port of loopback if empty. A runner that
+	// starts again under its name has the address that it had.
+	Address string
 	// FaultEvery is how often a fault comes: at each of so many requests; 0 is
 	// every one.
 	FaultEvery int
@@ -80,9 +83,13 @@
 	crashed  bool
 }
 
-// NewRunner listens on a free port of loopback.
+// NewRunner listens.
 func NewRunner(id string, names RunnerNames, opts RunnerOptions) (*Runner, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address := opts.Address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/store.go
+++ b/standin/store.go
@@ -130,6 +130,13 @@
 	s.cut = make(chan struct{})
 }
 
+// SetRevision sets the count of changes, as of a store that has been in use.
+func (s *Store) SetRevision(revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = revision
+}
+
 // SetPage sets the size of a page.
 func (s *Store) SetPage(items int) {
 	s.mu.Lock()
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -22,6 +22,9 @@
 	// IDHeader names the header that carries ID in both directions. An answer
 	// with another value belongs to another request.
 	IDHeader, ID string
+	// Started names the start of the upstream that is meant, 0 if it isn't known. An
+	// idle connection that was opened to another start isn't used.
+	Started int64
 	// Repeatable calls may use any idle connection.
 	Repeatable bool
 }
@@ -63,7 +66,7 @@
 		maxIdle = time.Hour
 	}
 	for {
-		c, err := p.get(ctx, call.Address, maxIdle)
+		c, err := p.get(ctx, call, maxIdle)
 		if err != nil {
 			return nil, &Failure{Cause: err}
 		}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -93,7 +93,9 @@
 	net.Conn
 	br   *bufio.Reader
 	addr string
-	used time.Time
+	// started is the start of the upstream to which it was opened.
+	started int64
+	used    time.Time
 	// expires is when the connection is closed if it is still idle.
 	expires time.Time
 	reused  bool
@@ -104,10 +106,15 @@
 const readBuffer = 2 << 10
 
 // get returns a connection that was last used within maxIdle, or a new one.
-func (p *Pool) get(ctx context.Context, addr string, maxIdle time.Duration) (*poolConn, error) {
+//
+// A connection to an earlier start of the upstream isn't used. After a loss of power
+// nothing has closed it; what is sent on it meets a reset, and nobody knows that it
+// didn't run.
+func (p *Pool) get(ctx context.Context, call *Call, maxIdle time.Duration) (*poolConn, error) {
+	addr := call.Address
 	for c := p.take(addr); c != nil; c = p.take(addr) {
 		now := time.Now()
-		if now.Before(c.expires) && now.Sub(c.used) < maxIdle && c.quiet() {
+		if now.Before(c.expires) && now.Sub(c.used) < maxIdle && c.started == call.Started && c.quiet() {
 			c.reused = true
 			return c, nil
 		}
@@ -120,7 +127,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &poolConn{Conn: conn, br: bufio.NewReaderSize(conn, readBuffer), addr: addr}, nil
+	return &poolConn{Conn: conn, br: bufio.NewReaderSize(conn, readBuffer), addr: addr, started: call.Started}, nil
 }
 
 // take removes the connection that was used last.
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -259,6 +259,33 @@
 	g.Expect(p.Dials()).To(Equal(int64(2)))
 }
 
+// An upstream loses power and starts again under its name and address. Nothing has
+// closed the connection of before; what is sent on it would be lost, and nobody could
+// say that it didn't run. The next call opens a new one.
+func TestConnectionToAnEarlierStartIsNotUsedAgain(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, _, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answer(req.Header.Get("Id"), "ok"))
+		}
+	})
+	p := newPool(t)
+	for i, started := range []int64{1000, 1000, 2000} {
+		call := s.call(itoa(i), "")
+		call.Started = started
+		a, err := p.Do(context.Background(), call)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadAll(a)
+		g.Expect(err).NotTo(HaveOccurred())
+		a.Close()
+	}
+	g.Expect(p.Dials()).To(Equal(int64(2)))
+}
+
 // The upstream would go on working for nobody: when the caller leaves, its
 // connection is closed, also while the answer is awaited.
 func TestCancelledCallClosesTheConnection(t *testing.T) {
