--- /dev/null
+++ b/dispatch/floods_test.go
@@ -0,0 +1,106 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// floods is a play of teams that ask for far more than there is, beginning one after
+// the other, beside small teams and while engines are lost.
+type floods struct {
+	*run
+	begins []time.Duration
+	// sent is what each flood was sent by second.
+	sent [][]int
+	lost time.Duration
+}
+
+const (
+	floodEngines = 6
+	// floodSpan is the span over which users compare teams, in seconds.
+	floodSpan   = 6
+	floodLength = 16 * time.Second
+)
+
+// drawFloods draws two or three floods. The first has engines to itself for some
+// seconds; then the others begin, and up to half of the engines may be lost.
+func drawFloods(rt *rapid.T) *floods {
+	c := newCore(floodEngines)
+	c.SetCapacity(120000)
+	f := &floods{run: newRun(c), lost: time.Duration(rapid.IntRange(3000, 9000).Draw(rt, "lost at")) * time.Millisecond}
+	f.begins = []time.Duration{0}
+	for range rapid.IntRange(1, 2).Draw(rt, "more floods") {
+		f.begins = append(f.begins, time.Duration(rapid.IntRange(2000, 7000).Draw(rt, "begins"))*time.Millisecond)
+	}
+	left := rapid.IntRange(floodEngines/2, floodEngines).Draw(rt, "engines left")
+	f.play(left)
+	return f
+}
+
+func (f *floods) play(left int) {
+	const step = 10 * time.Millisecond
+	start, lost := f.now, false
+	f.sent = append(f.sent, make([]int, len(f.begins)))
+	f.onSend = f.count
+	for f.now < start+floodLength {
+		f.step(step)
+		at := f.now - start
+		if at >= f.lost && !lost {
+			lost = true
+			f.take(f.c.SetMembers(f.now, engines(floodEngines)[:left]))
+		}
+		if int(at/time.Second) >= len(f.sent) {
+			f.sent = append(f.sent, make([]int, len(f.begins)))
+		}
+		for i, begins := range f.begins {
+			if at >= begins {
+				f.ask(floodName(i), uint64(100*i)+f.seq%40)
+			}
+		}
+		if f.seq%7 == 0 {
+			f.ask(fmt.Sprint("small", f.seq%5), 1000+f.seq%5)
+		}
+	}
+}
+
+// count notes a request that was sent.
+func (f *floods) count(team string) {
+	for i := range f.begins {
+		if team == floodName(i) {
+			f.sent[len(f.sent)-1][i]++
+		}
+	}
+}
+
+func floodName(i int) string { return fmt.Sprint("flood", i) }
+
+// Two or three teams ask for ten times what there is, one after the other, and engines
+// are lost. What a team took while it was alone isn't owed back at once: over any six
+// seconds in which all of them wait, none gets less than half of what another got.
+func TestFloodsThatBeginOneAfterTheOtherAreServedAlike(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := drawFloods(rt)
+		last := time.Duration(0)
+		for _, begins := range f.begins {
+			last = max(last, begins)
+		}
+		for from := int(last/time.Second) + 1; from+floodSpan <= len(f.sent); from++ {
+			got := make([]int, len(f.begins))
+			for _, second := range f.sent[from : from+floodSpan] {
+				for i, n := range second {
+					got[i] += n
+				}
+			}
+			for i := range got {
+				for j := range got {
+					if 2*got[i] < got[j] {
+						rt.Fatalf("from second %d flood %d got %d and flood %d got %d: %v", from, i, got[i], j, got[j], f.sent)
+					}
+				}
+			}
+		}
+	})
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -38,7 +38,7 @@
 )
 
 // before reports whether a goes to an upstream before b: by rank; teams within
-// their share first; those above it by who had least; then by who must start
+// their share first; those above it by who had least of late; then by who must start
 // soonest (earliest deadline first).
 func (c *Core) before(a, b *job, now time.Duration) bool {
 	if a.Rank != b.Rank {
@@ -51,7 +51,7 @@
 		return bLate
 	}
 	if a.over && a.Team != b.Team {
-		return c.teams.served(a.Team) < c.teams.served(b.Team)
+		return c.teams.lately(now, a.Team) < c.teams.lately(now, b.Team)
 	}
 	return a.targetAt-a.cost < b.targetAt-b.cost
 }
--- a/dispatch/run_test.go
+++ b/dispatch/run_test.go
@@ -16,6 +16,8 @@
 	engines       map[string]*fifo
 	team          map[uint64]string
 	steps, idles  int
+	// onSend, if set, is told of each request that is sent.
+	onSend func(team string)
 }
 
 // fifo is an engine's unread work.
@@ -42,6 +44,9 @@
 		if d.Verdict != dispatch.Send {
 			continue
 		}
+		if r.onSend != nil {
+			r.onSend(r.team[d.Ticket.Seq])
+		}
 		e := r.engines[d.Upstream]
 		if e == nil {
 			e = &fifo{}
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -28,10 +28,11 @@
 	refusedAt time.Duration
 }
 
-// account is a team's. Both are sums that decay over the window, in tokens.
+// account is a team's, in tokens. What was asked and served are sums that decay over
+// the window, lately is what was served with a decay over rateWindow.
 type account struct {
-	asked, served float64
-	at            time.Duration
+	asked, served, lately float64
+	at                    time.Duration
 	// refusedAt is when a request of the team was last refused, here or by a router
 	// on its own.
 	refusedAt time.Duration
@@ -62,6 +63,7 @@
 	f := math.Exp(-float64(now-a.at) / float64(s.window))
 	a.asked *= f
 	a.served *= f
+	a.lately *= math.Exp(-float64(now-a.at) / float64(rateWindow))
 	a.at = now
 }
 
@@ -73,7 +75,9 @@
 }
 
 func (s *shares) serve(now time.Duration, team string, tokens float64) {
-	s.account(now, team).served += tokens
+	a := s.account(now, team)
+	a.served += tokens
+	a.lately += tokens
 }
 
 func (s *shares) refused(now time.Duration, team string) {
@@ -87,12 +91,6 @@
 	return 0
 }
 
-// over reports whether a team has had its share.
-func (s *shares) over(now time.Duration, team string) bool {
-	s.refresh(now)
-	return s.account(now, team).served > s.level
-}
-
 func (s *shares) refresh(now time.Duration) {
 	if now-s.levelAt >= levelEvery {
 		s.levelAt = now
