The laboratory's deployments are data files

Cause: the laboratory held one engine's data sheet as constants and two deployments as code, so a deployment with other engines (the new customer's read 56.6 tokens a ms in chunks of 4,096) couldn't be played without a change of the code.

--- a/cmd/aspenswitch-load/main.go
+++ b/cmd/aspenswitch-load/main.go
@@ -39,9 +39,7 @@
 	page := slopes.Flag("page", "Page with the marks.").Default("docs/CAPACITY.md").String()
 	figures := slopes.Flag("out", "File for the figures as JSON.").Default("docs/capacity.json").String()
 	table := app.Command("lab", "Play days over a model of the engines under the real placing and its rivals.")
-	shape := lab.Shape{}
-	table.Flag("engines", "Engines.").Default("18").IntVar(&shape.Engines)
-	table.Flag("routers", "Routers.").Default("6").IntVar(&shape.Routers)
+	sheet := table.Flag("sheet", "Deployment to play, JSON with comments; lab/sheets has examples.").Default("lab/sheets/midlands.json").ExistingFile()
 	seed := table.Flag("seed", "Seed of the load.").Default("1").Uint64()
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case run.FullCommand():
@@ -51,7 +49,7 @@
 		app.FatalIfError(err, "")
 		r.Print(os.Stdout)
 	case table.FullCommand():
-		app.FatalIfError(lab.Table(os.Stdout, shape, *seed), "")
+		app.FatalIfError(runLab(*sheet, *seed), "lab")
 	case slopes.FullCommand():
 		r := capacity.Measure()
 		fmt.Print(r.Table())
@@ -62,6 +60,14 @@
 	}
 }
 
+func runLab(file string, seed uint64) error {
+	sheet, err := lab.ReadSheet(file)
+	if err != nil {
+		return err
+	}
+	return lab.Table(os.Stdout, sheet, seed)
+}
+
 func runBench(quick bool, boundsFile, dir string) error {
 	all := experiment.Suite(quick)
 	experiment.Print(os.Stdout, all)
--- a/lab/engine.go
+++ b/lab/engine.go
@@ -7,26 +7,14 @@
 	"github.com/aspenswitch/aspenswitch/dispatch"
 )
 
-// The engine's data sheet: a step takes stepMs and more for each running request
-// and each thousand tokens of context; prompt tokens are read in chunks.
-const (
-	kvTokens       = 232000
-	stepMs         = 5.47
-	stepMsPerSlot  = 0.0121
-	contextMsPerK  = 0.023
-	tokensPerMs    = 38.7
-	pairsMsPerM    = 0.737
-	chunk          = 2048
-	copyPerToken   = 4767 * time.Nanosecond
-	microsInMillis = 1000
-)
+const microsInMillis = 1000
 
 // engine batches continuously, admits first come first served and keeps prompt
 // parts, least recently used first out.
 type engine struct {
 	id      string
 	clock   *clock
-	sheet   *Sheet
+	sheet   *EngineSheet
 	speed   float64
 	waiting []*sequence
 	running []*sequence
@@ -59,7 +47,7 @@
 	done      func()
 }
 
-func newEngine(id string, c *clock, sheet *Sheet, speed float64) *engine {
+func newEngine(id string, c *clock, sheet *EngineSheet, speed float64) *engine {
 	return &engine{id: id, clock: c, sheet: sheet, speed: speed, kept: map[uint64]*list.Element{}}
 }
 
@@ -74,7 +62,7 @@
 		e.enqueue(s)
 		return
 	}
-	e.clock.after(time.Duration(theirs-have)*copyPerToken, func() {
+	e.clock.after(time.Duration(theirs-have)*e.sheet.copyPerToken(), func() {
 		e.keep(s.parts, theirs)
 		e.enqueue(s)
 	})
@@ -113,7 +101,7 @@
 		e.kept[p.ID] = e.order.PushFront(keptPart{p.ID, p.Tokens})
 		e.tokens += p.Tokens
 	}
-	room := kvTokens
+	room := e.sheet.KVTokens
 	for _, s := range e.running {
 		room -= s.unread + s.generated
 	}
@@ -126,7 +114,7 @@
 
 // admit takes waiting requests into the batch.
 func (e *engine) admit() {
-	for len(e.waiting) > 0 && len(e.running) < e.sheet.Batch {
+	for len(e.waiting) > 0 && len(e.running) < e.sheet.Slots {
 		s := e.waiting[0]
 		e.waiting = e.waiting[1:]
 		if s.cancelled {
@@ -165,18 +153,18 @@
 	if !e.busy {
 		return
 	}
-	ms := stepMs + stepMsPerSlot*float64(len(e.running))
-	budget := chunk
+	ms := e.sheet.StepMs + e.sheet.StepMsPerSlot*float64(len(e.running))
+	budget := e.sheet.ChunkTokens
 	reads := make([]int, len(e.running))
 	for i, s := range e.running {
-		ms += contextMsPerK * float64(s.context) / microsInMillis
+		ms += e.sheet.ContextMsPerK * float64(s.context) / microsInMillis
 		if s.unread == 0 || budget == 0 {
 			continue
 		}
 		n := min(s.unread, budget)
 		budget -= n
 		reads[i] = n
-		ms += float64(n)/tokensPerMs + float64(n)*(float64(s.context)+float64(n)/2)*pairsMsPerM/1e6
+		ms += float64(n)/e.sheet.TokensPerMs + float64(n)*(float64(s.context)+float64(n)/2)*e.sheet.PairsMsPerM/1e6
 	}
 	e.clock.after(time.Duration(ms*e.speed*float64(time.Millisecond)), func() { e.ended(reads) })
 }
--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -13,7 +13,7 @@
 var shape = lab.Shape{Engines: 18, Routers: 6}
 
 func calm(seed uint64) lab.Load {
-	return lab.Load{Sheet: lab.Midlands(), Scale: 0.6, Length: 15 * time.Second, Seed: seed}
+	return lab.Load{Sheet: lab.Builtin("midlands"), Scale: 0.6, Length: 15 * time.Second, Seed: seed}
 }
 
 func heavy(seed uint64) lab.Load {
@@ -99,7 +99,7 @@
 func TestFloodsOfTheGrownDeploymentAreSharedOut(t *testing.T) {
 	g := NewWithT(t)
 	for _, seed := range seeds {
-		r := lab.Play(lab.Grown(seed), lab.Shape{Engines: lab.GrownVilaine().EnginesPublished, Routers: 6}, lab.Home)
+		r := lab.Play(lab.Grown(seed), lab.Shape{Engines: lab.Grown(seed).Sheet.Engines, Routers: 6}, lab.Home)
 		g.Expect(r.Owed).To(BeNumerically(">", 0.9))
 		g.Expect(r.SmallTeams).To(BeNumerically(">", 0.85))
 		g.Expect(r.Gap).To(BeNumerically(">", 0.6))
--- a/lab/load.go
+++ b/lab/load.go
@@ -59,8 +59,8 @@
 				}
 				out = append(out, arrival{
 					at: at, class: c, team: team, session: rnd.IntN(class.Sessions),
-					own:    1 + int(lognormal(rnd, class.Own, 1)),
-					output: 1 + int(min(lognormal(rnd, class.Output, 0.7), float64(class.MaxOutput))),
+					own:    1 + int(lognormal(rnd, class.OwnTokens, 1)),
+					output: 1 + int(min(lognormal(rnd, class.OutputTokens, 0.7), float64(class.MaxOutput))),
 					router: (team + rnd.IntN(2)) % routers,
 				})
 			}
--- a/lab/policy.go
+++ b/lab/policy.go
@@ -65,11 +65,12 @@
 
 func (w *world) newCore(delay time.Duration) *cored {
 	c := &cored{w: w, core: dispatch.New(dispatch.DefaultConfig(true)), delay: delay}
+	engine := &w.load.Sheet.Engine
 	var members []dispatch.Member
 	for _, e := range w.engines {
-		members = append(members, dispatch.Member{Incarnation: dispatch.Incarnation{ID: e.id}, Slots: w.load.Sheet.Batch, KVTokens: kvTokens, CopyPerToken: copyPerToken})
+		members = append(members, dispatch.Member{Incarnation: dispatch.Incarnation{ID: e.id}, Slots: engine.Slots, KVTokens: engine.KVTokens, CopyPerToken: engine.copyPerToken()})
 	}
-	c.core.SetCapacity(w.load.Sheet.TokensPerSecond * float64(len(w.engines)) / float64(w.load.Sheet.EnginesPublished))
+	c.core.SetCapacity(w.load.Sheet.TokensPerSecond * float64(len(w.engines)) / float64(w.load.Sheet.Engines))
 	c.core.SetMembers(0, members)
 	c.tick()
 	return c
@@ -92,7 +93,7 @@
 func (c *cored) ask(r *request) {
 	ask := dispatch.Request{
 		Ticket: dispatch.Ticket{Router: 1, Seq: r.seq}, Team: strconv.Itoa(r.team), Prompt: r.prompt(), Output: r.hint,
-		Parts: r.parts, Target: c.w.class(r).Aim, Left: c.w.left(r),
+		Parts: r.parts, Target: c.w.class(r).target(), Left: c.w.left(r),
 	}
 	c.w.clock.after(c.delay, func() { c.deliver(c.core.Ask(c.w.clock.now, ask)) })
 }
--- a/lab/world.go
+++ b/lab/world.go
@@ -72,9 +72,6 @@
 // Shape is the lab's fleet.
 type Shape struct{ Engines, Routers int }
 
-// speeds of the engines differ as on the data sheet.
-var speeds = []float64{1, 1, 1.3}
-
 // Play plays a load under a policy. The same seed gives the same result.
 func Play(l Load, s Shape, p Policy) Result { return playWorld(l, s, p).sum() }
 
@@ -84,8 +81,9 @@
 		rnd: rand.New(rand.NewPCG(l.Seed, 1)), result: Result{Policy: p, ByClass: map[string]float64{}},
 		owed: newLedger(l.Sheet), gap: newGap(l.Sheet.Teams),
 	}
+	sheet := &l.Sheet.Engine
 	for i := range s.Engines {
-		e := newEngine(fmt.Sprintf("e%d", i), w.clock, l.Sheet, speeds[i%len(speeds)])
+		e := newEngine(fmt.Sprintf("e%d", i), w.clock, sheet, sheet.Speeds[i%len(sheet.Speeds)])
 		e.peers = w.byID
 		w.engines = append(w.engines, e)
 		w.byID[e.id] = e
@@ -109,8 +107,8 @@
 	base := uint64(r.class+1) << 40
 	group := r.session % c.Groups
 	return []dispatch.Part{
-		{ID: base | uint64(group), Tokens: int(c.Group)},
-		{ID: base | 1<<20 | uint64(r.session), Tokens: int(c.Session)},
+		{ID: base | uint64(group), Tokens: int(c.GroupTokens)},
+		{ID: base | 1<<20 | uint64(r.session), Tokens: int(c.SessionTokens)},
 		{ID: base | 1<<39 | own, Tokens: r.own},
 	}
 }
@@ -124,14 +122,14 @@
 // rest by tokens against the mean of the kind, up to four times the usual.
 func (w *world) worth(r *request, usual float64) float64 {
 	c := w.class(r)
-	mean := c.Group + c.Session + c.Own + 10*c.Output
+	mean := c.GroupTokens + c.SessionTokens + c.OwnTokens + 10*c.OutputTokens
 	size := (float64(r.prompt()) + 10*float64(r.output)) / mean
 	return usual * min(0.3+0.7*size, 4)
 }
 
 func (w *world) arrive(r *request) {
 	w.gap.at(w.clock.now, r.team).asked += r.charge()
-	w.clock.after(w.class(r).Deadline, func() { w.expire(r) })
+	w.clock.after(w.class(r).deadline(), func() { w.expire(r) })
 	w.try(r)
 }
 
@@ -145,7 +143,7 @@
 }
 
 // left is the time until the caller gives up.
-func (w *world) left(r *request) time.Duration { return r.at + w.class(r).Deadline - w.clock.now }
+func (w *world) left(r *request) time.Duration { return r.at + w.class(r).deadline() - w.clock.now }
 
 // decided acts on a decision, as a router does.
 func (w *world) decided(r *request, d dispatch.Decision) {
@@ -162,7 +160,7 @@
 		r.first = w.clock.now
 		second := w.gap.at(w.clock.now, r.team)
 		second.began += r.charge()
-		second.held = second.held || r.first-r.at > w.class(r).Aim
+		second.held = second.held || r.first-r.at > w.class(r).target()
 		w.decider.started(r)
 	}
 	r.atEngine.done = func() { w.answered(r) }
@@ -195,11 +193,11 @@
 	r.ended = true
 	c := w.class(r)
 	w.decider.done(r, dispatch.Served, w.clock.now-r.sentAt)
-	if r.first-r.at <= c.Aim && r.atEngine.pause <= w.load.Sheet.Pause {
+	if r.first-r.at <= c.target() && r.atEngine.pause <= inMillis(w.load.Sheet.Engine.PauseMs) {
 		w.count(r, c.Worth, &w.result.OnTime)
 		return
 	}
-	w.count(r, c.Lateful, &w.result.Late)
+	w.count(r, c.LateWorth, &w.result.Late)
 }
 
 // expire gives a request up at its deadline.
