Engines rest from reading for the answers that they have begun

An engine that is kept full of prompts gives each stream a token in 60 to 80 ms; nothing in the core reckoned when an answer ends.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -59,7 +59,7 @@
 }
 
 func (c *Core) weigh(now time.Duration, u *upstream, j *job, cost, reread time.Duration) choice {
-	wait := u.remaining(now) + c.queued(u, j, cost, now)
+	wait := u.busyFor(now) + c.queued(u, j, cost, now)
 	if !c.cfg.Engine {
 		wait = c.plainWait(u, cost)
 	} else if u.full(j.memory) {
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -16,6 +16,9 @@
 	// ChunkTokens are prefilled in a step; StepMs is what a step costs besides.
 	ChunkTokens int
 	StepMs      float64
+	// TokenMs is what a token of each stream takes while an engine reads nothing: a
+	// step of the batch.
+	TokenMs float64
 	// Window is how much unread work an engine is given ahead. Less leaves it
 	// idle for a message's way; more takes the order out of our hands, as the
 	// engine serves first come first served.
@@ -72,6 +75,7 @@
 		PairsPerMs:     1e6 / 0.737,
 		ChunkTokens:    2048,
 		StepMs:         8,
+		TokenMs:        6,
 		Window:         120 * time.Millisecond,
 		Reread:         3,
 		MinCopy:        300,
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -21,6 +21,7 @@
 	counts   Counts
 	usual    usual
 	returns  returns
+	yield    yield
 }
 
 // New returns a core without upstreams.
@@ -44,7 +45,7 @@
 	for i, m := range members {
 		u := c.byID[m.ID]
 		if u == nil || !u.Same(m.Incarnation) {
-			u = newUpstream(m, &c.cfg)
+			u = newUpstream(m, &c.cfg, &c.yield)
 			u.useAt = now
 		}
 		u.Member, u.order = m, i
@@ -116,7 +117,7 @@
 // newJob begins a job. The target of a caller that comes back counts from its first
 // attempt.
 func (c *Core) newJob(now time.Duration, r Request) *job {
-	j := &job{Request: r, askedAt: now, expires: now + r.Left + time.Second}
+	j := &job{Request: r, askedAt: now, deadlineAt: now + r.Left, expires: now + r.Left + time.Second}
 	j.waited = c.returns.waited(now, &r)
 	j.Target -= j.waited
 	j.targetAt = now + j.Target
@@ -252,13 +253,14 @@
 	if u == nil || !u.Same(at) || c.jobs[r.Ticket] != nil {
 		return
 	}
-	j := &job{Request: r, targetAt: now + r.Target, expires: now + r.Left + time.Second}
+	j := &job{Request: r, targetAt: now + r.Target, deadlineAt: now + r.Left, expires: now + r.Left + time.Second}
 	j.memory = r.Output + max(r.Prompt-u.cache.kept(r.Parts), 0)
 	c.jobs[r.Ticket] = j
 	j.cost = u.cost(&j.Request, u.cache.kept(r.Parts), 0)
 	u.take(j, now)
 	if begun {
 		u.read(j, now)
+		u.pace.begin(j, 0)
 		j.state = started
 	}
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -25,6 +25,10 @@
 	waited   time.Duration
 	expires  time.Duration
 	over     bool
+	// deadlineAt is when the caller gives up; givenAt what the engine had given its
+	// streams when this answer began.
+	deadlineAt time.Duration
+	givenAt    float64
 }
 
 type state uint8
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -10,7 +10,11 @@
 	if u.full(j.memory) || u.cache.beingRead(now, j.Parts, c.cfg.MinAwait) {
 		return false
 	}
-	return !c.cfg.Engine || u.remaining(now) < c.cfg.Window
+	if !c.cfg.Engine {
+		return true
+	}
+	u.touch(now)
+	return u.busyFor(now) < c.cfg.Window
 }
 
 // readyAheadOf reports whether a waiting job that could go now goes before j.
@@ -112,7 +116,7 @@
 		}
 		return 0
 	})
-	start := u.remaining(now)
+	start := u.busyFor(now)
 	u.queue = slices.DeleteFunc(u.queue, func(j *job) bool {
 		late := now+start > j.targetAt
 		if j.cost < j.Target/2 {
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -44,14 +44,17 @@
 	order          int
 	// heardAt is when anything last came from it.
 	heardAt time.Duration
+	pace    pace
+	// yield is that of the group.
+	yield *yield
 }
 
 // plainTime is how long a plain service's request is taken to last before any has,
 // in milliseconds.
 const plainTime = 40
 
-func newUpstream(m Member, cfg *Config) *upstream {
-	return &upstream{Member: m, cfg: cfg, cache: newCache()}
+func newUpstream(m Member, cfg *Config, y *yield) *upstream {
+	return &upstream{Member: m, cfg: cfg, yield: y, cache: newCache()}
 }
 
 // speed corrects the predicted cost: upstreams of one service differ.
@@ -101,7 +104,29 @@
 // useWindow is the span over which the use is averaged.
 const useWindow = 4 * time.Second
 
-// touch brings the average use up to the present.
+// token is what each token of the streams takes while nothing is read.
+func (u *upstream) token() time.Duration {
+	return time.Duration(u.cfg.TokenMs * u.speed() * float64(time.Millisecond))
+}
+
+// step is what each token takes at present: while prompts are read, a chunk of them.
+func (u *upstream) step() time.Duration {
+	token := u.token()
+	if len(u.unread) == 0 {
+		return token
+	}
+	chunk := float64(u.cfg.ChunkTokens) / u.cfg.TokensPerMs * u.speed()
+	most := token + time.Duration(chunk*float64(time.Millisecond))
+	return min(max(u.unread[0].cost, token), most)
+}
+
+// busyFor is how long the upstream takes no more to read: what it was sent, and the
+// rest that its streams need.
+func (u *upstream) busyFor(now time.Duration) time.Duration {
+	return u.remaining(now) + u.pace.rest
+}
+
+// touch brings the average use and the streams' tokens up to the present.
 func (u *upstream) touch(now time.Duration) {
 	if now <= u.useAt {
 		return
@@ -110,6 +135,9 @@
 	if len(u.unread) > 0 || (!u.cfg.Engine && u.running > 0) {
 		busy = 1
 	}
+	if u.cfg.Engine {
+		u.pace.advance(now-u.useAt, u.step(), len(u.unread) > 0)
+	}
 	f := math.Exp(-float64(now-u.useAt) / float64(useWindow))
 	u.use = u.use*f + busy*(1-f)
 	u.useAt = now
@@ -144,6 +172,11 @@
 		return
 	}
 	u.learn(j, now)
+	if u.cfg.Engine {
+		u.yield.add(j.tokens, j.cost)
+		u.pace.review(now, u.token(), u.yield.perMs())
+		u.pace.begin(j, j.cost)
+	}
 	u.read(j, now)
 	j.state = started
 }
@@ -184,6 +217,7 @@
 	if j.state == sent {
 		u.read(j, now)
 	}
+	u.pace.end(j)
 	u.running--
 	u.memory -= j.memory
 	if o == Served || o == Failed || o == Rejected {
--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -68,6 +68,21 @@
 	g.Expect(home.Worth).To(BeNumerically(">", 3*mean(heavy, lab.Least).Worth))
 }
 
+// Long narratives are worth most, and the engines read in large chunks. On a heavy day
+// one answer in twenty was cut at the end of its time while its engine was kept full of
+// prompts (0.040 to 0.053 over four seeds; 0.90 to 0.93 of what teams were owed was
+// served). Engines rest for their streams: 0.012 to 0.019, and 0.95 to 0.97.
+func TestLongAnswersEndOnAHeavyDay(t *testing.T) {
+	g := NewWithT(t)
+	sheet := lab.Builtin("cooling")
+	for _, seed := range seeds {
+		r := lab.Play(lab.Load{Sheet: sheet, Scale: 1, Length: 30 * time.Second, Seed: seed}, sheet.Shape(), lab.Home)
+		g.Expect(r.Cut).To(BeNumerically("<", 0.03))
+		g.Expect(r.WorstTeams).To(BeNumerically(">", 0.65))
+		g.Expect(r.Owed).To(BeNumerically(">", 0.94))
+	}
+}
+
 // One team asks for seven times its usual. The smaller half of the teams hardly
 // feels it.
 func TestFloodOfOneTeamSparesTheSmallOnes(t *testing.T) {
