Sight: what became of each refused team's requests, by second, at routers and homes

Logs and metrics couldn't tell whether a team that got little was refused by its share, or by a router on its own. Lines team and share, counters by team, bounded; group lines each second. No change of decisions.

--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -129,6 +129,7 @@
 	go d.feed.Run(ctx)
 	go d.sweep(ctx)
 	go d.tellLoad(ctx)
+	go d.tellTeams(ctx)
 	go d.paceCollector(ctx)
 	go d.side(d.listeners.readiness, d.readiness())
 	go d.side(d.listeners.control, d.control())
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -33,6 +33,8 @@
 type account struct {
 	asked, served, lately float64
 	at                    time.Duration
+	// askedAll and servedAll are sums since the account began.
+	askedAll, servedAll float64
 	// refusedAt is when a request of the team was last refused, here or by a router
 	// on its own.
 	refusedAt time.Duration
@@ -71,13 +73,16 @@
 	if s.startAt == 0 {
 		s.startAt = now
 	}
-	s.account(now, team).asked += tokens
+	a := s.account(now, team)
+	a.asked += tokens
+	a.askedAll += tokens
 }
 
 func (s *shares) serve(now time.Duration, team string, tokens float64) {
 	a := s.account(now, team)
 	a.served += tokens
 	a.lately += tokens
+	a.servedAll += tokens
 }
 
 func (s *shares) refused(now time.Duration, team string) {
--- a/fleet/dump.go
+++ b/fleet/dump.go
@@ -85,9 +85,13 @@
 	return nil
 }
 
-// logGroupEvery is the time between two lines on a group: half of the span over
-// which shares are reckoned, so that none of their moves is missed.
-const logGroupEvery = 2 * time.Second
+const (
+	// logGroupEvery is the time between two lines on a group. Users compare what teams
+	// got second by second, and a share moves with what was asked in the last moments.
+	logGroupEvery = time.Second
+	// teamsTold is how many teams are told with a group: more than flood it at once.
+	teamsTold = 6
+)
 
 // logGroups tells what this router has decided as a home, and from what state.
 func (n *Node) logGroups(now boottime.Time) {
@@ -108,5 +112,18 @@
 			Int64("room_tokens", int64(s.Room)).Int64("share_tokens", int64(s.Level)).Float64("over_use", s.OverUse).
 			Int("asked", since.Asked).Int("sent", since.Sent).Int("refused", since.Refused).Int("refused_over", since.RefusedOver).
 			Int64("lag_us", n.Lag().Microseconds()).Msg("decisions of a group")
+		if since.Refused > 0 {
+			n.logTeams(now, g, s.Level)
+		}
+	}
+}
+
+// logTeams tells how the teams stand that a group's home refuses.
+func (n *Node) logTeams(now boottime.Time, g *group, level float64) {
+	for _, t := range g.core.Teams(time.Duration(now), teamsTold) {
+		n.log.Info().Str("event", "share").Str("group", g.key).Str("team", t.Team).Int64("asked_tokens", int64(t.Asked)).
+			Int64("served_tokens", int64(t.Served)).Int64("lately_tokens", int64(t.Lately)).
+			Int64("asked_all", int64(t.AskedAll)).Int64("served_all", int64(t.ServedAll)).
+			Int64("share_tokens", int64(level)).Bool("over_share", t.Over).Msg("a team's account")
 	}
 }
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -14,6 +14,10 @@
 	Connections, Requests int64
 }
 
+// TeamLoads returns what became of the requests of teams of which any was refused since
+// the last call, the one that asked for most first.
+func (s *Server) TeamLoads(most int) []TeamLoad { return s.teams.take(most) }
+
 // Load returns the server's load.
 func (s *Server) Load() Load {
 	return Load{
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -62,6 +62,7 @@
 		return r, refused
 	}
 	if crowded {
+		s.teams.note(r.teamName(), func(l *TeamLoad) { l.Full++ })
 		return r, notRun("router_full", "this router holds as many requests as it can; the request was not run", retryLater)
 	}
 	r.record.left = s.timeLeft(r)
@@ -69,6 +70,7 @@
 	s.readPrompt(r)
 	r.service = r.route.ServiceFor(r.session())
 	r.record.service = r.service
+	s.teams.asked(r)
 	if refused := s.shed(r); refused != nil {
 		return r, refused
 	}
@@ -229,6 +231,11 @@
 	return r.route.Priority
 }
 
+// tokens is what the request counts in its team's share.
+func (r *request) tokens() float64 {
+	return dispatch.Tokens(&dispatch.Request{Prompt: r.prompt, Output: r.output})
+}
+
 func (r *request) teamName() string {
 	if r.team == nil {
 		return ""
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -87,6 +87,9 @@
 		return result{refused: s.refuse(r, d)}
 	}
 	s.throttle.with(func(t *limits.Throttle) { t.Sent(time.Since(s.start), r.teamName()) })
+	if r.places == 1 {
+		s.teams.sent(r)
+	}
 	u, refused := s.mayUse(r, d.Upstream)
 	if refused != nil {
 		s.placer.Done(r.service, ticket, dispatch.Cancelled, 0)
@@ -137,12 +140,15 @@
 // refuse tells the caller when to come back.
 func (s *Server) refuse(r *request, d dispatch.Decision) *refusal {
 	if d.Over {
+		s.teams.note(r.teamName(), func(l *TeamLoad) { l.OverShare++ })
 		s.throttle.with(func(t *limits.Throttle) { t.Refused(time.Since(s.start), r.teamName(), d.RetryAfter) })
 		return overShareRefusal(d.RetryAfter)
 	}
 	if d.Behind {
+		s.teams.note(r.teamName(), func(l *TeamLoad) { l.Busy++ })
 		return busyRefusal()
 	}
+	s.teams.note(r.teamName(), func(l *TeamLoad) { l.NoRoom++ })
 	return notRun("no_room", "no upstream can answer in time; the request was not run", d.RetryAfter)
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -32,6 +32,7 @@
 	start  time.Time
 
 	throttle *throttle
+	teams    teamLoads
 
 	// mu guards budget.
 	mu     sync.Mutex
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -27,9 +27,12 @@
 	do(t.t)
 }
 
+// overShare is the code of refusals of teams that have had their share.
+const overShare = "over_share"
+
 // overShareRefusal is for teams that have had their share.
 func overShareRefusal(after time.Duration) *refusal {
-	no := notRun("over_share", "the team has had its share; the request was not run", after)
+	no := notRun(overShare, "the team has had its share; the request was not run", after)
 	no.status = http.StatusTooManyRequests
 	return no
 }
@@ -48,9 +51,11 @@
 	lag := s.placer.Lag()
 	behind := lag >= s.cfg.ShedLag
 	var refused *refusal
+	var age time.Duration
 	s.throttle.with(func(t *limits.Throttle) {
 		ok, after := t.Arrived(now, team)
 		lately, _ := t.RefusedLately(now, team)
+		age = t.Age(now, team)
 		switch {
 		case !ok, behind && lately:
 			refused = overShareRefusal(after)
@@ -64,6 +69,11 @@
 	if refused != nil {
 		r.record.lag = lag
 		s.counts.shed.Add(1)
+		if refused.code == overShare {
+			s.teams.shed(r, age)
+		} else {
+			s.teams.note(team, func(l *TeamLoad) { l.Busy++ })
+		}
 		s.placer.Shed(r.service, s.ask(r, dispatch.Ticket{}))
 	}
 	return refused
--- /dev/null
+++ b/gateway/teams.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// TeamLoad is what became of a team's requests at this router within a span.
+type TeamLoad struct {
+	Team string
+	// Asked are the team's requests that were read, Sent those that went to an
+	// upstream, with the tokens that they count in the team's share.
+	Asked, Sent             int
+	AskedTokens, SentTokens float64
+	// OverShare and NoRoom were refused by homes. Shed were refused here as above the
+	// share without asking a home, Busy as this router was behind, Full as it held as
+	// many requests as it can.
+	OverShare, NoRoom, Shed, Busy, Full int
+	// ShedAge is the age of the oldest home's decision on which one was shed.
+	ShedAge time.Duration
+}
+
+// Refused is the number of requests that were refused for want of room or share.
+func (l *TeamLoad) Refused() int { return l.OverShare + l.NoRoom + l.Shed + l.Busy + l.Full }
+
+// teamLoads collects what became of teams' requests.
+type teamLoads struct {
+	mu    sync.Mutex
+	teams map[string]*TeamLoad
+}
+
+// mostTeamLoads bounds the memory, at some 120 bytes a team. Requests of further teams
+// aren't counted until the next span.
+const mostTeamLoads = 4096
+
+// note changes a team's load.
+func (t *teamLoads) note(team string, change func(*TeamLoad)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.teams[team]
+	if l == nil {
+		if len(t.teams) >= mostTeamLoads {
+			return
+		}
+		if t.teams == nil {
+			t.teams = map[string]*TeamLoad{}
+		}
+		l = &TeamLoad{Team: team}
+		t.teams[team] = l
+	}
+	change(l)
+}
+
+// take returns the loads of teams that were refused anything since the last call, the
+// one that asked for most first, and begins a new span.
+func (t *teamLoads) take(most int) []TeamLoad {
+	t.mu.Lock()
+	teams := t.teams
+	t.teams = nil
+	t.mu.Unlock()
+	var refused []TeamLoad
+	for _, l := range teams {
+		if l.Refused() > 0 {
+			refused = append(refused, *l)
+		}
+	}
+	slices.SortFunc(refused, func(a, b TeamLoad) int {
+		return cmp.Or(cmp.Compare(b.AskedTokens, a.AskedTokens), cmp.Compare(a.Team, b.Team))
+	})
+	return refused[:min(most, len(refused))]
+}
+
+// asked notes that a team's request was read.
+func (t *teamLoads) asked(r *request) {
+	t.note(r.teamName(), func(l *TeamLoad) {
+		l.Asked++
+		l.AskedTokens += r.tokens()
+	})
+}
+
+// sent notes that a team's request goes to an upstream.
+func (t *teamLoads) sent(r *request) {
+	t.note(r.teamName(), func(l *TeamLoad) {
+		l.Sent++
+		l.SentTokens += r.tokens()
+	})
+}
+
+// shed notes a request that was refused without asking, on a decision of that age.
+func (t *teamLoads) shed(r *request, age time.Duration) {
+	t.note(r.teamName(), func(l *TeamLoad) {
+		l.Shed++
+		l.ShedAge = max(l.ShedAge, age)
+	})
+}
--- a/limits/throttle.go
+++ b/limits/throttle.go
@@ -44,6 +44,8 @@
 	arrived, sent, refused decaying
 	// after is when the last refusal told callers to come back.
 	after time.Duration
+	// decidedAt is when a home last decided on a request of the team.
+	decidedAt time.Duration
 }
 
 // decaying is a count that loses its weight with time.
@@ -93,6 +95,7 @@
 func (t *Throttle) Sent(now time.Duration, team string) {
 	l := t.team(team)
 	l.sent.add(now, t.cfg.Window)
+	l.decidedAt = now
 }
 
 // Refused notes that a team's request was refused as above its share.
@@ -100,6 +103,12 @@
 	l := t.team(team)
 	l.refused.add(now, t.cfg.Window)
 	l.after = after
+	l.decidedAt = now
+}
+
+// Age is how long ago a home last decided on a request of the team.
+func (t *Throttle) Age(now time.Duration, team string) time.Duration {
+	return now - t.team(team).decidedAt
 }
 
 // recentRefusal is the weight at which a refusal counts as recent: within a window.
