Reproduced: a team whose callers meet one busy router gets less than its share (failing tests)

The router's decision without asking becomes pure (limits.Shedder), so that the laboratory plays it; routers there may have a processor, stalls, and engines may be lost. No decision is changed.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/limits"
+)
 
 // Config tunes a Server.
 type Config struct {
@@ -25,10 +29,8 @@
 	// MaxRequests is how many requests are held at once. Each takes memory until
 	// it ends; one more than fit would end the process and all of them.
 	MaxRequests int
-	// ShedLag is how far the router may be behind before it refuses teams that
-	// were just found above their share, without asking again: a refusal costs a
-	// third of what a question does. Above ShedAll it refuses all streams.
-	ShedLag, ShedAll time.Duration
+	// Shed tunes what is refused without asking.
+	Shed limits.ShedConfig
 	// OldView is how old the view may be for a router that is behind to send on
 	// it: within the bound for leaving upstreams, with room for the way there.
 	OldView time.Duration
@@ -66,8 +68,7 @@
 		MaxHeaderBytes:  16 << 10,
 		KeepConns:       1000,
 		MaxRequests:     2000,
-		ShedLag:         25 * time.Millisecond,
-		ShedAll:         250 * time.Millisecond,
+		Shed:            limits.DefaultShedConfig(),
 		OldView:         1600 * time.Millisecond,
 		DefaultDeadline: 15 * time.Second,
 		EndMargin:       10 * time.Millisecond,
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -86,7 +86,7 @@
 	if d.Verdict == dispatch.Refuse {
 		return result{refused: s.refuse(r, d)}
 	}
-	s.throttle.with(func(t *limits.Throttle) { t.Sent(time.Since(s.start), r.teamName()) })
+	s.shedder.with(func(t *limits.Shedder) { t.Sent(time.Since(s.start), r.teamName()) })
 	if r.places == 1 {
 		s.teams.sent(r)
 	}
@@ -141,7 +141,7 @@
 func (s *Server) refuse(r *request, d dispatch.Decision) *refusal {
 	if d.Over {
 		s.teams.note(r.teamName(), func(l *TeamLoad) { l.OverShare++ })
-		s.throttle.with(func(t *limits.Throttle) { t.Refused(time.Since(s.start), r.teamName(), d.RetryAfter) })
+		s.shedder.with(func(t *limits.Shedder) { t.Refused(time.Since(s.start), r.teamName(), d.RetryAfter) })
 		return overShareRefusal(d.RetryAfter)
 	}
 	if d.Behind {
@@ -180,7 +180,7 @@
 // it is behind it trusts no old view; without that condition an outage of the
 // platform would stop all.
 func (s *Server) tooOld() bool {
-	return s.placer.Lag() > s.cfg.ShedLag && s.state.Age() > s.cfg.OldView
+	return s.placer.Lag() > s.cfg.Shed.Lag && s.state.Age() > s.cfg.OldView
 }
 
 // stillAllowed checks the key against the newest configuration.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -31,8 +31,8 @@
 	stats  *stats
 	start  time.Time
 
-	throttle *throttle
-	teams    teamLoads
+	shedder *shedder
+	teams   teamLoads
 
 	// mu guards budget.
 	mu     sync.Mutex
@@ -58,7 +58,7 @@
 	base, giveUp := context.WithCancelCause(context.Background())
 	return &Server{
 		cfg: cfg, state: state, placer: placer, pool: pool, budget: budget,
-		log: log, stats: newStats(metrics.Scope), start: time.Now(), throttle: newThrottle(),
+		log: log, stats: newStats(metrics.Scope), start: time.Now(), shedder: newShedder(cfg.Shed),
 		base: base, giveUp: giveUp,
 	}
 }
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -10,21 +10,21 @@
 	"github.com/aspenswitch/aspenswitch/routing"
 )
 
-// throttle is limits.Throttle for many goroutines.
-type throttle struct {
+// shedder is limits.Shedder for many goroutines.
+type shedder struct {
 	mu sync.Mutex
-	t  *limits.Throttle
+	s  *limits.Shedder
 }
 
-func newThrottle() *throttle {
-	return &throttle{t: limits.NewThrottle(limits.DefaultThrottleConfig())}
+func newShedder(cfg limits.ShedConfig) *shedder {
+	return &shedder{s: limits.NewShedder(cfg, limits.DefaultThrottleConfig())}
 }
 
-// with runs a function on the throttle.
-func (t *throttle) with(do func(*limits.Throttle)) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	do(t.t)
+// with runs a function on the shedder.
+func (s *shedder) with(do func(*limits.Shedder)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	do(s.s)
 }
 
 // overShare is the code of refusals of teams that have had their share.
@@ -38,45 +38,28 @@
 }
 
 // shed refuses what this router can't or needn't ask a home for.
-//
-// Callers of one team often share a few routers. When such a team floods, its
-// routers' processors are the first to give out; then every request there waits,
-// heartbeats are lost, and the router's view grows stale. Refusing the flood at
-// once keeps the rest served. Measured on a day of 86 VMs with a team at twelve
-// times its usual: one router of 0.19 cores got 2,000 requests a second, could ask
-// for a third of them, and what it served came 0.1 to 1 s late.
 func (s *Server) shed(r *request) *refusal {
 	now := time.Since(s.start)
 	team := r.teamName()
 	lag := s.placer.Lag()
-	behind := lag >= s.cfg.ShedLag
-	var refused *refusal
-	var age time.Duration
-	s.throttle.with(func(t *limits.Throttle) {
-		ok, after := t.Arrived(now, team)
-		lately, _ := t.RefusedLately(now, team)
+	var verdict limits.Shed
+	var after, age time.Duration
+	s.shedder.with(func(t *limits.Shedder) {
+		verdict, after = t.Arrived(now, team, r.route.Kind == routing.Streaming, lag)
 		age = t.Age(now, team)
-		switch {
-		case !ok, behind && lately:
-			refused = overShareRefusal(after)
-		case behind && t.Heavy(now, team) && r.route.Kind == routing.Streaming:
-			refused = busyRefusal()
-		}
 	})
-	if refused == nil && lag > s.cfg.ShedAll && r.route.Kind == routing.Streaming {
-		refused = busyRefusal()
+	if verdict == limits.Ask {
+		return nil
 	}
-	if refused != nil {
-		r.record.lag = lag
-		s.counts.shed.Add(1)
-		if refused.code == overShare {
-			s.teams.shed(r, age)
-		} else {
-			s.teams.note(team, func(l *TeamLoad) { l.Busy++ })
-		}
-		s.placer.Shed(r.service, s.ask(r, dispatch.Ticket{}))
+	r.record.lag = lag
+	s.counts.shed.Add(1)
+	s.placer.Shed(r.service, s.ask(r, dispatch.Ticket{}))
+	if verdict == limits.Busy {
+		s.teams.note(team, func(l *TeamLoad) { l.Busy++ })
+		return busyRefusal()
 	}
-	return refused
+	s.teams.shed(r, age)
+	return overShareRefusal(after)
 }
 
 // busyRefusal sends a caller to another router, which can serve it at once.
--- a/lab/world.go
+++ b/lab/world.go
@@ -12,8 +12,10 @@
 type world struct {
 	clock    *clock
 	load     Load
+	shape    Shape
 	engines  []*engine
 	byID     map[string]*engine
+	routers  []*router
 	requests map[uint64]*request
 	decider  policy
 	rnd      *rand.Rand
@@ -28,13 +30,15 @@
 type request struct {
 	arrival
 	// seq names the attempt, tries counts them; parts and hint stay the same.
-	seq    uint64
-	tries  int
-	parts  []dispatch.Part
-	hint   int
-	local  int
-	sentAt time.Duration
-	first  time.Duration
+	seq   uint64
+	tries int
+	// triedAt is when the caller sent this attempt.
+	triedAt time.Duration
+	parts   []dispatch.Part
+	hint    int
+	local   int
+	sentAt  time.Duration
+	first   time.Duration
 	// atEngine is set while an engine has it.
 	atEngine *sequence
 	ended    bool
@@ -70,14 +74,36 @@
 }
 
 // Shape is the lab's fleet.
-type Shape struct{ Engines, Routers int }
+type Shape struct {
+	Engines, Routers int
+	// Processors are the routers' shares of a core, for plays in which their time
+	// counts and a team's callers all meet one router. Empty: it doesn't.
+	Processors []float64
+	// Stalls are times in which a router does nothing.
+	Stalls []Stall
+	// Lost are times in which some of the engines get no work.
+	Lost []Lost
+}
+
+// Lost takes the last engines out for a while.
+type Lost struct {
+	Engines  int
+	From, To time.Duration
+}
+
+// Stall holds up a router: its processor's share is used up, or its VM is paused.
+type Stall struct {
+	Router int
+	At     time.Duration
+	For    time.Duration
+}
 
 // Play plays a load under a policy. The same seed gives the same result.
 func Play(l Load, s Shape, p Policy) Result { return playWorld(l, s, p).sum() }
 
 func playWorld(l Load, s Shape, p Policy) *world {
 	w := &world{
-		clock: &clock{}, load: l, byID: map[string]*engine{}, requests: map[uint64]*request{},
+		clock: &clock{}, load: l, shape: s, byID: map[string]*engine{}, requests: map[uint64]*request{},
 		rnd: rand.New(rand.NewPCG(l.Seed, 1)), result: Result{Policy: p, ByClass: map[string]float64{}},
 		owed: newLedger(l.Sheet), gap: newGap(l.Sheet.Teams),
 	}
@@ -88,8 +114,17 @@
 		w.engines = append(w.engines, e)
 		w.byID[e.id] = e
 	}
+	for _, share := range s.Processors {
+		w.routers = append(w.routers, newRouter(w.clock, share))
+	}
+	for _, stall := range s.Stalls {
+		w.clock.after(stall.At, func() { w.routers[stall.Router].stall(stall.For) })
+	}
 	w.decider = w.policy(p)
 	for i, a := range l.arrivals(s.Routers) {
+		if len(w.routers) > 0 {
+			a.router = a.team % len(w.routers)
+		}
 		r := &request{arrival: a}
 		r.parts = w.parts(r, uint64(i+1))
 		// Callers' hints are right at the median and often far off.
@@ -138,7 +173,12 @@
 	w.seq++
 	r.seq = w.seq
 	r.tries++
+	r.triedAt = w.clock.now
 	w.requests[r.seq] = r
+	if len(w.routers) > 0 {
+		w.receive(r)
+		return
+	}
 	w.decider.ask(r)
 }
 
