Homes tell routers what they may ask for a team, in place of a throttle by refusals

Cause: the router's throttle weighs refusals of the last moments against what it let through. Ruled out: the accounts at the homes (as they should be in the seconds in question), levels that lag behind capacity (they follow within a second). Change: each decision carries the team's allowance at that router and home, twice the fair rate or twice what the team got lately times the router's part; the router keeps token buckets. A router that is behind asks for half of it, the share, instead of refusing the team altogether.

The throttle's tests are carried over to allowances with their bounds.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -78,6 +78,7 @@
 	after := max(ch.first-max(j.Target, 0)/2, minRetryAfter)
 	c.out = append(c.out, Decision{
 		Ticket: j.Ticket, Verdict: Refuse, RetryAfter: after, Wait: ch.first, Waited: j.waited, Over: j.over, Basis: c.basis(now, j, ch.u),
+		Allowance: c.teams.allowance(now, j.Ticket.Router, j.Team),
 	})
 }
 
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -141,7 +141,7 @@
 	}
 	j.tokens = Tokens(&j.Request)
 	j.memory = max(j.Prompt-kept, 0) + j.Output
-	c.teams.ask(now, j.Team, j.tokens)
+	c.teams.ask(now, j.Ticket.Router, j.Team, j.tokens)
 }
 
 // warm believes the asker about where parts are cached if this core knows
@@ -186,7 +186,10 @@
 	u.take(j, now)
 	c.counts.Sent++
 	c.teams.serve(now, j.Team, j.tokens)
-	d := Decision{Ticket: j.Ticket, Verdict: Send, Upstream: u.ID, Wait: wait, Waited: j.waited, Over: j.over}
+	d := Decision{
+		Ticket: j.Ticket, Verdict: Send, Upstream: u.ID, Wait: wait, Waited: j.waited, Over: j.over,
+		Allowance: c.teams.allowance(now, j.Ticket.Router, j.Team),
+	}
 	if j.copyFrom != nil {
 		d.CopyFrom = j.copyFrom.ID
 	}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -66,6 +66,11 @@
 	Waited time.Duration
 	// Over is set if the team had more than its share.
 	Over bool
+	// Allowance is what the asking router may ask for the team, in tokens a second:
+	// 0 if nothing is told, Unlimited if there is no bound.
+	Allowance float64
+	// Group is the part of the service's upstreams whose home decided.
+	Group int
 	// Behind is set if no home was heard because the asking router is behind with
 	// its work; another router can take the request at once.
 	Behind bool
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -33,6 +33,10 @@
 type account struct {
 	asked, served, lately float64
 	at                    time.Duration
+	// askedLately is what was asked for with a decay over rateWindow, routers the same by
+	// router.
+	askedLately decaying
+	routers     routerSums
 	// askedAll and servedAll are sums since the account began.
 	askedAll, servedAll float64
 	// refusedAt is when a request of the team was last refused, here or by a router
@@ -69,12 +73,15 @@
 	a.at = now
 }
 
-func (s *shares) ask(now time.Duration, team string, tokens float64) {
+// ask notes what a router asks for a team.
+func (s *shares) ask(now time.Duration, router uint64, team string, tokens float64) {
 	if s.startAt == 0 {
 		s.startAt = now
 	}
 	a := s.account(now, team)
 	a.asked += tokens
+	a.askedLately.add(now, rateWindow, tokens)
+	a.routers.of(now, router).add(now, rateWindow, tokens)
 	a.askedAll += tokens
 }
 
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -141,6 +141,6 @@
 		n.takeReport(now, p.From, p.Report)
 	}
 	if p.Shed != nil {
-		n.takeShed(now, p.Shed)
+		n.takeShed(now, p.From, p.Shed)
 	}
 }
--- a/fleet/home.go
+++ b/fleet/home.go
@@ -50,6 +50,7 @@
 		n.send(m.addr, &packet{Reply: &reply{
 			Seq: d.Ticket.Seq, Service: key.service, Group: key.index, Verdict: d.Verdict, Upstream: d.Upstream, CopyFrom: d.CopyFrom,
 			RetryMs: millis(d.RetryAfter), WaitMs: millis(d.Wait), WaitedMs: millis(d.Waited), Over: d.Over,
+			Allowance: float32(d.Allowance),
 		}})
 	}
 }
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -80,6 +80,9 @@
 	WaitMs   int32
 	WaitedMs int32
 	Over     bool
+	// Allowance is what the asker may ask for the team, in tokens a second: 0 if nothing
+	// is told, infinity if there is no bound.
+	Allowance float32
 }
 
 // reportKind is what a report tells.
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -62,6 +62,22 @@
 	n.post(reportEvent{kind: ended, seq: t.Seq, outcome: o, took: took})
 }
 
+// Group implements gateway.Placer: the part of a service's upstreams whose home decides
+// on a request.
+func (n *Node) Group(service string, r dispatch.Request) int {
+	s := n.feed.Snapshot()
+	if s == nil {
+		return 0
+	}
+	return n.groupOf(s, service, &r)
+}
+
+// groupOf is the part of a service's upstreams that a request goes to.
+func (n *Node) groupOf(s *feed.Snapshot, service string, r *dispatch.Request) int {
+	count := n.groupCount(len(s.View.Ready(service)))
+	return n.pickGroup(service, count, r.Parts, r.Ticket.Seq)
+}
+
 // maxWarm bounds the memory of where sessions were sent.
 const maxWarm = 4096
 
@@ -72,8 +88,7 @@
 		e.answer <- dispatch.Decision{Verdict: dispatch.Refuse, RetryAfter: time.Second}
 		return
 	}
-	count := n.groupCount(len(s.View.Ready(e.service)))
-	key := groupKey{service: e.service, index: n.pickGroup(e.service, count, e.request.Parts, e.request.Ticket.Seq)}
+	key := groupKey{service: e.service, index: n.groupOf(s, e.service, &e.request)}
 	g := n.group(now, key)
 	if g == nil {
 		e.answer <- dispatch.Decision{Verdict: dispatch.Refuse, RetryAfter: time.Second}
@@ -125,9 +140,18 @@
 	n.decided(now, dispatch.Decision{
 		Ticket: dispatch.Ticket{Router: n.self, Seq: r.Seq}, Verdict: r.Verdict, Upstream: r.Upstream, CopyFrom: r.CopyFrom,
 		RetryAfter: duration(r.RetryMs), Wait: duration(r.WaitMs), Waited: duration(r.WaitedMs), Over: r.Over,
+		Allowance: allowance(r.Allowance),
 	})
 }
 
+// allowance is what a peer told. A number that can't be one tells nothing.
+func allowance(told float32) float64 {
+	if rate := float64(told); rate > 0 {
+		return rate
+	}
+	return 0
+}
+
 // decided passes a decision to the request that waits for it.
 func (n *Node) decided(now boottime.Time, d dispatch.Decision) {
 	p := n.pending[d.Ticket.Seq]
@@ -140,6 +164,7 @@
 		return
 	}
 	delete(n.pending, d.Ticket.Seq)
+	d.Group = p.key.index
 	if d.Verdict == dispatch.Send {
 		at := n.incarnationOf(d.Upstream)
 		n.held[d.Ticket.Seq] = &heldRequest{request: p.request, key: p.key, group: p.group, upstream: at, home: p.home}
--- a/fleet/shed.go
+++ b/fleet/shed.go
@@ -63,9 +63,7 @@
 	}
 	byTeam := map[shedKey][]shedEntry{}
 	for _, e := range list {
-		count := n.groupCount(len(s.View.Ready(e.service)))
-		index := n.pickGroup(e.service, count, e.request.Parts, 0)
-		key := shedKey{group: groupKey{service: e.service, index: index}, team: e.request.Team}
+		key := shedKey{group: groupKey{service: e.service, index: n.groupOf(s, e.service, &e.request)}, team: e.request.Team}
 		byTeam[key] = append(byTeam[key], e)
 	}
 	for key, entries := range byTeam {
@@ -82,7 +80,7 @@
 	for part := range slices.Chunk(entries, shedInDatagram) {
 		m := newShed(now, key, part)
 		if home == nil {
-			n.takeShed(now, m)
+			n.takeShed(now, n.self, m)
 			continue
 		}
 		n.send(home.addr, &packet{Shed: m})
@@ -103,7 +101,7 @@
 }
 
 // takeShed takes in what a router has shed, as the home of the group.
-func (n *Node) takeShed(now boottime.Time, m *shed) {
+func (n *Node) takeShed(now boottime.Time, from uint64, m *shed) {
 	if n.feed.Snapshot() == nil {
 		return
 	}
@@ -117,5 +115,5 @@
 			Fingerprint: dispatch.Fingerprint(r.Fingerprint), Ago: duration(r.AgoMs), Left: duration(r.LeftMs),
 		})
 	}
-	g.core.NoteShed(time.Duration(now), m.Team, float64(max(m.Tokens, 0)), requests)
+	g.core.NoteShed(time.Duration(now), from, m.Team, float64(max(m.Tokens, 0)), requests)
 }
--- a/gateway/busy_test.go
+++ b/gateway/busy_test.go
@@ -21,31 +21,41 @@
 	g.Expect(resp.Header.Get("Retry-After")).To(Equal("0.45"))
 }
 
-// A flood holds up a router: all its callers would wait. While it is behind, the
-// team that was just refused is refused without a question; others are served.
-func TestBusyRouterRefusesTheFloodAlone(t *testing.T) {
+// A flood holds up a router: all its callers would wait. What a team asks for beyond what
+// its home allows is refused without a question; the other teams are served.
+func TestFloodIsRefusedWithoutAQuestion(t *testing.T) {
 	g := NewWithT(t)
 	r := newRig(t, map[string]script{"u1": ok("answer")})
-	r.placer.refuse = &dispatch.Decision{Verdict: dispatch.Refuse, Over: true, RetryAfter: 100 * time.Millisecond}
-	resp, _, err := r.call("/safe/", nil)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(resp.StatusCode).To(Equal(429))
-
-	r.placer.mu.Lock()
-	r.placer.refuse = nil
+	r.publish(r.state.Snapshot().View, "k1", "k2")
 	asked := 0
 	r.placer.before = func() { asked++ }
-	r.placer.mu.Unlock()
-	r.placer.lag.Store(int64(100 * time.Millisecond))
-	resp, _, err = r.call("/safe/", nil)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(resp.StatusCode).To(Equal(429))
-	g.Expect(asked).To(Equal(0))
+	call := func(key string) int {
+		resp, _, err := r.call("/safe/", func(req *http.Request) {
+			req.Header.Set(names.Key, key)
+			req.Header.Set(names.Tokens, "900,50")
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+		return resp.StatusCode
+	}
+	r.placer.refuse = &dispatch.Decision{Verdict: dispatch.Refuse, Over: true, RetryAfter: 100 * time.Millisecond, Allowance: 10}
+	g.Expect(call("k1")).To(Equal(429), "the home says what is allowed")
+	g.Expect(call("k1")).To(Equal(429), "this one uses it up")
+	g.Expect(asked).To(Equal(2))
+	g.Expect(call("k1")).To(Equal(429))
+	g.Expect(asked).To(Equal(2))
+	g.Expect(r.placer.shed).To(HaveLen(1), "the home hears of it")
 
-	r.placer.lag.Store(0)
-	resp, _, err = r.call("/safe/", nil)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(resp.StatusCode).To(Equal(200))
+	r.placer.refuse = nil
+	g.Expect(call("k2")).To(Equal(200))
+
+	// No bound any more: the flood is over, or engines have come.
+	r.placer.refuse = &dispatch.Decision{Verdict: dispatch.Refuse, Over: true, Allowance: dispatch.Unlimited}
+	r.placer.group = 1
+	g.Expect(call("k1")).To(Equal(429))
+	g.Expect(asked).To(Equal(4), "another home allows it more")
+	r.placer.group = 0
+	g.Expect(call("k1")).To(Equal(429))
+	g.Expect(asked).To(Equal(4), "which says nothing of the first")
 }
 
 // A request would reach an upstream that left seconds ago. The router is so far
--- a/gateway/deps.go
+++ b/gateway/deps.go
@@ -23,6 +23,8 @@
 type Placer interface {
 	Place(ctx context.Context, service string, r dispatch.Request) (dispatch.Decision, error)
 	Started(service string, t dispatch.Ticket)
+	// Group is the part of the service's upstreams whose home decides on a request.
+	Group(service string, r dispatch.Request) int
 	Done(service string, t dispatch.Ticket, o dispatch.Outcome, took time.Duration)
 	// Shed notes a request that this router has refused without asking, so that its
 	// caller is known when it comes back.
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -66,6 +66,8 @@
 	refuse   *dispatch.Decision
 	lag      atomic.Int64
 	shed     []dispatch.Request
+	// group is the home that decides.
+	group int
 }
 
 func (p *placer) Place(_ context.Context, _ string, r dispatch.Request) (dispatch.Decision, error) {
@@ -75,7 +77,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.refuse != nil {
-		return *p.refuse, nil
+		d := *p.refuse
+		d.Group = p.group
+		return d, nil
 	}
 	for _, id := range p.next {
 		used := false
@@ -104,6 +108,8 @@
 	return dispatch.Ticket{Router: 1, Seq: p.seq}
 }
 
+func (p *placer) Group(string, dispatch.Request) int { return p.group }
+
 func (p *placer) Routers() int { return 1 }
 
 func (p *placer) Shed(_ string, r dispatch.Request) {
@@ -209,11 +215,24 @@
 			route("safe", routing.Safe, 2, false), route("unsafe", routing.Unsafe, 2, false),
 			route("stream", routing.Streaming, 1, false), route("resume", routing.Streaming, 2, true),
 		},
-		Teams:  []routing.Team{{Name: "schools", Keys: keys}},
+		Teams:  teams(keys),
 		Limits: routing.Limits{MaxBodyBytes: 1 << 20},
 	})})
 }
 
+// teams are schools with the first key, and one for each other key.
+func teams(keys []string) []routing.Team {
+	all := []routing.Team{{Name: "schools"}}
+	for i, k := range keys {
+		if i == 0 {
+			all[0].Keys = []string{k}
+			continue
+		}
+		all = append(all, routing.Team{Name: "team " + k, Keys: []string{k}})
+	}
+	return all
+}
+
 // upstream listens and answers by a script.
 func (r *rig) upstream(id string, s script) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -9,7 +9,6 @@
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/headers"
-	"github.com/aspenswitch/aspenswitch/limits"
 	"github.com/aspenswitch/aspenswitch/obs"
 	"github.com/aspenswitch/aspenswitch/registry"
 	"github.com/aspenswitch/aspenswitch/retry"
@@ -83,10 +82,10 @@
 	if err != nil {
 		return result{refused: s.unplaced(r, err)}
 	}
+	s.told(r, d)
 	if d.Verdict == dispatch.Refuse {
 		return result{refused: s.refuse(r, d)}
 	}
-	s.shedder.with(func(t *limits.Shedder) { t.Sent(time.Since(s.start), r.teamName()) })
 	if r.places == 1 {
 		s.teams.sent(r)
 	}
@@ -141,7 +140,6 @@
 func (s *Server) refuse(r *request, d dispatch.Decision) *refusal {
 	if d.Over {
 		s.teams.note(r.teamName(), func(l *TeamLoad) { l.OverShare++ })
-		s.shedder.with(func(t *limits.Shedder) { t.Refused(time.Since(s.start), r.teamName(), d.RetryAfter) })
 		return overShareRefusal(d.RetryAfter)
 	}
 	if d.Behind {
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -17,7 +17,7 @@
 }
 
 func newShedder(cfg limits.ShedConfig) *shedder {
-	return &shedder{s: limits.NewShedder(cfg, limits.DefaultThrottleConfig())}
+	return &shedder{s: limits.NewShedder(cfg)}
 }
 
 // with runs a function on the shedder.
@@ -39,27 +39,43 @@
 
 // shed refuses what this router can't or needn't ask a home for.
 func (s *Server) shed(r *request) *refusal {
-	now := time.Since(s.start)
-	team := r.teamName()
 	lag := s.placer.Lag()
-	var verdict limits.Shed
-	var after, age time.Duration
-	s.shedder.with(func(t *limits.Shedder) {
-		verdict, after = t.Arrived(now, team, r.route.Kind == routing.Streaming, lag)
-		age = t.Age(now, team)
-	})
-	if verdict == limits.Ask {
+	ask := s.ask(r, dispatch.Ticket{})
+	arrival := limits.Arrival{
+		Share:  limits.ShareKey{Service: r.service, Group: s.placer.Group(r.service, ask), Team: r.teamName()},
+		Tokens: dispatch.Tokens(&ask), Streaming: r.route.Kind == routing.Streaming, Lag: lag,
+	}
+	var verdict limits.Verdict
+	s.shedder.with(func(t *limits.Shedder) { verdict = t.Arrived(time.Since(s.start), arrival) })
+	if verdict.Shed == limits.Ask {
 		return nil
 	}
 	r.record.lag = lag
 	s.counts.shed.Add(1)
-	s.placer.Shed(r.service, s.ask(r, dispatch.Ticket{}))
-	if verdict == limits.Busy {
-		s.teams.note(team, func(l *TeamLoad) { l.Busy++ })
+	s.placer.Shed(r.service, ask)
+	if verdict.Shed == limits.Busy {
+		s.teams.note(r.teamName(), func(l *TeamLoad) { l.Busy++ })
 		return busyRefusal()
 	}
-	s.teams.shed(r, age)
-	return overShareRefusal(after)
+	s.teams.shed(r, verdict.Age)
+	return overShareRefusal(max(verdict.After, shedRetryAfter))
+}
+
+// shedRetryAfter is the least that callers are told who are refused without asking: a
+// bucket of allowances is filled anew within some tenths of a second.
+const shedRetryAfter = 100 * time.Millisecond
+
+// told takes in what a home allows the request's team.
+func (s *Server) told(r *request, d dispatch.Decision) {
+	if d.Allowance == 0 {
+		return
+	}
+	key := limits.ShareKey{Service: r.service, Group: d.Group, Team: r.teamName()}
+	var after time.Duration
+	if d.Over {
+		after = d.RetryAfter
+	}
+	s.shedder.with(func(t *limits.Shedder) { t.Told(time.Since(s.start), key, d.Allowance, after) })
 }
 
 // busyRefusal sends a caller to another router, which can serve it at once.
--- a/lab/policy.go
+++ b/lab/policy.go
@@ -115,6 +115,11 @@
 	c.w.decided(r, d)
 }
 
+// ticket names an attempt; the router's number is one above its index.
+func (c *cored) ticket(r *request) dispatch.Ticket {
+	return dispatch.Ticket{Router: uint64(r.router) + 1, Seq: r.seq}
+}
+
 // question is what the core is asked.
 func (c *cored) question(r *request) dispatch.Request {
 	target := c.w.class(r).target()
@@ -122,7 +127,7 @@
 		target -= c.w.clock.now - r.triedAt
 	}
 	return dispatch.Request{
-		Ticket: dispatch.Ticket{Router: 1, Seq: r.seq}, Team: strconv.Itoa(r.team), Prompt: r.prompt(), Output: r.hint,
+		Ticket: c.ticket(r), Team: strconv.Itoa(r.team), Prompt: r.prompt(), Output: r.hint,
 		Parts: r.parts, Target: target, Left: c.w.left(r),
 	}
 }
@@ -140,16 +145,16 @@
 	}
 	at := c.w.clock.now
 	c.w.clock.after(c.delay, func() {
-		c.core.NoteShed(c.w.clock.now, q.Team, dispatch.Tokens(&q), []dispatch.Shed{{Fingerprint: f, Ago: c.w.clock.now - at, Left: q.Left}})
+		c.core.NoteShed(c.w.clock.now, q.Ticket.Router, q.Team, dispatch.Tokens(&q), []dispatch.Shed{{Fingerprint: f, Ago: c.w.clock.now - at, Left: q.Left}})
 	})
 }
 
 func (c *cored) started(r *request) {
-	c.w.clock.after(c.delay, func() { c.deliver(c.core.Started(c.w.clock.now, dispatch.Ticket{Router: 1, Seq: r.seq})) })
+	c.w.clock.after(c.delay, func() { c.deliver(c.core.Started(c.w.clock.now, c.ticket(r))) })
 }
 
 func (c *cored) done(r *request, o dispatch.Outcome, took time.Duration) {
-	c.w.clock.after(c.delay, func() { c.deliver(c.core.Done(c.w.clock.now, dispatch.Ticket{Router: 1, Seq: r.seq}, o, took)) })
+	c.w.clock.after(c.delay, func() { c.deliver(c.core.Done(c.w.clock.now, c.ticket(r), o, took)) })
 }
 
 // blind sends at once and never refuses.
--- a/lab/router.go
+++ b/lab/router.go
@@ -38,7 +38,7 @@
 }
 
 func newRouter(c *clock, share float64) *router {
-	r := &router{clock: c, share: share, shedder: limits.NewShedder(limits.DefaultShedConfig(), limits.DefaultThrottleConfig())}
+	r := &router{clock: c, share: share, shedder: limits.NewShedder(limits.DefaultShedConfig())}
 	r.tick()
 	return r
 }
@@ -61,6 +61,12 @@
 	r.lag = time.Duration(lagKeep*float64(r.lag) + (1-lagKeep)*float64(waited))
 }
 
+// share names what the request's home decides on by its team's share.
+func (r *request) share() limits.ShareKey { return limits.ShareKey{Team: strconv.Itoa(r.team)} }
+
+// shedRetry is the least time that callers are told to wait.
+const shedRetry = 100 * time.Millisecond
+
 // receive takes an attempt from its caller.
 func (w *world) receive(q *request) {
 	r := w.routers[q.router]
@@ -72,10 +78,10 @@
 	if q.ended {
 		return
 	}
-	team := strconv.Itoa(q.team)
-	if shed, after := r.shedder.Arrived(w.clock.now, team, true, r.lag); shed != limits.Ask {
+	verdict := r.shedder.Arrived(w.clock.now, limits.Arrival{Share: q.share(), Tokens: q.charge(), Streaming: true, Lag: r.lag})
+	if verdict.Shed != limits.Ask {
 		w.decider.shed(q)
-		r.work(refuseTime, func() { w.refused(q, after) })
+		r.work(refuseTime, func() { w.refused(q, max(verdict.After, shedRetry)) })
 		return
 	}
 	posted := w.clock.now
@@ -92,12 +98,9 @@
 	}
 	r := w.routers[q.router]
 	r.work(answerTime, func() {
-		team := strconv.Itoa(q.team)
+		r.shedder.Told(w.clock.now, q.share(), d.Allowance, d.RetryAfter)
 		if d.Verdict == dispatch.Send {
-			r.shedder.Sent(w.clock.now, team)
 			r.work(streamTime, func() {})
-		} else if d.Over {
-			r.shedder.Refused(w.clock.now, team, d.RetryAfter)
 		}
 		w.decided(q, d)
 	})
--- a/limits/late_test.go
+++ b/limits/late_test.go
@@ -61,19 +61,19 @@
 		late      = 120 * time.Millisecond
 		length    = 8 * time.Second
 	)
-	s := limits.NewShedder(limits.DefaultShedConfig(), limits.DefaultThrottleConfig())
+	s := limits.NewShedder(limits.DefaultShedConfig())
 	h := &lateHome{perSecond: share, burst: 0.4 * share}
 	sent := make([]int, int(length/time.Second)+1)
 	for now := time.Duration(0); now < length; now += gap {
 		h.come(now, func(ok bool) {
-			if !ok {
-				s.Refused(now, "flood", 100*time.Millisecond)
-				return
+			after := 100 * time.Millisecond
+			if ok {
+				sent[now/time.Second]++
+				after = 0
 			}
-			s.Sent(now, "flood")
-			sent[now/time.Second]++
+			s.Told(now, arrival("flood").Share, askMore*share, after)
 		})
-		if shed, _ := s.Arrived(now, "flood", true, 0); shed != limits.Ask {
+		if s.Arrived(now, arrival("flood")).Shed != limits.Ask {
 			continue
 		}
 		delay := time.Millisecond
--- a/limits/shedder.go
+++ b/limits/shedder.go
@@ -4,9 +4,9 @@
 
 // ShedConfig tunes a Shedder.
 type ShedConfig struct {
-	// Lag is how far the router may be behind before it refuses teams that were just
-	// found above their share, without asking again: a refusal costs a third of what a
-	// question does. Above All it refuses all streams.
+	// Lag is how far the router may be behind before it asks for no more of a team than
+	// its share, and refuses a team without a share that holds it up. Above All it
+	// refuses all streams.
 	Lag, All time.Duration
 }
 
@@ -38,28 +38,50 @@
 //
 // It isn't safe for concurrent use.
 type Shedder struct {
-	cfg ShedConfig
-	*Throttle
+	cfg        ShedConfig
+	arrivals   arrivals
+	allowances Allowances
 }
 
-// NewShedder returns a shedder that knows nothing.
-func NewShedder(cfg ShedConfig, t ThrottleConfig) *Shedder {
-	return &Shedder{cfg: cfg, Throttle: NewThrottle(t)}
+// NewShedder returns a shedder that has been told nothing.
+func NewShedder(cfg ShedConfig) *Shedder { return &Shedder{cfg: cfg} }
+
+// Arrival is a request that has come.
+type Arrival struct {
+	Share ShareKey
+	// Tokens is what it counts in its team's share.
+	Tokens float64
+	// Streaming is set for requests that engines answer.
+	Streaming bool
+	// Lag is how far the router is behind.
+	Lag time.Duration
+}
+
+// Verdict is a decision on an arrival.
+type Verdict struct {
+	Shed Shed
+	// After is when the caller may come back, Age how old the home's word is that
+	// decided.
+	After, Age time.Duration
 }
 
-// Arrived decides on a team's request, at a router that is so far behind. after is when
-// the caller may come back.
-func (s *Shedder) Arrived(now time.Duration, team string, streaming bool, lag time.Duration) (shed Shed, after time.Duration) {
-	ok, after := s.Throttle.Arrived(now, team)
-	lately, _ := s.RefusedLately(now, team)
-	behind := lag >= s.cfg.Lag
+// Arrived decides on a team's request.
+func (s *Shedder) Arrived(now time.Duration, a Arrival) Verdict {
+	heavy := s.arrivals.add(now, a.Share.Team)
+	behind := a.Lag >= s.cfg.Lag
+	bounded := s.allowances.Bounded(a.Share)
 	switch {
-	case !ok, behind && lately:
-		return OverShare, after
-	case behind && streaming && s.Heavy(now, team):
-		return Busy, 0
-	case streaming && lag > s.cfg.All:
-		return Busy, 0
+	case behind && heavy && !bounded && a.Streaming, a.Streaming && a.Lag > s.cfg.All:
+		return Verdict{Shed: Busy}
 	}
-	return Ask, 0
+	if ok, after, age := s.allowances.Take(now, a.Share, a.Tokens, behind); !ok {
+		return Verdict{Shed: OverShare, After: after, Age: age}
+	}
+	return Verdict{}
+}
+
+// Told takes in what a home allows a team, in tokens a second; after, if above 0, is
+// when it told the caller of a refused request to come back.
+func (s *Shedder) Told(now time.Duration, key ShareKey, rate float64, after time.Duration) {
+	s.allowances.Told(now, key, rate, after)
 }
--- /dev/null
+++ b/limits/shedder_test.go
@@ -0,0 +1,182 @@
+package limits_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/aspenswitch/aspenswitch/limits"
+)
+
+// askMore is how many times a team's rate homes let routers ask for.
+const askMore = 2
+
+func arrival(team string) limits.Arrival {
+	return limits.Arrival{Share: limits.ShareKey{Service: "llm", Team: team}, Tokens: 1, Streaming: true}
+}
+
+// flood asks so many times a second and lets through what the home's share allows. It
+// returns what was let through and what the home was asked.
+func flood(s *limits.Shedder, from time.Duration, perSecond, share int, length time.Duration) (sent, asked int) {
+	got := 0.0
+	gap := time.Second / time.Duration(perSecond)
+	for now := from; now < from+length; now += gap {
+		got += float64(share) * gap.Seconds()
+		if s.Arrived(now, arrival("flood")).Shed != limits.Ask {
+			continue
+		}
+		asked++
+		after := time.Second
+		if got >= 1 {
+			got--
+			sent++
+			after = 0
+		}
+		s.Told(now, arrival("flood").Share, float64(askMore*share), after)
+	}
+	return sent, asked
+}
+
+// A team sends 2,000 requests a second to one small router, of which its share
+// allows a hundred. Asking the home for each takes the router's whole processor, and
+// what it serves comes late. It asks for little more than twice the share, and the
+// team still gets all of it.
+func TestFloodIsRefusedWithoutAsking(t *testing.T) {
+	g := NewWithT(t)
+	s := limits.NewShedder(limits.DefaultShedConfig())
+	sent, asked := flood(s, time.Second, 2000, 100, 10*time.Second)
+	g.Expect(sent).To(BeNumerically(">", 930))
+	g.Expect(asked).To(BeNumerically("<", 2500))
+}
+
+// The other teams go home: the share grows tenfold. The router must not hold the team at
+// what it got before.
+func TestAllowanceFollowsAGrowingShare(t *testing.T) {
+	g := NewWithT(t)
+	s := limits.NewShedder(limits.DefaultShedConfig())
+	flood(s, time.Second, 2000, 100, 5*time.Second)
+	flood(s, 6*time.Second, 2000, 1000, 4*time.Second)
+	sent, _ := flood(s, 10*time.Second, 2000, 1000, time.Second)
+	g.Expect(sent).To(BeNumerically(">", 850))
+}
+
+// A team without a bound is never held back, whatever others do.
+func TestTeamWithinItsShareIsNeverHeldBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := limits.NewShedder(limits.DefaultShedConfig())
+		now := time.Second
+		for range rapid.IntRange(1, 300).Draw(rt, "requests") {
+			now += time.Duration(rapid.IntRange(0, 20).Draw(rt, "ms")) * time.Millisecond
+			if rapid.Bool().Draw(rt, "flood") {
+				if s.Arrived(now, arrival("flood")).Shed == limits.Ask {
+					s.Told(now, arrival("flood").Share, 1, time.Second)
+				}
+				continue
+			}
+			if s.Arrived(now, arrival("small")).Shed != limits.Ask {
+				rt.Fatal("held back")
+			}
+			s.Told(now, arrival("small").Share, math.Inf(1), 0)
+		}
+	})
+}
+
+// A team's share at one home says nothing of what another home gives it.
+func TestHomesBoundATeamApart(t *testing.T) {
+	g := NewWithT(t)
+	s := limits.NewShedder(limits.DefaultShedConfig())
+	first, second := arrival("flood"), arrival("flood")
+	second.Share.Group = 1
+	s.Told(time.Second, first.Share, 1, time.Second)
+	g.Expect(s.Arrived(time.Second, first).Shed).To(Equal(limits.Ask))
+	g.Expect(s.Arrived(time.Second, first).Shed).To(Equal(limits.OverShare))
+	for range 100 {
+		g.Expect(s.Arrived(time.Second, second).Shed).To(Equal(limits.Ask))
+	}
+	s.Told(time.Second, first.Share, math.Inf(1), 0)
+	g.Expect(s.Arrived(time.Second, first).Shed).To(Equal(limits.Ask), "the bound is gone")
+}
+
+// The bound: over any span a team is let through at the rate that its home told, less
+// what a bucket may be in debt for one request, and never for more than the rate and
+// what a bucket holds, whatever comes in between and however large requests are.
+func TestAllowanceIsKeptOverAnySpan(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := limits.NewShedder(limits.DefaultShedConfig())
+		rate := float64(rapid.IntRange(100, 100000).Draw(rt, "rate"))
+		largest := rate / 2
+		now, asked, length := time.Second, 0.0, 6*time.Second
+		s.Told(now, arrival("flood").Share, rate, 0)
+		for now < time.Second+length {
+			a := arrival("flood")
+			a.Tokens = max(1, largest*rapid.Float64Range(0, 1).Draw(rt, "size"))
+			if s.Arrived(now, a).Shed == limits.Ask {
+				asked += a.Tokens
+				s.Told(now, a.Share, rate, 0)
+			}
+			now += time.Duration(rapid.IntRange(1, 20).Draw(rt, "ms")) * time.Millisecond
+		}
+		owed := rate * length.Seconds()
+		if asked > owed+rate+largest {
+			rt.Fatalf("asked for %.0f of %.0f", asked, owed)
+		}
+		if asked < 0.9*owed-largest {
+			rt.Fatalf("asked for no more than %.0f of %.0f", asked, owed)
+		}
+	})
+}
+
+// Ninety of a hundred requests at a router are one team's, which has no bound: when the
+// router is behind, that team's are refused and the others' served.
+func TestHeavyTeamIsRefusedWhileTheRouterIsBehind(t *testing.T) {
+	g := NewWithT(t)
+	s := limits.NewShedder(limits.DefaultShedConfig())
+	now := time.Second
+	at := func(team string, lag time.Duration) limits.Shed {
+		a := arrival(team)
+		a.Lag = lag
+		return s.Arrived(now, a).Shed
+	}
+	for i := range 1000 {
+		now += time.Millisecond
+		team := "flood"
+		if i%10 == 0 {
+			team = "small" + string(rune('a'+i/10%5))
+		}
+		at(team, 0)
+	}
+	behind := limits.DefaultShedConfig().Lag
+	g.Expect(at("flood", behind)).To(Equal(limits.Busy))
+	g.Expect(at("smalla", behind)).To(Equal(limits.Ask))
+	g.Expect(at("flood", 0)).To(Equal(limits.Ask))
+	now += 10 * time.Second
+	at("smallb", behind)
+	g.Expect(at("flood", behind)).To(Equal(limits.Busy), "half of what came of late")
+}
+
+// A router that is behind asks for no more of a team than its share, half of what homes
+// allow; but for its share it asks.
+func TestRouterThatIsBehindAsksForTheShare(t *testing.T) {
+	g := NewWithT(t)
+	const allowed, seconds = 200, 10
+	asked := func(lag time.Duration) int {
+		s := limits.NewShedder(limits.DefaultShedConfig())
+		s.Told(time.Second, arrival("flood").Share, allowed, 0)
+		n := 0
+		for now := time.Second; now < (1+seconds)*time.Second; now += time.Millisecond {
+			a := arrival("flood")
+			a.Lag = lag
+			if s.Arrived(now, a).Shed == limits.Ask {
+				n++
+				s.Told(now, a.Share, allowed, 0)
+			}
+		}
+		return n
+	}
+	lag := limits.DefaultShedConfig().Lag
+	g.Expect(asked(0)).To(BeNumerically("~", allowed*seconds, allowed))
+	g.Expect(asked(lag)).To(BeNumerically("~", allowed/askMore*seconds, allowed/askMore))
+}
