--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -29,6 +29,16 @@
 	Warm string
 	// Avoid are upstreams that this request has been to.
 	Avoid []string
+	// Elsewhere is what the team got through the asking router from the upstreams of
+	// other groups.
+	Elsewhere Got
+}
+
+// Got is what a team got, in tokens.
+type Got struct {
+	// Window is a sum that decays over the span of teams' shares, Lately one that decays
+	// over a second.
+	Window, Lately float64
 }
 
 // Part is a piece of a prompt.
--- a/dispatch/run_test.go
+++ b/dispatch/run_test.go
@@ -18,6 +18,8 @@
 	steps, idles  int
 	// onSend, if set, is told of each request that is sent.
 	onSend func(team string)
+	// elsewhere, if set, is what a team got from other groups.
+	elsewhere func(team string) dispatch.Got
 }
 
 // fifo is an engine's unread work.
@@ -36,7 +38,11 @@
 	r.seq++
 	r.asked[team]++
 	r.team[r.seq] = team
-	r.take(r.c.Ask(r.now, request(r.seq, team, session)))
+	q := request(r.seq, team, session)
+	if r.elsewhere != nil {
+		q.Elsewhere = r.elsewhere(team)
+	}
+	r.take(r.c.Ask(r.now, q))
 }
 
 func (r *run) take(ds []dispatch.Decision) {
