Shares are those of the fleet: homes count what teams got from other homes

Cause: each home divides its own engines alike and knows nothing of what teams get from others; a team whose sessions belong to one group gets one group's share, others one of each. Ruled out: homes that tell each other (17 KB a second a home at 870 waiting teams); one home for all (its processor). Change: routers, which see all that their teams are sent, tell each home what the team got elsewhere; a home gives up to a level that counts it; teams that are ahead of an even division of the group but below their share of the fleet go after small teams.

--- /dev/null
+++ b/dispatch/account.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// account is a team's, in tokens. What was asked and served are sums that decay over
+// the window, lately is what was served with a decay over rateWindow.
+type account struct {
+	asked, served, lately float64
+	at                    time.Duration
+	// elsewhere is what the team got from other homes, as its routers told.
+	elsewhere Got
+	// askedAll and servedAll are sums since the account began.
+	askedAll, servedAll float64
+	// askedLately is what was asked for with a decay over rateWindow; routers is the
+	// same by router, with what each told of other homes.
+	askedLately decaying
+	routers     routers
+	// refusedAt is when a request of the team was last refused, here or by a router
+	// on its own.
+	refusedAt time.Duration
+}
+
+// decay brings the account up to the present.
+func (a *account) decay(now, window time.Duration) {
+	if now <= a.at {
+		return
+	}
+	f := math.Exp(-float64(now-a.at) / float64(window))
+	late := math.Exp(-float64(now-a.at) / float64(rateWindow))
+	a.asked *= f
+	a.served *= f
+	a.lately *= late
+	a.elsewhere.Window *= f
+	a.elsewhere.Lately *= late
+	a.at = now
+}
+
+// ask notes what a router asks for, and what it says that the team got elsewhere.
+func (a *account) ask(now, window time.Duration, router uint64, tokens float64, elsewhere Got) {
+	a.asked += tokens
+	a.askedAll += tokens
+	a.askedLately.add(now, rateWindow, tokens)
+	r := a.routers.of(now, router)
+	r.asked.add(now, rateWindow, tokens)
+	was := r.told(now, window, elsewhere)
+	a.elsewhere.Window = max(a.elsewhere.Window+elsewhere.Window-was.Window, 0)
+	a.elsewhere.Lately = max(a.elsewhere.Lately+elsewhere.Lately-was.Lately, 0)
+}
+
+// serve notes what the team was served.
+func (a *account) serve(tokens float64) {
+	a.served += tokens
+	a.lately += tokens
+	a.servedAll += tokens
+}
+
+// total is what the team got within the window from all homes.
+func (a *account) total() float64 { return a.served + a.elsewhere.Window }
+
+// totalLately is the same within the last moments.
+func (a *account) totalLately() float64 { return a.lately + a.elsewhere.Lately }
+
+// partOf is the part of what is asked for the team that comes through a router.
+func (a *account) partOf(now time.Duration, router uint64) float64 {
+	return a.routers.asked(now, router) / max(a.askedLately.value(now, rateWindow), idleAccount)
+}
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -29,14 +29,14 @@
 // elsewhere or come back. A prompt that takes most of the target by itself is
 // judged by its wait alone: no waiting makes it shorter.
 func (c *Core) admit(now time.Duration, j *job, ch choice) bool {
-	if j.over && c.teams.tooMuch(now, j.Team) {
+	if j.over() && c.teams.tooMuch(now, j.Team) {
 		return false
 	}
 	if j.waited > 0 && ch.first-ch.wait > j.Target {
 		return ch.wait <= c.lateWait(j) && ch.first < j.Left
 	}
 	use := c.cfg.TargetUse
-	if j.over {
+	if j.over() {
 		use = c.overUse(now)
 	}
 	limit := time.Duration(use * float64(j.Target))
@@ -52,7 +52,7 @@
 // service, after those that can be in time; a third of it for teams above theirs,
 // which take what is spare.
 func (c *Core) lateWait(j *job) time.Duration {
-	if j.over {
+	if j.over() {
 		return c.cfg.Window / 3
 	}
 	return c.cfg.Window
@@ -66,7 +66,7 @@
 	c.teams.refused(now, j.Team)
 	c.counts.Refused++
 	switch {
-	case j.over:
+	case j.over():
 		c.counts.RefusedOver++
 	case j.waited == 0 || !j.late(now):
 		c.yieldShare(now)
@@ -77,7 +77,7 @@
 	delete(c.jobs, j.Ticket)
 	after := max(ch.first-max(j.Target, 0)/2, minRetryAfter)
 	c.out = append(c.out, Decision{
-		Ticket: j.Ticket, Verdict: Refuse, RetryAfter: after, Wait: ch.first, Waited: j.waited, Over: j.over, Basis: c.basis(now, j, ch.u),
+		Ticket: j.Ticket, Verdict: Refuse, RetryAfter: after, Wait: ch.first, Waited: j.waited, Over: j.over(), Basis: c.basis(now, j, ch.u),
 		Allowance: c.teams.allowance(now, j.Ticket.Router, j.Team),
 	})
 }
--- a/dispatch/allowance.go
+++ b/dispatch/allowance.go
@@ -23,6 +23,9 @@
 	// leastPart is the part of a team's rate that a router gets that has just begun to
 	// ask for it.
 	leastPart = 0.02
+	// sparePart is the part of an even division of the group's engines that a team may
+	// always ask for, though it got its share elsewhere: engines may have time to spare.
+	sparePart = 0.1
 )
 
 // Unlimited is an allowance without a bound.
@@ -32,15 +35,11 @@
 func (s *shares) allowance(now time.Duration, router uint64, team string) float64 {
 	s.refresh(now)
 	a := s.account(now, team)
-	if a.asked <= s.level {
+	due := max(s.level-a.elsewhere.Window, 0)
+	if a.asked <= due {
 		return Unlimited
 	}
-	fair := s.level / s.window.Seconds()
+	fair := max(due, sparePart*s.even) / s.window.Seconds()
 	rate := askMore * max(fair, a.lately/rateWindow.Seconds())
 	return rate * max(a.partOf(now, router), leastPart)
 }
-
-// partOf is the part of what is asked for a team that comes through a router.
-func (a *account) partOf(now time.Duration, router uint64) float64 {
-	return a.routers.value(now, router) / max(a.askedLately.value(now, rateWindow), idleAccount)
-}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -93,7 +93,7 @@
 	c.warm(&j.Request)
 	c.charge(now, j)
 	c.teams.use = c.meanUse(now) / c.teams.known(now, useWindow)
-	j.over = c.teams.over(now, r.Team)
+	j.standing = c.teams.standing(now, r.Team)
 	c.counts.Asked++
 	c.jobs[r.Ticket] = j
 	c.place(now, j)
@@ -141,7 +141,7 @@
 	}
 	j.tokens = Tokens(&j.Request)
 	j.memory = max(j.Prompt-kept, 0) + j.Output
-	c.teams.ask(now, j.Ticket.Router, j.Team, j.tokens)
+	c.teams.ask(now, j.Ticket.Router, j.Team, j.tokens, j.Elsewhere)
 }
 
 // warm believes the asker about where parts are cached if this core knows
@@ -187,7 +187,7 @@
 	c.counts.Sent++
 	c.teams.serve(now, j.Team, j.tokens)
 	d := Decision{
-		Ticket: j.Ticket, Verdict: Send, Upstream: u.ID, Wait: wait, Waited: j.waited, Over: j.over,
+		Ticket: j.Ticket, Verdict: Send, Upstream: u.ID, Wait: wait, Waited: j.waited, Over: j.over(),
 		Allowance: c.teams.allowance(now, j.Ticket.Router, j.Team),
 	}
 	if j.copyFrom != nil {
--- a/dispatch/groups_test.go
+++ b/dispatch/groups_test.go
@@ -120,3 +120,23 @@
 		}
 	}
 }
+
+// The team of one group may take more of that group's engines than an even division
+// gives. Small teams there go first all the same, and get what they ask for.
+func TestFloodOfOneGroupSparesTheSmallTeams(t *testing.T) {
+	s := newGroups()
+	s.play()
+	for i, home := range s.homes {
+		sent := 0
+		for _, second := range s.sent {
+			sent += second["small"]
+		}
+		asked := s.homes[0].asked["small"] + s.homes[1].asked["small"]
+		if float64(sent) < 0.95*float64(asked) {
+			t.Fatalf("small teams were sent %d of %d requests", sent, asked)
+		}
+		if idle := home.idle(); idle > 0.1 {
+			t.Fatalf("engines of home %d were idle for %.2f of the time", i, idle)
+		}
+	}
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -24,7 +24,7 @@
 	askedAt  time.Duration
 	waited   time.Duration
 	expires  time.Duration
-	over     bool
+	standing standing
 	// deadlineAt is when the caller gives up; givenAt what the engine had given its
 	// streams when this answer began.
 	deadlineAt time.Duration
@@ -41,25 +41,28 @@
 	started
 )
 
-// before reports whether a goes to an upstream before b: by rank; teams within
-// their share first; those above it by who had least of late; then by who must start
+// before reports whether a goes to an upstream before b: by rank; by how their teams
+// stand; those above their share by who had least of late; then by who must start
 // soonest (earliest deadline first).
 func (c *Core) before(a, b *job, now time.Duration) bool {
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
-	if a.over != b.over {
-		return b.over
+	if a.standing != b.standing {
+		return a.standing < b.standing
 	}
 	if aLate, bLate := a.late(now), b.late(now); aLate != bLate {
 		return bLate
 	}
-	if a.over && a.Team != b.Team {
+	if a.standing == over && a.Team != b.Team {
 		return c.teams.lately(now, a.Team) < c.teams.lately(now, b.Team)
 	}
 	return a.targetAt-a.cost < b.targetAt-b.cost
 }
 
+// over reports whether the job's team had its share when it came.
+func (j *job) over() bool { return j.standing == over }
+
 // late reports whether a job will miss its target for sure.
 func (j *job) late(now time.Duration) bool {
 	if j.waited > 0 {
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -14,8 +14,10 @@
 	// capacity is what the upstreams yield, in tokens a second; 0 is not known.
 	capacity float64
 	teams    map[string]*account
-	level    float64
-	levelAt  time.Duration
+	// level is what a team may have of the whole fleet, even what an even division of
+	// this group's engines would give it.
+	level, even float64
+	levelAt     time.Duration
 	// most is what a team may have at most while another waits for more.
 	most float64
 	// got is what all teams together were served within the window.
@@ -28,28 +30,12 @@
 	refusedAt time.Duration
 }
 
-// account is a team's, in tokens. What was asked and served are sums that decay over
-// the window, lately is what was served with a decay over rateWindow.
-type account struct {
-	asked, served, lately float64
-	at                    time.Duration
-	// askedLately is what was asked for with a decay over rateWindow, routers the same by
-	// router.
-	askedLately decaying
-	routers     routerSums
-	// askedAll and servedAll are sums since the account began.
-	askedAll, servedAll float64
-	// refusedAt is when a request of the team was last refused, here or by a router
-	// on its own.
-	refusedAt time.Duration
-}
-
 // levelEvery is how often the level is computed anew; it changes with the
 // window, which is thirty times longer.
 const levelEvery = 100 * time.Millisecond
 
 func newShares(window time.Duration) *shares {
-	return &shares{window: window, teams: map[string]*account{}, level: math.Inf(1), most: math.Inf(1)}
+	return &shares{window: window, teams: map[string]*account{}, level: math.Inf(1), even: math.Inf(1), most: math.Inf(1)}
 }
 
 func (s *shares) account(now time.Duration, team string) *account {
@@ -58,47 +44,30 @@
 		a = &account{at: now}
 		s.teams[team] = a
 	}
-	s.decay(a, now)
+	a.decay(now, s.window)
 	return a
 }
 
-func (s *shares) decay(a *account, now time.Duration) {
-	if now <= a.at {
-		return
-	}
-	f := math.Exp(-float64(now-a.at) / float64(s.window))
-	a.asked *= f
-	a.served *= f
-	a.lately *= math.Exp(-float64(now-a.at) / float64(rateWindow))
-	a.at = now
-}
-
-// ask notes what a router asks for a team.
-func (s *shares) ask(now time.Duration, router uint64, team string, tokens float64) {
+// ask notes what a router asks for a team, which got so much elsewhere.
+func (s *shares) ask(now time.Duration, router uint64, team string, tokens float64, elsewhere Got) {
 	if s.startAt == 0 {
 		s.startAt = now
 	}
-	a := s.account(now, team)
-	a.asked += tokens
-	a.askedLately.add(now, rateWindow, tokens)
-	a.routers.of(now, router).add(now, rateWindow, tokens)
-	a.askedAll += tokens
+	s.account(now, team).ask(now, s.window, router, tokens, elsewhere)
 }
 
 func (s *shares) serve(now time.Duration, team string, tokens float64) {
-	a := s.account(now, team)
-	a.served += tokens
-	a.lately += tokens
-	a.servedAll += tokens
+	s.account(now, team).serve(tokens)
 }
 
 func (s *shares) refused(now time.Duration, team string) {
 	s.account(now, team).refusedAt = now
 }
 
+// served is what a team got within the window from all homes.
 func (s *shares) served(team string) float64 {
 	if a := s.teams[team]; a != nil {
-		return a.served
+		return a.total()
 	}
 	return 0
 }
@@ -134,9 +103,9 @@
 		if a.refusedAt == 0 || now-a.refusedAt > waitsFor {
 			continue
 		}
-		s.decay(a, now)
+		a.decay(now, s.window)
 		if a.served < waitsPart*a.asked {
-			least = min(least, a.served)
+			least = min(least, a.total())
 		}
 	}
 	return max(mostTimes*least, s.level)
@@ -145,40 +114,31 @@
 // tooMuch reports whether a team must leave what is spare to others.
 func (s *shares) tooMuch(now time.Duration, team string) bool {
 	s.refresh(now)
-	return s.account(now, team).served > s.most
+	return s.account(now, team).total() > s.most
 }
 
 // idleAccount is the size below which an account is forgotten, in tokens.
 const idleAccount = 1
 
-// compute fills the capacity from the least asking team up (max-min fairness).
+// compute fills the room from the least served team up.
 func (s *shares) compute(now time.Duration) {
-	s.level = math.Inf(1)
-	asked := make([]float64, 0, len(s.teams))
+	demands := make([]demand, 0, len(s.teams))
+	here := make([]demand, 0, len(s.teams))
 	got := make([]float64, 0, len(s.teams))
 	for name, a := range s.teams {
-		s.decay(a, now)
+		a.decay(now, s.window)
 		if a.asked < idleAccount && a.served < idleAccount {
 			delete(s.teams, name)
 			continue
 		}
-		asked = append(asked, a.asked)
+		demands = append(demands, demand{asked: a.asked, elsewhere: a.elsewhere.Window})
+		here = append(here, demand{asked: a.asked})
 		got = append(got, a.served)
 	}
-	total := sum(asked)
 	s.got = sum(got)
-	left := s.room(now)
-	if total <= left {
-		return
-	}
-	for i, want := range asked {
-		share := left / float64(len(asked)-i)
-		if want > share {
-			s.level = share
-			return
-		}
-		left -= want
-	}
+	room := s.room(now)
+	s.level = waterLevel(demands, room)
+	s.even = waterLevel(here, room)
 }
 
 // saturatedFor is how long after a refusal the upstreams count as full.
--- a/dispatch/team_state.go
+++ b/dispatch/team_state.go
@@ -25,7 +25,7 @@
 func (c *Core) Teams(now time.Duration, most int) []TeamState {
 	all := make([]TeamState, 0, len(c.teams.teams))
 	for name, a := range c.teams.teams {
-		c.teams.decay(a, now)
+		a.decay(now, c.teams.window)
 		all = append(all, TeamState{
 			Team: name, Asked: a.asked, Served: a.served, Lately: a.lately, AskedAll: a.askedAll, ServedAll: a.servedAll,
 		})
@@ -35,7 +35,7 @@
 	})
 	all = all[:min(most, len(all))]
 	for i := range all {
-		all[i].Over = c.teams.over(now, all[i].Team)
+		all[i].Over = c.teams.standing(now, all[i].Team) == over
 	}
 	return all
 }
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -59,6 +59,9 @@
 	LeftMs   int32
 	Warm     string
 	Avoid    []string
+	// GotWindow and GotLately are what the team got from other groups through the
+	// asker, in tokens.
+	GotWindow, GotLately float32
 }
 
 type part struct {
@@ -123,6 +126,9 @@
 	Team     string
 	Tokens   int
 	Requests []shedRequest
+	// GotWindow and GotLately are what the team got from other groups through the
+	// sender, in tokens.
+	GotWindow, GotLately float32
 }
 
 type shedRequest struct {
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -55,7 +55,9 @@
 	pending map[uint64]*pending
 	held    map[uint64]*heldRequest
 	warm    map[uint64]dispatch.Incarnation
-	pushed  int64
+	// receipts are what this router's teams got from each group.
+	receipts *dispatch.Receipts[groupKey]
+	pushed   int64
 	// filled is the state from which the groups have their upstreams.
 	filled *feed.Snapshot
 	// leadOf is the lead of this router's failure domain, nil if it is itself;
@@ -87,6 +89,7 @@
 		events:  make(chan any, eventQueue), over: make(chan struct{}),
 		members: map[uint64]*member{}, byIP: map[string]*member{}, groups: map[groupKey]*group{},
 		pending: map[uint64]*pending{}, held: map[uint64]*heldRequest{}, warm: map[uint64]dispatch.Incarnation{},
+		receipts: dispatch.NewReceipts[groupKey](cfg.Engine.ShareWindow),
 	}
 	n.self = n.random.Uint64()
 	n.routers.Store(1)
--- a/lab/policy.go
+++ b/lab/policy.go
@@ -145,7 +145,7 @@
 	}
 	at := c.w.clock.now
 	c.w.clock.after(c.delay, func() {
-		c.core.NoteShed(c.w.clock.now, q.Ticket.Router, q.Team, dispatch.Tokens(&q), []dispatch.Shed{{Fingerprint: f, Ago: c.w.clock.now - at, Left: q.Left}})
+		c.core.NoteShed(c.w.clock.now, q.Ticket.Router, q.Team, dispatch.Tokens(&q), q.Elsewhere, []dispatch.Shed{{Fingerprint: f, Ago: c.w.clock.now - at, Left: q.Left}})
 	})
 }
 
