--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -18,8 +18,8 @@
 	// this group's engines would give it.
 	level, even float64
 	levelAt     time.Duration
-	// most is what a team may have at most while another waits for more.
-	most float64
+	// most is what a team may have at most, and lately, while another waits for more.
+	most Got
 	// got is what all teams together were served within the window.
 	got float64
 	// use is the part of the time in which the upstreams had unread work.
@@ -35,7 +35,7 @@
 const levelEvery = 100 * time.Millisecond
 
 func newShares(window time.Duration) *shares {
-	return &shares{window: window, teams: map[string]*account{}, level: math.Inf(1), even: math.Inf(1), most: math.Inf(1)}
+	return &shares{window: window, teams: map[string]*account{}, level: math.Inf(1), even: math.Inf(1), most: Got{math.Inf(1), math.Inf(1)}}
 }
 
 func (s *shares) account(now time.Duration, team string) *account {
@@ -96,25 +96,41 @@
 // A team may be held up before its requests reach a home: its callers all meet one
 // router that can take no more. What it leaves would go to whoever else asks, and
 // others had four times as much (measured over six seconds of a day with three
-// floods). Up to the max-min level nobody is held back.
-func (s *shares) mostOf(now time.Duration) float64 {
-	least := math.Inf(1)
+// floods). So would what is spare to whoever asks most often: a team had 1.5 million
+// tokens a second beside one with 0.65 that had asked for as much. Up to the max-min level
+// nobody is held back.
+func (s *shares) mostOf(now time.Duration) Got {
+	least := Got{Window: math.Inf(1), Lately: math.Inf(1)}
 	for _, a := range s.teams {
-		if a.refusedAt == 0 || now-a.refusedAt > waitsFor {
-			continue
-		}
 		a.decay(now, s.window)
-		if a.served < waitsPart*a.asked {
-			least = min(least, a.total())
+		if !s.waits(now, a) {
+			continue
 		}
+		least.Window = min(least.Window, a.total())
+		least.Lately = min(least.Lately, a.totalLately())
+	}
+	return Got{
+		Window: max(mostTimes*least.Window, s.level),
+		Lately: max(mostTimes*least.Lately, mostRate*s.rate(s.level)),
 	}
-	return max(mostTimes*least, s.level)
+}
+
+// waits reports whether a team waits for more: it was refused, and got much less than it
+// asked.
+func (s *shares) waits(now time.Duration, a *account) bool {
+	return a.refusedAt != 0 && now-a.refusedAt <= waitsFor && a.served < waitsPart*a.asked
+}
+
+// rate is what of a level falls into rateWindow.
+func (s *shares) rate(level float64) float64 {
+	return level * float64(rateWindow) / float64(s.window)
 }
 
 // tooMuch reports whether a team must leave what is spare to others.
 func (s *shares) tooMuch(now time.Duration, team string) bool {
 	s.refresh(now)
-	return s.account(now, team).total() > s.most
+	a := s.account(now, team)
+	return a.total() > s.most.Window || a.totalLately() > s.most.Lately
 }
 
 // idleAccount is the size below which an account is forgotten, in tokens.
--- a/dispatch/standing.go
+++ b/dispatch/standing.go
@@ -57,7 +57,7 @@
 
 // above reports whether what a team got within the window and lately is above a level.
 func (s *shares) above(got, lately, level float64) bool {
-	fair := level * float64(rateWindow) / float64(s.window)
+	fair := s.rate(level)
 	return lately > mostRate*fair || got > level && lately > leastRate*fair
 }
 
