--- /dev/null
+++ b/lab/homes_test.go
@@ -0,0 +1,54 @@
+package lab_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/aspenswitch/aspenswitch/lab"
+)
+
+const (
+	// manyRouters and manyHomes are those of a fleet of hundreds of VMs.
+	manyRouters, manyHomes = 295, 8
+	// enginesOfHome keeps the play short.
+	enginesOfHome = 5
+	// fairPart is what no waiting team may fall below of another's, over six seconds.
+	fairPart = 0.6
+	// ample is a processor so fast that its time doesn't count.
+	ample = 1000
+)
+
+// floodsOverManyHomes is a day on which four teams ask for several times their share.
+// The callers of two meet all routers, those of the others one each.
+func floodsOverManyHomes(seed uint64) lab.Result {
+	const s = time.Second
+	l := lab.Grown(seed)
+	engines := manyHomes * enginesOfHome
+	l.Scale, l.Length = 0.5*float64(engines)/float64(l.Sheet.Engines), 20*s
+	l.Hot = []lab.Hot{
+		{Team: 0, Times: 2, From: 4 * s, To: 20 * s},
+		{Team: 1, Times: 4, From: 4 * s, To: 20 * s},
+		{Team: 2, Times: 6, From: 4 * s, To: 20 * s},
+		{Team: 3, Times: 8, From: 4 * s, To: 20 * s},
+	}
+	shape := lab.Shape{Engines: engines, Routers: manyRouters, Homes: manyHomes, Wide: []int{0, 2}}
+	for range manyRouters {
+		shape.Processors = append(shape.Processors, ample)
+	}
+	return lab.Play(l, shape, lab.Home)
+}
+
+// Teams whose callers all meet one router get a third of the tokens of teams whose callers
+// meet all of them, though all ask for several times their share. A home hears what a team
+// got from other homes by the team's routers; one of hundreds asks a home less than once in
+// a second, so that homes believe a third to two thirds of what a widely spread team got
+// (lines share, elsewhere_tokens, against the sum of what homes served).
+func TestTeamsOfOneRouterGetAsMuchAsTeamsOfAll(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range uint64(3) {
+		r := floodsOverManyHomes(seed)
+		g.Expect(r.Gap).To(BeNumerically(">", fairPart), "seed %d", seed)
+	}
+}
--- a/lab/policy.go
+++ b/lab/policy.go
@@ -45,6 +45,9 @@
 func (w *world) policy(p Policy) policy {
 	switch p {
 	case Home:
+		if w.shape.Homes > 1 {
+			return w.newHomes(oneWay)
+		}
 		return w.newCore(oneWay)
 	case Omniscient:
 		return w.newCore(0)
@@ -63,10 +66,20 @@
 	w     *world
 	core  *dispatch.Core
 	delay time.Duration
+	// index and homes tell which of the engines are the core's.
+	index, homes int
+	// elsewhere, if set, is what a request's router knows that the team got from other
+	// homes.
+	elsewhere func(r *request) dispatch.Got
+	// sent, if set, is called when a router learns that a request goes to an engine.
+	sent func(r *request)
 }
 
-func (w *world) newCore(delay time.Duration) *cored {
-	c := &cored{w: w, core: dispatch.New(dispatch.DefaultConfig(true)), delay: delay}
+func (w *world) newCore(delay time.Duration) *cored { return w.newCoreOf(delay, 0, 1) }
+
+// newCoreOf returns one of several homes, which divide the engines.
+func (w *world) newCoreOf(delay time.Duration, index, homes int) *cored {
+	c := &cored{w: w, core: dispatch.New(dispatch.DefaultConfig(true)), delay: delay, index: index, homes: homes}
 	c.setEngines(0)
 	c.lose(w.shape.Lost)
 	c.tick()
@@ -77,7 +90,10 @@
 func (c *cored) setEngines(lost int) {
 	engine := &c.w.load.Sheet.Engine
 	var members []dispatch.Member
-	for _, e := range c.w.engines[:len(c.w.engines)-lost] {
+	for i, e := range c.w.engines[:len(c.w.engines)-lost] {
+		if i%c.homes != c.index {
+			continue
+		}
 		members = append(members, dispatch.Member{Incarnation: dispatch.Incarnation{ID: e.id}, Slots: engine.Slots, KVTokens: engine.KVTokens, CopyPerToken: engine.copyPerToken()})
 	}
 	c.core.SetCapacity(c.w.load.Sheet.TokensPerSecond * float64(len(members)) / float64(c.w.load.Sheet.Engines))
@@ -108,6 +124,9 @@
 
 // reply brings a decision to the request's router.
 func (c *cored) reply(r *request, d dispatch.Decision) {
+	if d.Verdict == dispatch.Send && c.sent != nil {
+		c.sent(r)
+	}
 	if len(c.w.routers) > 0 {
 		c.w.replied(r, d)
 		return
@@ -126,10 +145,14 @@
 	if len(c.w.routers) > 0 {
 		target -= c.w.clock.now - r.triedAt
 	}
-	return dispatch.Request{
+	q := dispatch.Request{
 		Ticket: c.ticket(r), Team: strconv.Itoa(r.team), Prompt: r.prompt(), Output: r.hint,
 		Parts: r.parts, Target: target, Left: c.w.left(r),
 	}
+	if c.elsewhere != nil {
+		q.Elsewhere = c.elsewhere(r)
+	}
+	return q
 }
 
 func (c *cored) ask(r *request) {
--- a/lab/router.go
+++ b/lab/router.go
@@ -62,7 +62,9 @@
 }
 
 // share names what the request's home decides on by its team's share.
-func (r *request) share() limits.ShareKey { return limits.ShareKey{Team: strconv.Itoa(r.team)} }
+func (w *world) share(r *request) limits.ShareKey {
+	return limits.ShareKey{Group: homeOf(r, w.shape.Homes), Team: strconv.Itoa(r.team)}
+}
 
 // shedRetry is the least time that callers are told to wait.
 const shedRetry = 100 * time.Millisecond
@@ -78,7 +80,7 @@
 	if q.ended {
 		return
 	}
-	verdict := r.shedder.Arrived(w.clock.now, limits.Arrival{Share: q.share(), Tokens: q.charge(), Streaming: true, Lag: r.lag})
+	verdict := r.shedder.Arrived(w.clock.now, limits.Arrival{Share: w.share(q), Tokens: q.charge(), Streaming: true, Lag: r.lag})
 	if verdict.Shed != limits.Ask {
 		w.decider.shed(q)
 		r.work(refuseTime, func() { w.refused(q, max(verdict.After, shedRetry)) })
@@ -98,7 +100,7 @@
 	}
 	r := w.routers[q.router]
 	r.work(answerTime, func() {
-		r.shedder.Told(w.clock.now, q.share(), d.Allowance, d.RetryAfter)
+		r.shedder.Told(w.clock.now, w.share(q), d.Allowance, d.RetryAfter)
 		if d.Verdict == dispatch.Send {
 			r.work(streamTime, func() {})
 		}
--- a/lab/world.go
+++ b/lab/world.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
@@ -76,6 +77,11 @@
 // Shape is the lab's fleet.
 type Shape struct {
 	Engines, Routers int
+	// Homes is how many homes divide the engines; 0 is one.
+	Homes int
+	// Wide are teams whose callers meet all routers, in plays with Processors. Those of
+	// others meet one.
+	Wide []int
 	// Processors are the routers' shares of a core, for plays in which their time
 	// counts and a team's callers all meet one router. Empty: it doesn't.
 	Processors []float64
@@ -123,7 +129,7 @@
 	w.decider = w.policy(p)
 	for i, a := range l.arrivals(s.Routers) {
 		if len(w.routers) > 0 {
-			a.router = a.team % len(w.routers)
+			a.router = w.meets(a.team)
 		}
 		r := &request{arrival: a}
 		r.parts = w.parts(r, uint64(i+1))
@@ -136,6 +142,14 @@
 	return w
 }
 
+// meets is the router that a caller of a team meets.
+func (w *world) meets(team int) int {
+	if slices.Contains(w.shape.Wide, team) {
+		return w.rnd.IntN(len(w.routers))
+	}
+	return team % len(w.routers)
+}
+
 // parts names a request's prompt: group, session and its own.
 func (w *world) parts(r *request, own uint64) []dispatch.Part {
 	c := w.class(r)
@@ -153,6 +167,9 @@
 // charge is what teams' shares reckon with: tokens read and twice those generated.
 func (r *request) charge() float64 { return float64(r.prompt()) + 2*float64(r.output) }
 
+// claimed is what the request's team is charged: outputs are hints until they end.
+func (r *request) claimed() float64 { return float64(r.prompt()) + 2*float64(r.hint) }
+
 // worth grows with a request's size: three tenths are for any of its kind, the
 // rest by tokens against the mean of the kind, up to four times the usual.
 func (w *world) worth(r *request, usual float64) float64 {
