Homes tell each other what they gave to teams, in place of routers' receipts

Cause: a team's share is that of the whole fleet, and a home learnt what the team got from other homes by the routers that asked it.

Change: each home tells what it gave to teams that wait or got much to a hub chosen by the team's name, each 200 ms (up to 900 ms where many teams wait), and is answered with what all others gave (dispatch.Ledger, fleet/tally.go). Between two tellings a sum is taken to stay as told, as if the team were served at the same rate. A hub that has just begun to add up doesn't answer for 0.9 s: some homes have not told it yet, and a team would look as if it had got nothing there (found by TestTeamsAccountsOutliveTheRouterThatAddsUp). A home that is lost counts until its sums have decayed. Receipts, their fields in questions and in reports of shed requests, and what routers told by router go.

TestReceipts* went with what they tested; TestTeamOfOneGroupGetsAsMuchAsOthers stays as it was, fed by what homes tell.

--- a/dispatch/account.go
+++ b/dispatch/account.go
@@ -10,12 +10,13 @@
 type account struct {
 	asked, served, lately float64
 	at                    time.Duration
-	// elsewhere is what the team got from other homes, as its routers told.
+	// elsewhere is what the team is taken to have got from other homes, after told.
 	elsewhere Got
+	told      told
 	// askedAll and servedAll are sums since the account began.
 	askedAll, servedAll float64
 	// askedLately is what was asked for with a decay over rateWindow; routers is the
-	// same by router, with what each told of other homes.
+	// same by router.
 	askedLately decaying
 	routers     routers
 	// refusedAt is when a request of the team was last refused, here or by a router
@@ -33,21 +34,16 @@
 	a.asked *= f
 	a.served *= f
 	a.lately *= late
-	a.elsewhere.Window *= f
-	a.elsewhere.Lately *= late
+	a.elsewhere = a.told.value(now, window)
 	a.at = now
 }
 
-// ask notes what a router asks for, and what it says that the team got elsewhere.
-func (a *account) ask(now, window time.Duration, router uint64, tokens float64, elsewhere Got) {
+// ask notes what a router asks for.
+func (a *account) ask(now time.Duration, router uint64, tokens float64) {
 	a.asked += tokens
 	a.askedAll += tokens
 	a.askedLately.add(now, rateWindow, tokens)
-	r := a.routers.of(now, router)
-	r.asked.add(now, rateWindow, tokens)
-	was := r.told(now, window, elsewhere)
-	a.elsewhere.Window = max(a.elsewhere.Window+elsewhere.Window-was.Window, 0)
-	a.elsewhere.Lately = max(a.elsewhere.Lately+elsewhere.Lately-was.Lately, 0)
+	a.routers.of(now, router).add(now, rateWindow, tokens)
 }
 
 // serve notes what the team was served.
--- a/dispatch/allowance_test.go
+++ b/dispatch/allowance_test.go
@@ -94,7 +94,7 @@
 		now += 10 * time.Millisecond
 		a.ask(now, "flood")
 		b.ask(now, "flood")
-		c.NoteShed(now, 2, "flood", 3*9000, dispatch.Got{}, nil)
+		c.NoteShed(now, 2, "flood", 3*9000, nil)
 		if i%20 == 0 {
 			a.end(now)
 			b.end(now)
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -141,7 +141,7 @@
 	}
 	j.tokens = Tokens(&j.Request)
 	j.memory = max(j.Prompt-kept, 0) + j.Output
-	c.teams.ask(now, j.Ticket.Router, j.Team, j.tokens, j.Elsewhere)
+	c.teams.ask(now, j.Ticket.Router, j.Team, j.tokens)
 }
 
 // warm believes the asker about where parts are cached if this core knows
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -29,9 +29,6 @@
 	Warm string
 	// Avoid are upstreams that this request has been to.
 	Avoid []string
-	// Elsewhere is what the team got through the asking router from the upstreams of
-	// other groups.
-	Elsewhere Got
 }
 
 // Got is what a team got, in tokens.
--- a/dispatch/returns.go
+++ b/dispatch/returns.go
@@ -95,8 +95,8 @@
 
 // NoteShed takes in requests of a team that a router has refused by itself, with the
 // tokens that they asked for.
-func (c *Core) NoteShed(now time.Duration, router uint64, team string, tokens float64, elsewhere Got, requests []Shed) {
-	c.teams.ask(now, router, team, tokens, elsewhere)
+func (c *Core) NoteShed(now time.Duration, router uint64, team string, tokens float64, requests []Shed) {
+	c.teams.ask(now, router, team, tokens)
 	c.teams.refused(now, team)
 	for _, r := range requests {
 		at := now - r.Ago
--- a/dispatch/routers.go
+++ b/dispatch/routers.go
@@ -1,62 +1,40 @@
 package dispatch
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
-// routers are those that ask for a team. The zero value has none.
+// routers are those that ask for a team, each with what it asked for with a decay over
+// rateWindow. The zero value has none.
 type routers struct {
-	all map[uint64]*teamRouter
+	all map[uint64]*decaying
 	// sweepFrom is the size at which those that ask no more are dropped.
 	sweepFrom int
 }
 
-// teamRouter is what a router asked for a team with a decay over rateWindow, and what it
-// told that the team got through it from other homes.
-type teamRouter struct {
-	asked     decaying
-	elsewhere Got
-	toldAt    time.Duration
-}
-
-// told replaces what the router told before, and returns that as of now.
-func (r *teamRouter) told(now, window time.Duration, elsewhere Got) (was Got) {
-	passed := float64(now - r.toldAt)
-	was = Got{
-		Window: r.elsewhere.Window * math.Exp(-passed/float64(window)),
-		Lately: r.elsewhere.Lately * math.Exp(-passed/float64(rateWindow)),
-	}
-	r.elsewhere, r.toldAt = elsewhere, now
-	return was
-}
-
 // leastSweep is the size up to which nothing is dropped: most teams' callers meet a few
 // routers.
 const leastSweep = 8
 
-// of is a router, added if it isn't known.
-func (r *routers) of(now time.Duration, router uint64) *teamRouter {
+// of is what a router asked lately, added if it isn't known.
+func (r *routers) of(now time.Duration, router uint64) *decaying {
 	if found := r.all[router]; found != nil {
 		return found
 	}
 	if r.all == nil {
-		r.all = map[uint64]*teamRouter{}
+		r.all = map[uint64]*decaying{}
 	}
 	if len(r.all) >= max(r.sweepFrom, leastSweep) {
 		r.sweep(now)
 	}
-	added := &teamRouter{toldAt: now}
+	added := &decaying{at: now}
 	r.all[router] = added
 	return added
 }
 
 // sweep drops the routers through which nothing is asked any more, as callers move. It
-// doubles the size at which it is due, so that an entry costs a constant time. What they
-// told has decayed by then.
+// doubles the size at which it is due, so that an entry costs a constant time.
 func (r *routers) sweep(now time.Duration) {
-	for id, router := range r.all {
-		if router.asked.value(now, rateWindow) < idleAccount {
+	for id, asked := range r.all {
+		if asked.value(now, rateWindow) < idleAccount {
 			delete(r.all, id)
 		}
 	}
@@ -69,5 +47,5 @@
 	if found == nil {
 		return 0
 	}
-	return found.asked.value(now, rateWindow)
+	return found.value(now, rateWindow)
 }
--- a/dispatch/run_test.go
+++ b/dispatch/run_test.go
@@ -38,11 +38,10 @@
 	r.seq++
 	r.asked[team]++
 	r.team[r.seq] = team
-	q := request(r.seq, team, session)
 	if r.elsewhere != nil {
-		q.Elsewhere = r.elsewhere(team)
+		r.c.Elsewhere(r.now, team, r.elsewhere(team))
 	}
-	r.take(r.c.Ask(r.now, q))
+	r.take(r.c.Ask(r.now, request(r.seq, team, session)))
 }
 
 func (r *run) take(ds []dispatch.Decision) {
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -48,12 +48,12 @@
 	return a
 }
 
-// ask notes what a router asks for a team, which got so much elsewhere.
-func (s *shares) ask(now time.Duration, router uint64, team string, tokens float64, elsewhere Got) {
+// ask notes what a router asks for a team.
+func (s *shares) ask(now time.Duration, router uint64, team string, tokens float64) {
 	if s.startAt == 0 {
 		s.startAt = now
 	}
-	s.account(now, team).ask(now, s.window, router, tokens, elsewhere)
+	s.account(now, team).ask(now, router, tokens)
 }
 
 func (s *shares) serve(now time.Duration, team string, tokens float64) {
--- a/dispatch/team_state.go
+++ b/dispatch/team_state.go
@@ -14,7 +14,9 @@
 	Asked  float64 `json:"asked"`
 	Served float64 `json:"served"`
 	Lately float64 `json:"lately"`
-	// AskedAll and ServedAll are sums since the account began.
+	// Elsewhere is what the team is taken to have got from other homes, as Served.
+	Elsewhere float64 `json:"elsewhere"`
+	// AskedAll and ServedAll are sums of this group since the account began.
 	AskedAll  float64 `json:"askedAll"`
 	ServedAll float64 `json:"servedAll"`
 	// Over is set if the team had more than its share.
@@ -27,7 +29,7 @@
 	for name, a := range c.teams.teams {
 		a.decay(now, c.teams.window)
 		all = append(all, TeamState{
-			Team: name, Asked: a.asked, Served: a.served, Lately: a.lately, AskedAll: a.askedAll, ServedAll: a.servedAll,
+			Team: name, Asked: a.asked, Served: a.served, Lately: a.lately, Elsewhere: a.elsewhere.Window, AskedAll: a.askedAll, ServedAll: a.servedAll,
 		})
 	}
 	slices.SortFunc(all, func(a, b TeamState) int {
--- a/fleet/ask.go
+++ b/fleet/ask.go
@@ -121,7 +121,7 @@
 	a := &ask{
 		Seq: r.Ticket.Seq, ID: r.ID, Service: key.service, Group: key.index, Team: r.Team, Rank: r.Rank,
 		Prompt: r.Prompt, Output: r.Output, TargetMs: millis(r.Target), LeftMs: millis(r.Left),
-		Warm: r.Warm, Avoid: r.Avoid, GotWindow: float32(r.Elsewhere.Window), GotLately: float32(r.Elsewhere.Lately),
+		Warm: r.Warm, Avoid: r.Avoid,
 	}
 	for _, p := range r.Parts {
 		a.Parts = append(a.Parts, part{ID: p.ID, Tokens: p.Tokens})
@@ -133,7 +133,7 @@
 	r := dispatch.Request{
 		Ticket: dispatch.Ticket{Router: router, Seq: a.Seq}, ID: a.ID, Team: a.Team, Rank: a.Rank,
 		Prompt: a.Prompt, Output: a.Output, Target: duration(a.TargetMs), Left: duration(a.LeftMs),
-		Warm: a.Warm, Avoid: a.Avoid, Elsewhere: got(a.GotWindow, a.GotLately),
+		Warm: a.Warm, Avoid: a.Avoid,
 	}
 	for _, p := range a.Parts {
 		r.Parts = append(r.Parts, dispatch.Part{ID: p.ID, Tokens: p.Tokens})
@@ -141,22 +141,6 @@
 	return r
 }
 
-// got is what a peer told of a team. Numbers that can't be tokens count as nothing: they
-// would spoil the shares of all teams.
-func got(window, lately float32) dispatch.Got {
-	return dispatch.Got{Window: toldTokens(window), Lately: toldTokens(lately)}
-}
-
-// mostTold is above what any team gets within a share's window.
-const mostTold = 1e12
-
-func toldTokens(told float32) float64 {
-	if tokens := float64(told); tokens > 0 && tokens < mostTold {
-		return tokens
-	}
-	return 0
-}
-
 func millis(d time.Duration) int32 { return int32(d.Milliseconds()) }
 
 func duration(ms int32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -152,6 +152,7 @@
 	n.pushState(now)
 	if n.feed != nil {
 		n.tellShed(now)
+		n.tellTallies(now)
 	}
 	n.logGroups(now)
 }
--- a/fleet/dump.go
+++ b/fleet/dump.go
@@ -123,7 +123,8 @@
 	for _, t := range g.core.Teams(time.Duration(now), teamsTold) {
 		n.log.Info().Str("event", "share").Str("group", g.key).Str("team", t.Team).Int64("asked_tokens", int64(t.Asked)).
 			Int64("served_tokens", int64(t.Served)).Int64("lately_tokens", int64(t.Lately)).
-			Int64("asked_all", int64(t.AskedAll)).Int64("served_all", int64(t.ServedAll)).
+			Int64("elsewhere_tokens", int64(t.Elsewhere)).
+			Int64("group_asked_sum", int64(t.AskedAll)).Int64("group_served_sum", int64(t.ServedAll)).
 			Int64("share_tokens", int64(level)).Bool("over_share", t.Over).Msg("a team's account")
 	}
 }
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -143,4 +143,7 @@
 	if p.Shed != nil {
 		n.takeShed(now, p.From, p.Shed)
 	}
+	if p.Tally != nil {
+		n.takeTally(now, p.From, p.Tally)
+	}
 }
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -35,7 +35,9 @@
 		{From: 2, Beat: &beat{IP: "127.0.0.1", Domain: "d", Weight: 1, Peers: []string{"x"}}},
 		{From: 2, Ask: &ask{Seq: 1, Service: "llm", Group: -1, Prompt: -5, Parts: []part{{ID: 1, Tokens: -1}}, TargetMs: -1}},
 		{From: 2, Reply: &reply{Seq: 1, Verdict: 9}},
-		{From: 2, Shed: &shed{Service: "llm", Group: 1 << 40, Requests: []shedRequest{{Fingerprint: 1, AgoMs: -1, LeftMs: -1}}, GotWindow: -1, GotLately: float32(math.NaN())}},
+		{From: 2, Shed: &shed{Service: "llm", Group: 1 << 40, Requests: []shedRequest{{Fingerprint: 1, AgoMs: -1, LeftMs: -1}}}},
+		{From: 2, Tally: &tally{Teams: []teamGot{{Team: "t", Window: -1, Lately: float32(math.NaN())}}}},
+		{From: 2, Tally: &tally{Return: true, Teams: []teamGot{{Team: "t", Window: float32(math.Inf(1))}}}},
 		{From: 2, Report: &report{Kind: holds, Seq: 1, Service: "llm", Held: &ask{}, Upstream: "u"}},
 	} {
 		raw, err := cbor.Marshal(&p)
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -150,17 +150,21 @@
 
 // homeOf is the router that decides for a group: nil means this one. It is a hub,
 // unless none is heard.
-func (n *Node) homeOf(now boottime.Time, g *group) *member {
+func (n *Node) homeOf(now boottime.Time, g *group) *member { return n.hubFor(now, g.key) }
+
+// hubFor is the hub that has a matter in its hands: nil means this router, which it also
+// is if no hub is heard.
+func (n *Node) hubFor(now boottime.Time, key string) *member {
 	var best *member
 	score := math.Inf(-1)
 	if n.hub && !n.leaving {
-		score = preference(n.self, n.cfg.Weight, g.key)
+		score = preference(n.self, n.cfg.Weight, key)
 	}
 	for _, m := range n.members {
 		if !m.hub || !n.usable(now, m) {
 			continue
 		}
-		if p := preference(m.id, m.weight, g.key); p > score {
+		if p := preference(m.id, m.weight, key); p > score {
 			best, score = m, p
 		}
 	}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -12,6 +12,7 @@
 	Reply  *reply
 	Report *report
 	Shed   *shed
+	Tally  *tally
 }
 
 // beat is a heartbeat.
@@ -59,9 +60,6 @@
 	LeftMs   int32
 	Warm     string
 	Avoid    []string
-	// GotWindow and GotLately are what the team got from other groups through the
-	// asker, in tokens.
-	GotWindow, GotLately float32
 }
 
 type part struct {
@@ -126,9 +124,20 @@
 	Team     string
 	Tokens   int
 	Requests []shedRequest
-	// GotWindow and GotLately are what the team got from other groups through the
-	// sender, in tokens.
-	GotWindow, GotLately float32
+}
+
+// tally tells what teams got: from the sender's homes, or in return from all others.
+type tally struct {
+	_      struct{} `cbor:",toarray"`
+	Return bool
+	Teams  []teamGot
+}
+
+// teamGot is what a team got, in tokens.
+type teamGot struct {
+	_              struct{} `cbor:",toarray"`
+	Team           string
+	Window, Lately float32
 }
 
 type shedRequest struct {
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -55,9 +55,12 @@
 	pending map[uint64]*pending
 	held    map[uint64]*heldRequest
 	warm    map[uint64]dispatch.Incarnation
-	// receipts are what this router's teams got from each group.
-	receipts *dispatch.Receipts[groupKey]
-	pushed   int64
+	// ledgers add up what teams got from all homes, each for a part of the teams. This
+	// router told what its homes gave at talliedAt, and tells again after tallyEvery.
+	ledgers    [tallyParts]*dispatch.Ledger
+	talliedAt  boottime.Time
+	tallyEvery time.Duration
+	pushed     int64
 	// filled is the state from which the groups have their upstreams.
 	filled *feed.Snapshot
 	// leadOf is the lead of this router's failure domain, nil if it is itself;
@@ -89,7 +92,10 @@
 		events:  make(chan any, eventQueue), over: make(chan struct{}),
 		members: map[uint64]*member{}, byIP: map[string]*member{}, groups: map[groupKey]*group{},
 		pending: map[uint64]*pending{}, held: map[uint64]*heldRequest{}, warm: map[uint64]dispatch.Incarnation{},
-		receipts: dispatch.NewReceipts[groupKey](cfg.Engine.ShareWindow),
+		tallyEvery: minTallyEvery,
+	}
+	for i := range n.ledgers {
+		n.ledgers[i] = dispatch.NewLedger(cfg.Engine.ShareWindow)
 	}
 	n.self = n.random.Uint64()
 	n.routers.Store(1)
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -95,7 +95,6 @@
 		return
 	}
 	e.request.Warm = n.warmFor(s, e.request.Parts)
-	e.request.Elsewhere = n.receipts.Elsewhere(time.Duration(now), e.request.Team, key)
 	p := &pending{request: e.request, key: key, group: g, answer: e.answer, asked: now}
 	n.pending[e.request.Ticket.Seq] = p
 	p.local = now.Add(n.cfg.AskLocal)
@@ -168,7 +167,6 @@
 	d.Group = p.key.index
 	if d.Verdict == dispatch.Send {
 		at := n.incarnationOf(d.Upstream)
-		n.receipts.Add(time.Duration(now), p.request.Team, p.key, dispatch.Tokens(&p.request))
 		n.held[d.Ticket.Seq] = &heldRequest{request: p.request, key: p.key, group: p.group, upstream: at, home: p.home}
 		if session := sessionOf(p.request.Parts); session != 0 {
 			if len(n.warm) >= maxWarm {
--- a/fleet/shed.go
+++ b/fleet/shed.go
@@ -77,9 +77,8 @@
 		return
 	}
 	home := n.homeOf(now, g)
-	elsewhere := n.receipts.Elsewhere(time.Duration(now), key.team, key.group)
 	for part := range slices.Chunk(entries, shedInDatagram) {
-		m := newShed(now, key, elsewhere, part)
+		m := newShed(now, key, part)
 		if home == nil {
 			n.takeShed(now, n.self, m)
 			continue
@@ -88,11 +87,8 @@
 	}
 }
 
-func newShed(now boottime.Time, key shedKey, elsewhere dispatch.Got, entries []shedEntry) *shed {
-	m := &shed{
-		Service: key.group.service, Group: key.group.index, Team: key.team,
-		GotWindow: float32(elsewhere.Window), GotLately: float32(elsewhere.Lately),
-	}
+func newShed(now boottime.Time, key shedKey, entries []shedEntry) *shed {
+	m := &shed{Service: key.group.service, Group: key.group.index, Team: key.team}
 	tokens := 0.0
 	for _, e := range entries {
 		tokens += dispatch.Tokens(&e.request)
@@ -119,5 +115,5 @@
 			Fingerprint: dispatch.Fingerprint(r.Fingerprint), Ago: duration(r.AgoMs), Left: duration(r.LeftMs),
 		})
 	}
-	g.core.NoteShed(time.Duration(now), from, m.Team, float64(max(m.Tokens, 0)), got(m.GotWindow, m.GotLately), requests)
+	g.core.NoteShed(time.Duration(now), from, m.Team, float64(max(m.Tokens, 0)), requests)
 }
--- a/lab/homes.go
+++ b/lab/homes.go
@@ -1,42 +1,46 @@
 package lab
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
 )
 
-// homes are cores that divide the engines. Sessions belong to one of them each.
+// homes are cores that divide the engines. Sessions belong to one of them each. They tell
+// one router what teams got from them, which tells each what teams got from the others.
 type homes struct {
-	all []*cored
-	// receipts are what routers know of what their teams got.
-	receipts map[int]*dispatch.Receipts[int]
-	w        *world
+	w      *world
+	all    []*cored
+	ledger *dispatch.Ledger
+	delay  time.Duration
 }
 
+// tellEvery is the time between two tellings of a home.
+const tellEvery = 200 * time.Millisecond
+
 func (w *world) newHomes(delay time.Duration) *homes {
-	h := &homes{w: w, receipts: map[int]*dispatch.Receipts[int]{}}
+	h := &homes{w: w, ledger: dispatch.NewLedger(dispatch.DefaultConfig(true).ShareWindow), delay: delay}
 	for i := range w.shape.Homes {
-		c := w.newCoreOf(delay, i, w.shape.Homes)
-		c.elsewhere = func(r *request) dispatch.Got {
-			return h.receiptsOf(r).Elsewhere(w.clock.now, strconv.Itoa(r.team), i)
-		}
-		c.sent = func(r *request) {
-			h.receiptsOf(r).Add(w.clock.now, strconv.Itoa(r.team), i, r.claimed())
-		}
-		h.all = append(h.all, c)
+		h.all = append(h.all, w.newCoreOf(delay, i, w.shape.Homes))
+		// Homes don't tell in step.
+		w.clock.after(tellEvery*time.Duration(i)/time.Duration(w.shape.Homes), func() { h.tell(i) })
 	}
 	return h
 }
 
-func (h *homes) receiptsOf(r *request) *dispatch.Receipts[int] {
-	found := h.receipts[r.router]
-	if found == nil {
-		found = dispatch.NewReceipts[int](dispatch.DefaultConfig(true).ShareWindow)
-		h.receipts[r.router] = found
+// tell sends what a home's teams got to the ledger, and takes the answer in.
+func (h *homes) tell(home int) {
+	h.w.clock.after(tellEvery, func() { h.tell(home) })
+	for _, t := range h.all[home].core.Tell(h.w.clock.now) {
+		h.w.clock.after(h.delay, func() {
+			h.ledger.Tell(h.w.clock.now, uint64(home), t.Team, t.Got)
+			others, ok := h.ledger.Others(h.w.clock.now, uint64(home), t.Team)
+			if !ok {
+				return
+			}
+			h.w.clock.after(h.delay, func() { h.all[home].core.Elsewhere(h.w.clock.now, t.Team, others) })
+		})
 	}
-	return found
 }
 
 // homeOf is the home of a request's session.
--- a/lab/policy.go
+++ b/lab/policy.go
@@ -68,11 +68,6 @@
 	delay time.Duration
 	// index and homes tell which of the engines are the core's.
 	index, homes int
-	// elsewhere, if set, is what a request's router knows that the team got from other
-	// homes.
-	elsewhere func(r *request) dispatch.Got
-	// sent, if set, is called when a router learns that a request goes to an engine.
-	sent func(r *request)
 }
 
 func (w *world) newCore(delay time.Duration) *cored { return w.newCoreOf(delay, 0, 1) }
@@ -124,9 +119,6 @@
 
 // reply brings a decision to the request's router.
 func (c *cored) reply(r *request, d dispatch.Decision) {
-	if d.Verdict == dispatch.Send && c.sent != nil {
-		c.sent(r)
-	}
 	if len(c.w.routers) > 0 {
 		c.w.replied(r, d)
 		return
@@ -145,14 +137,10 @@
 	if len(c.w.routers) > 0 {
 		target -= c.w.clock.now - r.triedAt
 	}
-	q := dispatch.Request{
+	return dispatch.Request{
 		Ticket: c.ticket(r), Team: strconv.Itoa(r.team), Prompt: r.prompt(), Output: r.hint,
 		Parts: r.parts, Target: target, Left: c.w.left(r),
 	}
-	if c.elsewhere != nil {
-		q.Elsewhere = c.elsewhere(r)
-	}
-	return q
 }
 
 func (c *cored) ask(r *request) {
@@ -168,7 +156,7 @@
 	}
 	at := c.w.clock.now
 	c.w.clock.after(c.delay, func() {
-		c.core.NoteShed(c.w.clock.now, q.Ticket.Router, q.Team, dispatch.Tokens(&q), q.Elsewhere, []dispatch.Shed{{Fingerprint: f, Ago: c.w.clock.now - at, Left: q.Left}})
+		c.core.NoteShed(c.w.clock.now, q.Ticket.Router, q.Team, dispatch.Tokens(&q), []dispatch.Shed{{Fingerprint: f, Ago: c.w.clock.now - at, Left: q.Left}})
 	})
 }
 
--- a/lab/world.go
+++ b/lab/world.go
@@ -167,9 +167,6 @@
 // charge is what teams' shares reckon with: tokens read and twice those generated.
 func (r *request) charge() float64 { return float64(r.prompt()) + 2*float64(r.output) }
 
-// claimed is what the request's team is charged: outputs are hints until they end.
-func (r *request) claimed() float64 { return float64(r.prompt()) + 2*float64(r.hint) }
-
 // worth grows with a request's size: three tenths are for any of its kind, the
 // rest by tokens against the mean of the kind, up to four times the usual.
 func (w *world) worth(r *request, usual float64) float64 {
