Hundreds of routers together may ask for a team no more than one

A team's routers are told their parts of its rate, 0.02 of it at the least each: 280 routers were allowed 5.4 times what the router of a team at one router was (test, 168 against 31 thousand tokens a second). The least part is now an even division among the routers that ask, if that is less (1.8 times), and a router's part is measured over the window of shares instead of a second: at the moment of asking a router that asks once in 1.4 s counts too much by its own question (1.3 times, bound 1.6).

--- a/dispatch/account.go
+++ b/dispatch/account.go
@@ -15,10 +15,8 @@
 	told      told
 	// askedAll and servedAll are sums since the account began.
 	askedAll, servedAll float64
-	// askedLately is what was asked for with a decay over rateWindow; routers is the
-	// same by router.
-	askedLately decaying
-	routers     routers
+	// routers is what was asked for by router.
+	routers routers
 	// refusedAt is when a request of the team was last refused, here or by a router
 	// on its own.
 	refusedAt time.Duration
@@ -39,11 +37,10 @@
 }
 
 // ask notes what a router asks for.
-func (a *account) ask(now time.Duration, router uint64, tokens float64) {
+func (a *account) ask(now, window time.Duration, router uint64, tokens float64) {
 	a.asked += tokens
 	a.askedAll += tokens
-	a.askedLately.add(now, rateWindow, tokens)
-	a.routers.of(now, router).add(now, rateWindow, tokens)
+	a.routers.add(now, window, router, tokens)
 }
 
 // serve notes what the team was served.
@@ -60,6 +57,6 @@
 func (a *account) totalLately() float64 { return a.lately + a.elsewhere.Lately }
 
 // partOf is the part of what is asked for the team that comes through a router.
-func (a *account) partOf(now time.Duration, router uint64) float64 {
-	return a.routers.asked(now, router) / max(a.askedLately.value(now, rateWindow), idleAccount)
+func (a *account) partOf(now, window time.Duration, router uint64) float64 {
+	return a.routers.asked(now, window, router) / max(a.asked, idleAccount)
 }
--- a/dispatch/allowance.go
+++ b/dispatch/allowance.go
@@ -21,7 +21,8 @@
 	// share costs a fifth of its questions.
 	askMore = 2
 	// leastPart is the part of a team's rate that a router gets that has just begun to
-	// ask for it.
+	// ask for it, or an even division among those that ask if that is less: hundreds of
+	// routers would else ask for several times the team's rate.
 	leastPart = 0.02
 	// sparePart is the part of an even division of the group's engines that a team may
 	// always ask for, though it got its share elsewhere: engines may have time to spare.
@@ -41,5 +42,5 @@
 	}
 	fair := max(due, sparePart*s.even) / s.window.Seconds()
 	rate := askMore * max(fair, a.lately/rateWindow.Seconds())
-	return rate * max(a.partOf(now, router), leastPart)
+	return rate * max(a.partOf(now, s.window, router), min(leastPart, 1/float64(a.routers.count())))
 }
--- a/dispatch/allowance_test.go
+++ b/dispatch/allowance_test.go
@@ -82,6 +82,39 @@
 	g.Expect(other.allowed).To(BeNumerically(">", 0.8*(0.6*capacity-smallRate)))
 }
 
+// A flooding team's callers meet hundreds of routers, another's one. Each router of the
+// first may ask for a least part of the team's rate, and all of them together for several
+// times as much as the router of the second, whose questions then come after theirs.
+func TestManyRoutersMayAskForNoMoreThanOne(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(2)
+	c.SetCapacity(60000)
+	wide := make([]*asker, 280)
+	for i := range wide {
+		wide[i] = &asker{c: c, router: uint64(i + 10)}
+	}
+	narrow := &asker{c: c, router: 1}
+	now := 2 * time.Second
+	for i := range 1200 {
+		now += 5 * time.Millisecond
+		a := wide[i%len(wide)]
+		a.ask(now, "wide")
+		narrow.ask(now, "narrow")
+		if i%20 == 0 {
+			narrow.end(now)
+			for _, a := range wide {
+				a.end(now)
+			}
+		}
+	}
+	all := 0.0
+	for _, a := range wide {
+		all += a.allowed
+	}
+	g.Expect(all).To(BeNumerically("<", 1.6*narrow.allowed))
+	g.Expect(all).To(BeNumerically(">", 0.6*narrow.allowed))
+}
+
 // What a router refused without asking counts as asked for there, or its part of the
 // team's rate would shrink with each refusal.
 func TestShedRequestsCountForTheRoutersPart(t *testing.T) {
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -53,7 +53,7 @@
 	if s.startAt == 0 {
 		s.startAt = now
 	}
-	s.account(now, team).ask(now, router, tokens)
+	s.account(now, team).ask(now, s.window, router, tokens)
 }
 
 func (s *shares) serve(now time.Duration, team string, tokens float64) {
--- a/fleet/size_test.go
+++ b/fleet/size_test.go
@@ -30,7 +30,7 @@
 		"decision": {packet{From: 1 << 63, Reply: &reply{Seq: 1 << 20, Service: "huvo11a", Verdict: dispatch.Send, Upstream: "i-7f3a91c2d0", WaitMs: 120}}, 55},
 		"tally": {packet{From: 1 << 63, Tally: &tally{Teams: slices.Repeat([]teamGot{{Team: "hule930", Window: 2.5e6, Lately: 1e6}}, teamsInTally)}},
 			20 + 20*teamsInTally},
-		"report":   {packet{From: 1 << 63, Report: &report{Kind: ended, Seq: 1 << 20, Service: "huvo11a", TookMs: 2000}}, 45},
+		"report": {packet{From: 1 << 63, Report: &report{Kind: ended, Seq: 1 << 20, Service: "huvo11a", TookMs: 2000}}, 45},
 	}
 	for name, c := range cases {
 		raw, err := cbor.Marshal(&c.p)
