Callers' connections are bounded by memory: more are closed unread

Cause: a router of 112 MB under 2,700 new connections a second held 2,416 of them and was ended for its memory, with a heap of 46 MB: each waiting connection also has stacks of two goroutines and unread bytes of a long prompt. KeepConns bounds what stays open after an answer, nothing bounded what is taken.

Change: at most a third of the memory over 40 KB a connection are open (955 at 112 MB; answers close above 796); one more is accepted and closed unread. Weighed: in the listener's queue its bytes count as well, and callers that find that full wait a second; an answer costs what the router lacks; a close tells the caller that the request wasn't read, and it goes to another router at once.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -26,6 +26,10 @@
 	// old: without a bound they take all descriptors, and then no upstream can
 	// be reached.
 	KeepConns int
+	// MaxConns is the number of callers' connections above which new ones are closed
+	// unread. It is above KeepConns, or a busy router would never get down to that by
+	// answers that close.
+	MaxConns int
 	// MaxRequests is how many requests are held at once. Each takes memory until
 	// it ends; one more than fit would end the process and all of them.
 	MaxRequests int
@@ -45,6 +49,9 @@
 	// ConnBytes is the memory that a caller's connection may take: two buffers of
 	// net/http and a stack.
 	ConnBytes = 24 << 10
+	// UnreadBytes is what the kernel may hold of a request beside that until it is read:
+	// the body of a long prompt.
+	UnreadBytes = 16 << 10
 	// RequestBytes is what a waiting request may take beside that: its body, its
 	// upstream connection and their buffers (2,000 held requests of 18 KB took 118 MB).
 	RequestBytes = 64 << 10
@@ -54,6 +61,7 @@
 // descriptors.
 func (c *Config) Fit(memory int64, files int) {
 	c.KeepConns = max(min(files/4, int(memory/6/ConnBytes)), 1)
+	c.MaxConns = max(min(files/2, int(memory/3/(ConnBytes+UnreadBytes))), c.KeepConns+1)
 	c.MaxRequests = max(min(files/3, int(memory/2/RequestBytes)), 1)
 }
 
@@ -67,6 +75,7 @@
 		IdleTimeout:     15 * time.Second,
 		MaxHeaderBytes:  16 << 10,
 		KeepConns:       1000,
+		MaxConns:        1500,
 		MaxRequests:     2000,
 		Shed:            limits.DefaultShedConfig(),
 		OldView:         1600 * time.Millisecond,
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -168,6 +168,12 @@
 type script func(req *http.Request, w io.Writer) bool
 
 func newRig(t testing.TB, scripts map[string]script) *rig {
+	t.Helper()
+	return newRigOf(t, scripts, func(*gateway.Config) {})
+}
+
+// newRigOf is a rig whose configuration a test changes.
+func newRigOf(t testing.TB, scripts map[string]script, shape func(*gateway.Config)) *rig {
 	t.Helper()
 	r := &rig{t: t, state: &state{}, placer: &placer{}}
 	r.state.fresh.Store(true)
@@ -182,6 +188,7 @@
 	cfg := gateway.DefaultConfig()
 	cfg.Names = names
 	cfg.Linger, cfg.Accept = 300*time.Millisecond, 100*time.Millisecond
+	shape(&cfg)
 	metrics := obs.NewMetrics("test")
 	t.Cleanup(func() { _ = metrics.Close() })
 	budget := retry.Budget{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -78,7 +78,7 @@
 	s.http = s.newHTTP()
 	server := s.http
 	s.mu.Unlock()
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(&boundedListener{Listener: l, server: s}); !errors.Is(err, http.ErrServerClosed) {
 		return Error.Wrap(err)
 	}
 	return nil
