The number of groups has hysteresis, and routers take it over from peers

Replaced ones are listed beside their successors, 62 to 65 around a bound of 64: two groups became four and two again within two seconds, and nearly all sessions changed their homes twice. A crash of a third does the same (160 to 107 engines: eight groups, four, eight).

Change: the number doubles at once and halves only below three quarters. As it now depends on what a router has seen, a question and a decision carry the group as one number that tells the division too (no byte more), and a router that has just started takes its peers' over.

--- a/fleet/ask.go
+++ b/fleet/ask.go
@@ -25,7 +25,7 @@
 		n.deliver(now, p.key, p.group.core.Ask(time.Duration(now), p.request))
 		return
 	}
-	n.send(p.home.addr, &packet{Ask: newAsk(p.key, p.request)})
+	n.send(p.home.addr, &packet{Ask: n.newAsk(p.key, p.request)})
 }
 
 // confirmEvery is how often a router asks whether its request still waits: the
@@ -50,7 +50,7 @@
 				p.acked = false
 				p.local = now.Add(n.cfg.AskLocal)
 			}
-			n.send(p.home.addr, &packet{Ask: newAsk(p.key, p.request)})
+			n.send(p.home.addr, &packet{Ask: n.newAsk(p.key, p.request)})
 		}
 	}
 }
@@ -117,9 +117,9 @@
 	}})
 }
 
-func newAsk(key groupKey, r dispatch.Request) *ask {
+func (n *Node) newAsk(key groupKey, r dispatch.Request) *ask {
 	a := &ask{
-		Seq: r.Ticket.Seq, ID: r.ID, Service: key.service, Group: key.index, Team: r.Team, Rank: r.Rank,
+		Seq: r.Ticket.Seq, ID: r.ID, Service: key.service, Group: n.numberOf(key), Team: r.Team, Rank: r.Rank,
 		Prompt: r.Prompt, Output: r.Output, TargetMs: millis(r.Target), LeftMs: millis(r.Left),
 		Warm: r.Warm, Avoid: r.Avoid,
 	}
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -33,16 +33,6 @@
 	toldAt boottime.Time
 }
 
-// groupCount divides a service's upstreams. It is a power of two, so that a few
-// upstreams more or less hardly ever change it.
-func (n *Node) groupCount(upstreams int) int {
-	count := 1
-	for upstreams > count*n.cfg.GroupSize {
-		count *= 2
-	}
-	return count
-}
-
 // pickGroup spreads sessions over groups.
 func (n *Node) pickGroup(service string, count int, parts []dispatch.Part, seq uint64) int {
 	if count == 1 {
@@ -88,7 +78,7 @@
 func (n *Node) fill(now boottime.Time, key groupKey, g *group, s *feed.Snapshot) {
 	ready := s.View.Ready(key.service)
 	svc := s.Table.Service(key.service)
-	count := n.groupCount(len(ready))
+	count := n.counts.of(key.service, len(ready))
 	var members []dispatch.Member
 	for _, u := range ready {
 		if groupOfUpstream(u.ID, count) != key.index {
@@ -209,7 +199,7 @@
 		return
 	}
 	ready := s.View.Ready(key.service)
-	count := n.groupCount(len(ready))
+	count := n.counts.of(key.service, len(ready))
 	for _, u := range ready {
 		if groupOfUpstream(u.ID, count) == key.index {
 			go n.askCachedOf(key, u)
@@ -244,7 +234,7 @@
 		}
 		n.send(home.addr, &packet{Report: &report{
 			Kind: holds, Seq: h.request.Ticket.Seq, Service: h.key.service, Group: h.key.index,
-			Held: newAsk(h.key, h.request), Upstream: h.upstream.ID, Started: h.upstream.Started, Begun: h.begun,
+			Held: n.newAsk(h.key, h.request), Upstream: h.upstream.ID, Started: h.upstream.Started, Begun: h.begun,
 		}})
 	}
 }
--- a/fleet/home.go
+++ b/fleet/home.go
@@ -13,7 +13,8 @@
 	if n.feed.Snapshot() == nil || n.members[from] == nil {
 		return // the asker decides by itself
 	}
-	key := groupKey{service: a.Service, index: a.Group}
+	n.toldGroups(a.Service, a.Group)
+	key := groupKey{service: a.Service, index: a.Group.index()}
 	g := n.group(now, key)
 	if g == nil {
 		return
@@ -48,7 +49,7 @@
 			continue
 		}
 		n.send(m.addr, &packet{Reply: &reply{
-			Seq: d.Ticket.Seq, Service: key.service, Group: key.index, Verdict: d.Verdict, Upstream: d.Upstream, CopyFrom: d.CopyFrom,
+			Seq: d.Ticket.Seq, Service: key.service, Group: n.numberOf(key), Verdict: d.Verdict, Upstream: d.Upstream, CopyFrom: d.CopyFrom,
 			RetryMs: millis(d.RetryAfter), WaitMs: millis(d.Wait), WaitedMs: millis(d.Waited), Over: d.Over,
 			Allowance: float32(d.Allowance),
 		}})
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -50,7 +50,7 @@
 	Seq      uint64
 	ID       string
 	Service  string
-	Group    int
+	Group    groupNumber
 	Team     string
 	Rank     int
 	Prompt   int
@@ -73,7 +73,7 @@
 	_        struct{} `cbor:",toarray"`
 	Seq      uint64
 	Service  string
-	Group    int
+	Group    groupNumber
 	Verdict  dispatch.Verdict
 	Upstream string
 	CopyFrom string
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -47,6 +47,8 @@
 	lag atomic.Int64
 
 	shed shedList
+	// counts are into how many groups services' upstreams fall.
+	counts *groupCounts
 
 	// Owned by the control goroutine.
 	members map[uint64]*member
@@ -92,7 +94,7 @@
 		events:  make(chan any, eventQueue), over: make(chan struct{}),
 		members: map[uint64]*member{}, byIP: map[string]*member{}, groups: map[groupKey]*group{},
 		pending: map[uint64]*pending{}, held: map[uint64]*heldRequest{}, warm: map[uint64]dispatch.Incarnation{},
-		tallyEvery: minTallyEvery,
+		tallyEvery: minTallyEvery, counts: newGroupCounts(cfg.GroupSize),
 	}
 	for i := range n.ledgers {
 		n.ledgers[i] = dispatch.NewLedger(cfg.Engine.ShareWindow)
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -74,7 +74,7 @@
 
 // groupOf is the part of a service's upstreams that a request goes to.
 func (n *Node) groupOf(s *feed.Snapshot, service string, r *dispatch.Request) int {
-	count := n.groupCount(len(s.View.Ready(service)))
+	count := n.counts.of(service, len(s.View.Ready(service)))
 	return n.pickGroup(service, count, r.Parts, r.Ticket.Seq)
 }
 
@@ -125,15 +125,32 @@
 	return dispatch.Incarnation{ID: id}
 }
 
+// toldGroups takes in into how many groups a peer divides a service's upstreams.
+func (n *Node) toldGroups(service string, number groupNumber) {
+	if s := n.feed.Snapshot(); s != nil && s.Table.Service(service) != nil {
+		n.counts.told(service, number.count(), len(s.View.Ready(service)))
+	}
+}
+
+// numberOf is a group's number on the wire.
+func (n *Node) numberOf(key groupKey) groupNumber {
+	s := n.feed.Snapshot()
+	if s == nil {
+		return 0
+	}
+	return numberOf(key.index, n.counts.of(key.service, len(s.View.Ready(key.service))))
+}
+
 // replied takes in a home's decision. One for a request that is not waiting, or
 // that was decided elsewhere, is given back: else the home would take an idle
 // upstream for busy.
 func (n *Node) replied(now boottime.Time, from *member, r *reply) {
+	n.toldGroups(r.Service, r.Group)
 	p, h := n.pending[r.Seq], n.held[r.Seq]
 	stale := p == nil && (h == nil || h.home != from) || p != nil && p.home != from
 	if stale {
 		if r.Verdict == dispatch.Send && from != nil {
-			n.cancelAt(from, groupKey{service: r.Service, index: r.Group}, r.Seq)
+			n.cancelAt(from, groupKey{service: r.Service, index: r.Group.index()}, r.Seq)
 		}
 		return
 	}
--- a/fleet/tally.go
+++ b/fleet/tally.go
@@ -64,7 +64,7 @@
 	groups := 0
 	for i := range s.Table.Config.Services {
 		if svc := &s.Table.Config.Services[i]; svc.Engine != nil {
-			groups += n.groupCount(len(s.View.Ready(svc.Name)))
+			groups += n.counts.of(svc.Name, len(s.View.Ready(svc.Name)))
 		}
 	}
 	return groups <= 1
