New connections are taken after the work in hand, and those that would wait are told to go elsewhere

Thousands of goroutines then waited for a turn, the reader of peers' answers among them: the router took homes for silent and asked others, whose accounts were empty, and for seconds sent nothing of a team that was within its share. The load line's lag said 2 to 37 ms all the while: it measured a queue that is never long, and was drawn to zero at each tick.

Change: a connection is taken after the run queue has had its turn (runtime.Gosched); a listener's queue that hasn't been empty for 50 ms is answered at once with one prepared 503 'router_busy, at once' a connection (accept, read, write, close: no goroutine, no parsing), and so is what finds no memory left. Its length is bounded too. Lag is what the control goroutine waits for its turn.

--- a/fleet/events.go
+++ b/fleet/events.go
@@ -64,9 +64,8 @@
 		case e := <-n.events:
 			n.handle(e)
 		case <-timer.C:
-			n.catchUp()
+			n.noteLag(n.catchUp())
 			n.tick()
-			n.noteLag(0)
 			timer.Reset(n.nextTick())
 		}
 	}
@@ -74,14 +73,18 @@
 
 // catchUp handles what has come in already. A router that was held up finds its
 // timers due and the answers beside them; it must not take a home for silent
-// whose answer it just hasn't read.
-func (n *Node) catchUp() {
+// whose answer it just hasn't read. It returns how long others had their turns: what
+// comes over the network waits as long before it is read.
+func (n *Node) catchUp() (waited time.Duration) {
 	for range 2 {
+		began := n.now()
 		runtime.Gosched()
+		waited = max(waited, n.now().Sub(began))
 		for left := len(n.events); left > 0; left-- {
 			n.handle(<-n.events)
 		}
 	}
+	return waited
 }
 
 func (n *Node) nextTick() time.Duration {
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -26,10 +26,13 @@
 	// old: without a bound they take all descriptors, and then no upstream can
 	// be reached.
 	KeepConns int
-	// MaxConns is the number of callers' connections above which new ones are closed
-	// unread. It is above KeepConns, or a busy router would never get down to that by
-	// answers that close.
+	// MaxConns is the number of callers' connections above which new ones aren't taken,
+	// and are told to go to another router.
+	// It is above KeepConns: answers close the connections between the two, so that
+	// places become free.
 	MaxConns int
+	// QueueConns is how many new connections wait to be taken, at most.
+	QueueConns int
 	// MaxRequests is how many requests are held at once. Each takes memory until
 	// it ends; one more than fit would end the process and all of them.
 	MaxRequests int
@@ -61,7 +64,8 @@
 // descriptors.
 func (c *Config) Fit(memory int64, files int) {
 	c.KeepConns = max(min(files/4, int(memory/6/ConnBytes)), 1)
-	c.MaxConns = max(min(files/2, int(memory/3/(ConnBytes+UnreadBytes))), c.KeepConns+1)
+	c.MaxConns = max(min(files/2, int(memory/4/(ConnBytes+UnreadBytes))), c.KeepConns*5/4)
+	c.QueueConns = max(int(memory/16/UnreadBytes), 1)
 	c.MaxRequests = max(min(files/3, int(memory/2/RequestBytes)), 1)
 }
 
@@ -76,6 +80,7 @@
 		MaxHeaderBytes:  16 << 10,
 		KeepConns:       1000,
 		MaxConns:        1500,
+		QueueConns:      512,
 		MaxRequests:     2000,
 		Shed:            limits.DefaultShedConfig(),
 		OldView:         1600 * time.Millisecond,
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -2,45 +2,130 @@
 
 import (
 	"net"
+	"runtime"
+	"sync"
+	"time"
 
 	"github.com/aspenswitch/aspenswitch/obs"
 )
 
-// boundedListener takes connections as long as there is memory for them, and closes the
-// others unread.
+// boundedListener takes new connections no faster than the process can handle them, and
+// only while there is memory for them. Callers that would have to wait for long are told to
+// go to another router.
 //
-// Under a flood of new connections requests come faster than a small VM's processor can
-// refuse them. Each that waits has a goroutine, buffers and unread bytes; thousands of
-// them end the process for its memory, and every request in it is lost. One that is closed
-// unread costs next to nothing: its caller knows that it hasn't run and goes to another
-// router at once. In the listener's queue it would be held as well, and callers that find
-// the queue full wait for a second before their system tries again.
+// Under a flood of new connections each that waits for its turn has goroutines, buffers
+// and unread bytes: a small VM's process is ended for its memory, and every request in it
+// is lost. Before that, all wait for a turn among thousands, the answers of peers too: the
+// router takes homes for silent, and refuses what it could have served. So each connection
+// is taken after the work in hand has had its turn, and the others wait in the listener's
+// queue. Nobody knows how long a request has waited there: it would be served late, or be
+// cut while an engine works for it. So the queue is emptied before that takes long, with
+// an answer, as callers whose connections just break come back at once, to the same router.
+// That answer is the same for all and looks at nothing, and costs a fraction of another.
 type boundedListener struct {
 	net.Listener
-	server *Server
+	queue *listenQueue
+	// places are taken by the connections that are open.
+	places chan struct{}
+	over   chan struct{}
+	once   sync.Once
+	log    *obs.Limited
+	// emptyAt is when the queue was last seen empty.
+	emptyAt time.Time
+	// busy is the answer to those that can't be taken; refused is told their number.
+	busy    []byte
+	refused func(n int)
+}
+
+const (
+	// longestQueued is how long connections wait to be taken: little against the
+	// objectives of requests.
+	longestQueued = 50 * time.Millisecond
+	// looksEvery is the time between two looks at the queue.
+	looksEvery = longestQueued / 4
+)
+
+func newBoundedListener(l net.Listener, cfg *Config, log *obs.Limited, refused func(n int)) (*boundedListener, error) {
+	queue, err := newListenQueue(l)
+	if err != nil {
+		return nil, err
+	}
+	if err := queue.bound(cfg.QueueConns); err != nil {
+		return nil, err
+	}
+	return &boundedListener{
+		Listener: l, queue: queue, places: make(chan struct{}, cfg.MaxConns), over: make(chan struct{}),
+		log: log, emptyAt: time.Now(), busy: busyRefusal().closing(), refused: refused,
+	}, nil
 }
 
 // Accept implements net.Listener.
 func (l *boundedListener) Accept() (net.Conn, error) {
+	if err := l.takePlace(); err != nil {
+		return nil, err
+	}
+	// The run queue is first in, first out: what could run before the next connection is
+	// taken has run when this returns.
+	runtime.Gosched()
+	l.look()
+	c, err := l.Listener.Accept()
+	if err != nil {
+		l.closed()
+		return nil, err
+	}
+	return c, nil
+}
+
+// takePlace waits until fewer connections are open than there is memory for.
+func (l *boundedListener) takePlace() error {
 	for {
-		c, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
+		select {
+		case l.places <- struct{}{}:
+			return nil
+		case <-l.over:
+			return net.ErrClosed
+		default:
 		}
-		if l.server.conns.Load() < int64(l.server.cfg.MaxConns) {
-			return c, nil
+		l.look()
+		wait := time.NewTimer(looksEvery)
+		select {
+		case l.places <- struct{}{}:
+			wait.Stop()
+			return nil
+		case <-l.over:
+			wait.Stop()
+			return net.ErrClosed
+		case <-wait.C:
 		}
-		l.refuse(c)
 	}
 }
 
-func (l *boundedListener) refuse(c net.Conn) {
-	s := l.server
-	s.counts.closed.Add(1)
-	s.log.Warn("connections", func(e *obs.Event) {
-		e.Int64("open", s.conns.Load()).Int("most", s.cfg.MaxConns).Msg("connection closed unread: no memory for more")
-	})
-	if err := c.Close(); err != nil {
-		s.log.Warn("connections", func(e *obs.Event) { e.Err(err).Msg("connection not closed") })
+// closed frees the place of a connection.
+func (l *boundedListener) closed() { <-l.places }
+
+// look empties the queue if it hasn't been empty for long.
+func (l *boundedListener) look() {
+	queued := time.Since(l.emptyAt)
+	if queued < looksEvery {
+		return
+	}
+	if !l.queue.waits() {
+		l.emptyAt = time.Now()
+		return
 	}
+	if queued < longestQueued {
+		return
+	}
+	n, err := l.queue.refuse(l.busy)
+	l.emptyAt = time.Now()
+	l.refused(n)
+	l.log.Warn("connections", func(e *obs.Event) {
+		e.Int("refused", n).Int("open", len(l.places)).Err(err).Msg("router_busy to all connections that waited")
+	})
+}
+
+// Close implements net.Listener.
+func (l *boundedListener) Close() error {
+	l.once.Do(func() { close(l.over) })
+	return l.Listener.Close()
 }
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -3,13 +3,13 @@
 import "sync/atomic"
 
 // counts are what the load line tells, since the start.
-type counts struct{ opened, closed, asked, refused, shed atomic.Int64 }
+type counts struct{ opened, turnedAway, asked, refused, shed atomic.Int64 }
 
 // Load is what callers have asked of a server since its start, and what it holds.
 type Load struct {
-	// Opened connections of callers, those Closed unread for want of memory, Asked
+	// Opened connections of callers, those TurnedAway before they were taken, Asked
 	// requests, those Refused as not run, and of these the ones Shed without asking a home.
-	Opened, Closed, Asked, Refused, Shed int64
+	Opened, TurnedAway, Asked, Refused, Shed int64
 	// Connections and Requests are open now.
 	Connections, Requests int64
 }
@@ -21,7 +21,7 @@
 // Load returns the server's load.
 func (s *Server) Load() Load {
 	return Load{
-		Opened: s.counts.opened.Load(), Closed: s.counts.closed.Load(), Asked: s.counts.asked.Load(), Refused: s.counts.refused.Load(), Shed: s.counts.shed.Load(),
+		Opened: s.counts.opened.Load(), TurnedAway: s.counts.turnedAway.Load(), Asked: s.counts.asked.Load(), Refused: s.counts.refused.Load(), Shed: s.counts.shed.Load(),
 		Connections: s.conns.Load(), Requests: s.requests.Load(),
 	}
 }
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -52,15 +54,36 @@
 
 // write answers the caller.
 func (r *refusal) write(w http.ResponseWriter) {
-	h := w.Header()
+	body := r.body()
+	r.head(w.Header(), len(body))
+	w.WriteHeader(r.status)
+	_, _ = w.Write(body) // a caller that has left reads nothing
+}
+
+// closing is the whole answer as it goes over a connection that then closes.
+func (r *refusal) closing() []byte {
+	body := r.body()
+	h := http.Header{"Connection": {"close"}}
+	r.head(h, len(body))
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\n", r.status, http.StatusText(r.status))
+	_ = h.Write(&out) // a buffer takes all
+	out.WriteString("\r\n")
+	out.Write(body)
+	return out.Bytes()
+}
+
+func (r *refusal) head(h http.Header, size int) {
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderOutcome, string(r.outcome))
 	if r.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 2, 64))
 	}
-	// The body holds strings alone, which always encode.
+	h.Set("Content-Length", strconv.Itoa(size))
+}
+
+func (r *refusal) body() []byte {
+	// It holds strings alone, which always encode.
 	body, _ := json.Marshal(refusalBody{Error: refusalDetail{Code: r.code, Message: r.message}, Outcome: r.outcome})
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(r.status)
-	_, _ = w.Write(body) // a caller that has left reads nothing
+	return body
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -44,6 +44,7 @@
 	requests atomic.Int64
 	counts   counts
 	http     *http.Server
+	bounded  *boundedListener
 
 	// base ends when waiting requests are given up at the end of a stop.
 	base   context.Context
@@ -74,11 +75,16 @@
 	for s.state.Snapshot() == nil && time.Now().Before(until) {
 		time.Sleep(configWait / 50)
 	}
+	bounded, err := newBoundedListener(l, &s.cfg, s.log, func(n int) { s.counts.turnedAway.Add(int64(n)) })
+	if err != nil {
+		return err
+	}
 	s.mu.Lock()
+	s.bounded = bounded
 	s.http = s.newHTTP()
 	server := s.http
 	s.mu.Unlock()
-	if err := server.Serve(&boundedListener{Listener: l, server: s}); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 		return Error.Wrap(err)
 	}
 	return nil
@@ -119,6 +125,7 @@
 		s.counts.opened.Add(1)
 	case http.StateClosed, http.StateHijacked:
 		s.conns.Add(-1)
+		s.bounded.closed()
 	case http.StateActive, http.StateIdle:
 	}
 }
