--- a/fleet/events.go
+++ b/fleet/events.go
@@ -57,6 +57,7 @@
 func (n *Node) control(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	due := n.now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -64,9 +65,13 @@
 		case e := <-n.events:
 			n.handle(e)
 		case <-timer.C:
-			n.noteLag(n.catchUp())
+			late := n.now().Sub(due)
+			late = max(late, n.catchUp())
 			n.tick()
-			timer.Reset(n.nextTick())
+			n.noteLag(late)
+			next := n.nextTick()
+			due = n.now().Add(next)
+			timer.Reset(next)
 		}
 	}
 }
