--- a/daemon/load.go
+++ b/daemon/load.go
@@ -20,22 +20,23 @@
 	defer ticker.Stop()
 	var last gateway.Load
 	var used time.Duration
+	var calls int64
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		l, cpu := d.gateway.Load(), processorTime()
-		if l.Asked != last.Asked {
+		l, cpu, called := d.gateway.Load(), processorTime(), d.feed.Calls()
+		if l.Asked != last.Asked || called != calls {
 			var m runtime.MemStats
 			runtime.ReadMemStats(&m)
 			d.log.Info().Str("event", "load").Int64("asked", l.Asked-last.Asked).Int64("refused", l.Refused-last.Refused).
 				Int64("shed", l.Shed-last.Shed).Int64("opened", l.Opened-last.Opened).Int64("turned_away", l.TurnedAway-last.TurnedAway).Int64("connections", l.Connections).
 				Int64("held", l.Requests).Int64("processor_ms", (cpu-used).Milliseconds()).
-				Int64("lag_ms", d.node.Lag().Milliseconds()).Uint64("heap_kb", m.HeapAlloc>>10).Uint64("stack_kb", m.StackInuse>>10).Uint64("runtime_kb", (m.Sys-m.HeapReleased)>>10).Uint32("collections", m.NumGC).Msg("load")
+				Int64("lag_ms", d.node.Lag().Milliseconds()).Int64("platform_calls", called-calls).Uint64("heap_kb", m.HeapAlloc>>10).Uint64("stack_kb", m.StackInuse>>10).Uint64("runtime_kb", (m.Sys-m.HeapReleased)>>10).Uint32("collections", m.NumGC).Msg("load")
 		}
-		last, used = l, cpu
+		last, used, calls = l, cpu, called
 	}
 }
 
--- a/lab/policy.go
+++ b/lab/policy.go
@@ -68,6 +68,8 @@
 	delay time.Duration
 	// index and homes tell which of the engines are the core's.
 	index, homes int
+	// over is set once another core is in its place.
+	over bool
 }
 
 func (w *world) newCore(delay time.Duration) *cored { return w.newCoreOf(delay, 0, 1) }
@@ -105,12 +107,18 @@
 
 func (c *cored) tick() {
 	c.w.clock.after(10*time.Millisecond, func() {
+		if c.over {
+			return
+		}
 		c.deliver(c.core.Tick(c.w.clock.now))
 		c.tick()
 	})
 }
 
 func (c *cored) deliver(ds []dispatch.Decision) {
+	if c.over {
+		return
+	}
 	for _, d := range ds {
 		r := c.w.requests[d.Ticket.Seq]
 		c.w.clock.after(c.delay, func() { c.reply(r, d) })
@@ -144,6 +152,7 @@
 }
 
 func (c *cored) ask(r *request) {
+	r.asks = true
 	ask := c.question(r)
 	c.w.clock.after(c.delay, func() { c.deliver(c.core.Ask(c.w.clock.now, ask)) })
 }
--- a/lab/world.go
+++ b/lab/world.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -40,9 +41,12 @@
 	local   int
 	sentAt  time.Duration
 	first   time.Duration
-	// atEngine is set while an engine has it.
+	// atEngine is set once an engine, upstream, has it.
 	atEngine *sequence
-	ended    bool
+	upstream string
+	// asks is set while a home is asked for the attempt.
+	asks  bool
+	ended bool
 }
 
 func (r *request) prompt() int {
@@ -67,6 +71,8 @@
 	Owed, WorstTeams float64
 	// Gap is the least part of its due that a team got over six seconds.
 	Gap float64
+	// GapBeyond is the same with three of the largest requests left out, as users reckon.
+	GapBeyond float64
 	// OnTime, Late, Refused, Cut are parts of the requests.
 	OnTime, Late, Refused, Cut float64
 	// Reread is the part of the tokens read that shared parts read again took.
@@ -89,6 +95,18 @@
 	Stalls []Stall
 	// Lost are times in which some of the engines get no work.
 	Lost []Lost
+	// TellLoss is the part of what homes tell each other that is lost on the way, TellDelay
+	// how long the rest takes at most.
+	TellLoss  float64
+	TellDelay time.Duration
+	// Replaced are homes that are lost, with all that they know.
+	Replaced []Replaced
+}
+
+// Replaced puts a home that knows nothing in the place of another.
+type Replaced struct {
+	Home int
+	At   time.Duration
 }
 
 // Lost takes the last engines out for a while.
@@ -167,6 +185,18 @@
 // charge is what teams' shares reckon with: tokens read and twice those generated.
 func (r *request) charge() float64 { return float64(r.prompt()) + 2*float64(r.output) }
 
+// inOrder are the requests' last attempts in the order of their names.
+func (w *world) inOrder() []*request {
+	out := make([]*request, 0, len(w.requests))
+	for seq, r := range w.requests {
+		if seq == r.seq {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b *request) int { return cmp.Compare(a.seq, b.seq) })
+	return out
+}
+
 // worth grows with a request's size: three tenths are for any of its kind, the
 // rest by tokens against the mean of the kind, up to four times the usual.
 func (w *world) worth(r *request, usual float64) float64 {
@@ -178,6 +208,7 @@
 
 func (w *world) arrive(r *request) {
 	w.gap.at(w.clock.now, r.team).asked += r.charge()
+	w.gap.largest = max(w.gap.largest, r.charge())
 	w.clock.after(w.class(r).deadline(), func() { w.expire(r) })
 	w.try(r)
 }
@@ -204,6 +235,7 @@
 	if d.Verdict == dispatch.Wait || r.ended || r.atEngine != nil || d.Ticket.Seq != r.seq && d.Ticket.Seq != 0 {
 		return
 	}
+	r.asks = false
 	if d.Verdict == dispatch.Refuse {
 		w.refused(r, d.RetryAfter)
 		return
@@ -218,6 +250,7 @@
 		w.decider.started(r)
 	}
 	r.atEngine.done = func() { w.answered(r) }
+	r.upstream = d.Upstream
 	w.byID[d.Upstream].submit(r.atEngine, w.byID[d.CopyFrom])
 }
 
@@ -275,6 +308,9 @@
 	w.result.ByClass[w.class(r).Name] += earned
 }
 
+// leftOut is how many of the largest requests users leave out when they compare teams.
+const leftOut = 3
+
 // sum turns counts into parts.
 func (w *world) sum() Result {
 	res := w.result
@@ -289,6 +325,7 @@
 	}
 	res.Worth, res.SmallTeams = w.owed.all(), w.owed.small()
 	res.Owed, res.WorstTeams, res.Gap = w.owed.owed(), w.owed.worst(), w.gap.worst()
+	res.GapBeyond = w.gap.worstBeyond(leftOut)
 	read, reread := 0, 0
 	for _, e := range w.engines {
 		read += e.read
