--- a/feed/feed.go
+++ b/feed/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -208,7 +209,7 @@
 // Run follows the platform until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
 	go f.expireAll(ctx)
-	backoff := f.cfg.BackoffMin
+	backoff, failures := f.cfg.BackoffMin, 0
 	for ctx.Err() == nil {
 		if f.Snapshot() != nil && !f.reads() && f.Age() < f.cfg.StaleAfter {
 			pause(ctx, f.cfg.StaleAfter/8)
@@ -216,15 +217,43 @@
 		}
 		began := f.now()
 		if f.read(ctx) {
-			backoff = f.cfg.BackoffMin
+			backoff, failures = f.cfg.BackoffMin, 0
 			pause(ctx, f.cfg.MinInterval-f.now().Sub(began))
 			continue
 		}
+		if failures++; failures >= followerReads && f.follows() {
+			f.awaitPeers(ctx)
+			continue
+		}
 		pause(ctx, backoff)
 		backoff = min(2*backoff, f.cfg.BackoffMax)
 	}
 }
 
+// followerReads is how many reads must fail for a router that reads only because its view
+// has grown old to leave it to those whose duty it is. One may be lost on the way; after
+// two the platform is away for this router, and hundreds that go on asking it make
+// thousands of calls in vain.
+const followerReads = 2
+
+// followerPause is the least time until such a router asks again, and half of the longest:
+// peers tell of the platform's return within a second, and a router that hears none has
+// the duty of reading.
+const followerPause = 4 * time.Second
+
+// follows reports whether this router relies on its peers.
+func (f *Feed) follows() bool { return f.Snapshot() != nil && !f.reads() }
+
+// awaitPeers waits until peers have told of a fresh view, this router has the duty of
+// reading, or it is time to see whether the platform is back: not the same for all, or the
+// platform would be asked by all at once when it is.
+func (f *Feed) awaitPeers(ctx context.Context) {
+	until := f.now().Add(followerPause + rand.N(followerPause))
+	for ctx.Err() == nil && f.follows() && f.Age() >= f.cfg.StaleAfter && f.now() < until {
+		pause(ctx, f.cfg.StaleAfter/8)
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -23,6 +22,19 @@
 	// peer is nil for this router.
 	peer  *member
 	score float64
+	// old is set if its view is too old to pass on.
+	old bool
+}
+
+// before reports whether a router goes before another as a lead: one whose view is old may
+// be cut off from the platform, and its domain would grow stale with it. Where all views
+// are old the platform is away, and the duty stays where it is: if each router took itself
+// for the only one left to read, hundreds would ask the platform in vain.
+func (l *lead) before(other *lead) bool {
+	if l.old != other.old {
+		return other.old
+	}
+	return l.score > other.score
 }
 
 // chooseReaders finds who reads the platform and whom this router asks how fresh
@@ -33,7 +45,12 @@
 	for _, l := range leads {
 		order = append(order, l)
 	}
-	slices.SortFunc(order, func(a, b *lead) int { return cmp.Compare(b.score, a.score) })
+	slices.SortFunc(order, func(a, b *lead) int {
+		if a.before(b) {
+			return -1
+		}
+		return 1
+	})
 	readers := order[:min(maxReaders, len(order))]
 	own := leads[n.cfg.Domain]
 	reads := own.peer == nil && slices.Contains(readers, own)
@@ -60,12 +77,11 @@
 }
 
 // leads picks the lead of each failure domain by weighted rendezvous, and counts
-// the routers. A router whose view is old is no lead: it may be cut off from the
-// platform, and its domain would grow stale with it.
+// the routers.
 func (n *Node) leads(now boottime.Time) map[string]*lead {
-	own := &lead{score: preference(n.self, n.cfg.Weight, readerKey)}
-	if n.leaving || n.stateOld() {
-		own.score = 0
+	own := &lead{score: preference(n.self, n.cfg.Weight, readerKey), old: n.stateOld()}
+	if n.leaving || !n.hub {
+		own.score, own.old = 0, true
 	}
 	leads := map[string]*lead{n.cfg.Domain: own}
 	live := 1
@@ -74,11 +90,12 @@
 			continue
 		}
 		live++
-		if m.stateAge > n.cfg.LeadAge || !m.hub {
+		if !m.hub {
 			continue
 		}
-		if l := leads[m.domain]; l == nil || m.readerScore > l.score {
-			leads[m.domain] = &lead{peer: m, score: m.readerScore}
+		candidate := &lead{peer: m, score: m.readerScore, old: m.stateAge > n.cfg.LeadAge}
+		if l := leads[m.domain]; l == nil || candidate.before(l) {
+			leads[m.domain] = candidate
 		}
 	}
 	// A share of the fleet's allowance stays with routers that may come back.
