--- /dev/null
+++ b/gateway/allowed.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+)
+
+// mayUse checks, at the moment of sending, that the request's key, route and
+// upstream are still in force. The decision may have been waited for, and the
+// home that made it may know less than this router.
+func (s *Server) mayUse(r *request, id string) (again bool, refused *refusal) {
+	state := s.state.Snapshot()
+	if refused := s.stillAllowed(r); refused != nil {
+		return false, refused
+	}
+	if s.tooOld() {
+		r.record.lag = s.placer.Lag()
+		return false, notRun("router_busy", "this router is behind and its view too old to send on", retryLater)
+	}
+	u := state.View.Upstream(id)
+	if u == nil || u.Service != r.service {
+		r.tried = append(r.tried, id)
+		r.record.cause = "upstream " + id + " has left"
+		return true, notRun("upstream_left", "the upstream left before the request was sent", retryLater)
+	}
+	return false, nil
+}
+
+// tooOld reports whether this router is behind and its view too old to act upon.
+//
+// A flooded router reads what its peers tell it seconds late. It would send to
+// upstreams that have left, and deny routes and keys that were added long ago. While
+// it is behind it trusts no old view; without that condition an outage of the
+// platform would stop all.
+func (s *Server) tooOld() bool {
+	return s.placer.Lag() > s.cfg.Shed.Lag && s.state.Age() > s.cfg.OldView
+}
+
+// stillAllowed checks the key against the newest configuration.
+func (s *Server) stillAllowed(r *request) *refusal {
+	if r.team == nil {
+		return nil
+	}
+	if !s.state.Authorized() {
+		return notRun("stale_view", "this router's view of the keys is too old to decide", time.Second)
+	}
+	if s.state.Snapshot().Table.Team(r.in.Header.Get(s.cfg.Names.Key)) == nil {
+		return bad(http.StatusUnauthorized, "unknown_key", "no team holds this key any more")
+	}
+	return nil
+}
