Callers that connect at one moment after a quiet while are served

After 100 ms of quiet, of 20 callers at one moment 3 were served and 17 told router_busy (TestCallersAfterAQuietWhileAreServed, failing first). A queue for which Accept had to wait was empty until then.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -68,11 +68,16 @@
 	// taken has run when this returns.
 	runtime.Gosched()
 	l.look()
+	began := time.Now()
 	c, err := l.Listener.Accept()
 	if err != nil {
 		l.closed()
 		return nil, err
 	}
+	if now := time.Now(); now.Sub(began) >= looksEvery {
+		// It had to wait for a connection: the queue was empty until now.
+		l.emptyAt = now
+	}
 	return c, nil
 }
 
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -68,6 +68,29 @@
 	g.Expect(body).To(Equal("done"))
 }
 
+// A router hears nothing for a while; then a few callers connect at the same moment. They
+// are all served: the queue is as old as its first connection, not as the last look at it.
+func TestCallersAfterAQuietWhileAreServed(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t, map[string]script{"u1": ok("done")})
+	const callers, quiet = 20, 100 * time.Millisecond
+	for range 5 {
+		time.Sleep(quiet)
+		var over sync.WaitGroup
+		var served atomic.Int64
+		for range callers {
+			over.Go(func() {
+				if resp, _, err := r.call("/unsafe/", nil); err == nil && resp.StatusCode == http.StatusOK {
+					served.Add(1)
+				}
+			})
+		}
+		over.Wait()
+		g.Expect(served.Load()).To(BeNumerically("==", callers))
+	}
+	g.Expect(r.server.Load().TurnedAway).To(BeZero())
+}
+
 // openUnlessRefused connects and sends; it returns the connection unless that was refused,
 // and counts the answers that tell the caller to go to another router.
 func openUnlessRefused(addr, raw string, answered *atomic.Int64) net.Conn {
