--- a/fleet/tally.go
+++ b/fleet/tally.go
@@ -16,7 +16,7 @@
 	// minTallyEvery is the time between two tallies of a home: a fifth of the span of
 	// teams' rates.
 	minTallyEvery = 200 * time.Millisecond
-	// maxTallyEvery keeps one lost tally from being missed.
+	// maxTallyEvery is less than the time for which a tally stays as it was told.
 	maxTallyEvery = 900 * time.Millisecond
 	// tallyPerTeam stretches that time, so that a home tells of a thousand teams a
 	// second at most, however many wait.
