Lines tell what was begun for a team, how late peers are read, and what turning away costs

Hypotheses that lines couldn't tell apart: whether a router is late (its lag measures its own queue, not the socket's: read_lag_ms, by a heartbeat to itself), what connections that are turned away take of its time (turning_away_ms), and whether what is sent for a team is begun (begun, begun_tokens; also counters team_requests and team_tokens).

--- a/daemon/teams.go
+++ b/daemon/teams.go
@@ -39,7 +39,7 @@
 		for _, l := range d.gateway.TeamLoads(teamsTold) {
 			counters.add(&l)
 			d.log.Info().Str("event", "team").Str("team", l.Team).Int("asked", l.Asked).Int64("asked_tokens", int64(l.AskedTokens)).
-				Int("sent", l.Sent).Int64("sent_tokens", int64(l.SentTokens)).Int("over_share", l.OverShare).Int("no_room", l.NoRoom).
+				Int("sent", l.Sent).Int64("sent_tokens", int64(l.SentTokens)).Int("begun", l.Begun).Int64("begun_tokens", int64(l.BegunTokens)).Int("over_share", l.OverShare).Int("no_room", l.NoRoom).
 				Int("shed", l.Shed).Int64("shed_age_ms", l.ShedAge.Milliseconds()).Int("busy", l.Busy).Int("full", l.Full).
 				Int64("lag_ms", lag.Milliseconds()).Msg("a team's requests")
 		}
@@ -54,7 +54,7 @@
 
 // teamCounter are one team's, by what was decided.
 type teamCounter struct {
-	asked, sent, overShare, noRoom, shed, busy, full, askedTokens, sentTokens tally.Counter
+	asked, sent, begun, overShare, noRoom, shed, busy, full, askedTokens, sentTokens, begunTokens tally.Counter
 }
 
 func (c *teamCounters) of(team string) *teamCounter {
@@ -69,9 +69,9 @@
 	}
 	t := &teamCounter{
 		asked: counter("team_requests", "asked"), sent: counter("team_requests", "sent"),
-		overShare: counter("team_requests", "over_share"), noRoom: counter("team_requests", "no_room"),
+		begun: counter("team_requests", "begun"), overShare: counter("team_requests", "over_share"), noRoom: counter("team_requests", "no_room"),
 		shed: counter("team_requests", "shed"), busy: counter("team_requests", "busy"), full: counter("team_requests", "full"),
-		askedTokens: counter("team_tokens", "asked"), sentTokens: counter("team_tokens", "sent"),
+		askedTokens: counter("team_tokens", "asked"), sentTokens: counter("team_tokens", "sent"), begunTokens: counter("team_tokens", "begun"),
 	}
 	c.teams[team] = t
 	return t
@@ -81,6 +81,7 @@
 	t := c.of(l.Team)
 	t.asked.Inc(int64(l.Asked))
 	t.sent.Inc(int64(l.Sent))
+	t.begun.Inc(int64(l.Begun))
 	t.overShare.Inc(int64(l.OverShare))
 	t.noRoom.Inc(int64(l.NoRoom))
 	t.shed.Inc(int64(l.Shed))
@@ -88,4 +89,5 @@
 	t.full.Inc(int64(l.Full))
 	t.askedTokens.Inc(int64(l.AskedTokens))
 	t.sentTokens.Inc(int64(l.SentTokens))
+	t.begunTokens.Inc(int64(l.BegunTokens))
 }
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -132,6 +132,10 @@
 
 func (n *Node) receivePacket(now boottime.Time, e received) {
 	p := e.packet
+	if p.From == n.self {
+		n.readMark(now, p.Beat)
+		return
+	}
 	if p.Beat != nil {
 		n.heardBeat(now, p.From, p.Beat)
 	}
--- /dev/null
+++ b/fleet/mark.go
@@ -0,0 +1,44 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/boottime"
+)
+
+// marks are heartbeats that a router sends to itself, to know how far it is behind with
+// reading what its peers send. The socket is first in, first out: once a mark is read, all
+// that had come before it has been read too.
+type marks struct {
+	// sentAt is when the newest mark was sent, readTo when the newest one that was read
+	// was sent; 0 if none was.
+	sentAt, readTo boottime.Time
+}
+
+// markEvery is the least time between two marks.
+const markEvery = 20 * time.Millisecond
+
+// sendMark sends a mark unless one is on its way that is young enough.
+func (n *Node) sendMark(now boottime.Time) {
+	if n.marks.sentAt != 0 && now.Sub(n.marks.sentAt) < markEvery {
+		return
+	}
+	at, ok := n.addrOf(n.cfg.IP)
+	if !ok {
+		return
+	}
+	n.marks.sentAt = now
+	n.send(at, &packet{Beat: &beat{Sent: int64(now)}})
+}
+
+// readMark takes in a mark of this router.
+func (n *Node) readMark(now boottime.Time, m *beat) {
+	n.marks.readTo = max(n.marks.readTo, boottime.Time(m.Sent))
+	n.readLag.Store(int64(now.Sub(boottime.Time(m.Sent))))
+}
+
+// ReadLag is how long the newest mark waited to be read. It is zero until one was.
+func (n *Node) ReadLag() time.Duration { return time.Duration(n.readLag.Load()) }
+
+// MarkRead sends a mark, so that ReadLag is renewed.
+func (n *Node) MarkRead() { n.post(inspectEvent{do: n.sendMark}) }
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -45,6 +45,8 @@
 	pulling atomic.Bool
 	// lag is how long requests wait for the control goroutine, averaged.
 	lag atomic.Int64
+	// readLag is how long the newest mark waited to be read.
+	readLag atomic.Int64
 
 	shed shedList
 	// counts are into how many groups services' upstreams fall.
@@ -72,6 +74,7 @@
 	// heardAt is when any peer was heard last.
 	heardAt boottime.Time
 	leaving bool
+	marks   marks
 	// hub is set if this router is one of the hubs, which were chosen at hubsAt.
 	hub    bool
 	hubsAt boottime.Time
@@ -157,7 +160,7 @@
 			n.log.Warn().Str("event", "peer").Stringer("from", from).Err(err).Msg("datagram left out")
 			continue
 		}
-		if p.From == n.self {
+		if p.From == n.self && p.Beat == nil {
 			continue
 		}
 		n.post(received{packet: p, from: from})
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -34,7 +34,7 @@
 	emptyAt time.Time
 	// busy is the answer to those that can't be taken; refused is told their number.
 	busy    []byte
-	refused func(n int)
+	refused func(n int, took time.Duration)
 }
 
 const (
@@ -45,7 +45,7 @@
 	looksEvery = longestQueued / 4
 )
 
-func newBoundedListener(l net.Listener, cfg *Config, log *obs.Limited, refused func(n int)) (*boundedListener, error) {
+func newBoundedListener(l net.Listener, cfg *Config, log *obs.Limited, refused func(n int, took time.Duration)) (*boundedListener, error) {
 	queue, err := newListenQueue(l)
 	if err != nil {
 		return nil, err
@@ -121,9 +121,10 @@
 	if queued < longestQueued {
 		return
 	}
+	began := time.Now()
 	n, err := l.queue.refuse(l.busy)
 	l.emptyAt = time.Now()
-	l.refused(n)
+	l.refused(n, l.emptyAt.Sub(began))
 	l.log.Warn("connections", func(e *obs.Event) {
 		e.Int("refused", n).Int("open", len(l.places)).Err(err).Msg("router_busy to all connections that waited")
 	})
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -47,6 +47,7 @@
 	res, o := s.answer(ctx, r, out, a, func() {
 		r.record.first = time.Since(r.arrived)
 		s.placer.Started(r.service, t)
+		s.teams.begun(r)
 	})
 	s.placer.Done(r.service, t, o, time.Since(at))
 	return res
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -75,7 +75,7 @@
 	for s.state.Snapshot() == nil && time.Now().Before(until) {
 		time.Sleep(configWait / 50)
 	}
-	bounded, err := newBoundedListener(l, &s.cfg, s.log, func(n int) { s.counts.turnedAway.Add(int64(n)) })
+	bounded, err := newBoundedListener(l, &s.cfg, s.log, s.turnedAway)
 	if err != nil {
 		return err
 	}
@@ -90,6 +90,12 @@
 	return nil
 }
 
+// turnedAway counts connections that were refused before they were taken.
+func (s *Server) turnedAway(n int, took time.Duration) {
+	s.counts.turnedAway.Add(int64(n))
+	s.counts.turningAway.Add(int64(took))
+}
+
 func (s *Server) newHTTP() *http.Server {
 	h := &http.Server{
 		Handler:                      s,
--- a/gateway/teams.go
+++ b/gateway/teams.go
@@ -11,9 +11,10 @@
 type TeamLoad struct {
 	Team string
 	// Asked are the team's requests that were read, Sent those that went to an
-	// upstream, with the tokens that they count in the team's share.
-	Asked, Sent             int
-	AskedTokens, SentTokens float64
+	// upstream, Begun those whose answer began, with the tokens that they count in the
+	// team's share.
+	Asked, Sent, Begun                   int
+	AskedTokens, SentTokens, BegunTokens float64
 	// OverShare and NoRoom were refused by homes. Shed were refused here as above the
 	// share without asking a home, Busy as this router was behind, Full as it held as
 	// many requests as it can.
@@ -88,6 +89,14 @@
 	})
 }
 
+// begun notes that an upstream began to answer a team's request.
+func (t *teamLoads) begun(r *request) {
+	t.note(r.teamName(), func(l *TeamLoad) {
+		l.Begun++
+		l.BegunTokens += r.tokens()
+	})
+}
+
 // shed notes a request that was refused without asking, on a decision of that age.
 func (t *teamLoads) shed(r *request, age time.Duration) {
 	t.note(r.teamName(), func(l *TeamLoad) {
