--- a/gateway/listen_queue.go
+++ b/gateway/listen_queue.go
@@ -63,10 +63,10 @@
 	return err == nil && ready > 0
 }
 
-// refuse answers all connections that wait and closes them, and returns their number.
-func (q *listenQueue) refuse(answer []byte) (refused int, err error) {
+// refuse implements connQueue.
+func (q *listenQueue) refuse(answer []byte, most int) (refused int, err error) {
 	err = q.control(func(fd int) error {
-		for {
+		for refused < most {
 			c, _, err := unix.Accept4(fd, unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK)
 			if errors.Is(err, unix.EAGAIN) {
 				return nil
@@ -80,6 +80,7 @@
 				return err
 			}
 		}
+		return nil
 	})
 	return refused, err
 }
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net"
 	"runtime"
 	"sync"
@@ -24,19 +25,43 @@
 // That answer is the same for all and looks at nothing, and costs a fraction of another.
 type boundedListener struct {
 	net.Listener
-	queue *listenQueue
+	queue connQueue
+	clock listenerClock
 	// places are taken by the connections that are open.
 	places chan struct{}
 	over   chan struct{}
 	once   sync.Once
 	log    *obs.Limited
 	// emptyAt is when the queue was last seen empty.
-	emptyAt time.Time
+	emptyAt time.Duration
 	// busy is the answer to those that can't be taken; refused is told their number.
 	busy    []byte
 	refused func(n int, took time.Duration)
 }
 
+// connQueue is the connections that wait to be taken.
+type connQueue interface {
+	// waits reports whether a connection waits.
+	waits() bool
+	// refuse answers the oldest connections that wait, closes them and returns their
+	// number. Fewer than most mean that none waits any more.
+	refuse(answer []byte, most int) (refused int, err error)
+}
+
+// listenerClock is the time that a listener reads and spends.
+type listenerClock struct {
+	now func() time.Duration
+	// yield lets the work in hand have its turn, and pause leaves the processor to it and
+	// to what has come over the network.
+	yield func()
+	pause func(time.Duration)
+}
+
+func systemClock() listenerClock {
+	start := time.Now()
+	return listenerClock{now: func() time.Duration { return time.Since(start) }, yield: runtime.Gosched, pause: time.Sleep}
+}
+
 const (
 	// longestQueued is how long connections wait to be taken: little against the
 	// objectives of requests.
@@ -53,9 +78,10 @@
 	if err := queue.bound(cfg.QueueConns); err != nil {
 		return nil, err
 	}
+	clock := systemClock()
 	return &boundedListener{
-		Listener: l, queue: queue, places: make(chan struct{}, cfg.MaxConns), over: make(chan struct{}),
-		log: log, emptyAt: time.Now(), busy: busyRefusal().closing(), refused: refused,
+		Listener: l, queue: queue, clock: clock, places: make(chan struct{}, cfg.MaxConns), over: make(chan struct{}),
+		log: log, emptyAt: clock.now(), busy: busyRefusal().closing(), refused: refused,
 	}, nil
 }
 
@@ -66,15 +92,15 @@
 	}
 	// The run queue is first in, first out: what could run before the next connection is
 	// taken has run when this returns.
-	runtime.Gosched()
+	l.clock.yield()
 	l.look()
-	began := time.Now()
+	began := l.clock.now()
 	c, err := l.Listener.Accept()
 	if err != nil {
 		l.closed()
 		return nil, err
 	}
-	if now := time.Now(); now.Sub(began) >= looksEvery {
+	if now := l.clock.now(); now-began >= looksEvery {
 		// It had to wait for a connection: the queue was empty until now.
 		l.emptyAt = now
 	}
@@ -110,21 +136,21 @@
 
 // look empties the queue if it hasn't been empty for long.
 func (l *boundedListener) look() {
-	queued := time.Since(l.emptyAt)
+	queued := l.clock.now() - l.emptyAt
 	if queued < looksEvery {
 		return
 	}
 	if !l.queue.waits() {
-		l.emptyAt = time.Now()
+		l.emptyAt = l.clock.now()
 		return
 	}
 	if queued < longestQueued {
 		return
 	}
-	began := time.Now()
-	n, err := l.queue.refuse(l.busy)
-	l.emptyAt = time.Now()
-	l.refused(n, l.emptyAt.Sub(began))
+	began := l.clock.now()
+	n, err := l.queue.refuse(l.busy, math.MaxInt)
+	l.emptyAt = l.clock.now()
+	l.refused(n, l.emptyAt-began)
 	l.log.Warn("connections", func(e *obs.Event) {
 		e.Int("refused", n).Int("open", len(l.places)).Err(err).Msg("router_busy to all connections that waited")
 	})
