New connections leave time for a router's work in hand

Cause: connections that can't be taken were turned away in whole queues, tens of milliseconds at a time, and between two the goroutine only yielded. One that yields can always run, and the runtime looks at the network only when nothing can: homes' answers were read 386 ms late, homes taken for silent, requests charged at several of them, and the router, late, gave up the team.

Change: work on new connections takes turns of 2 ms, each followed by a sleep as long as what it took; refusals go in batches of sixteen, after each of which the work in hand has its turn; one emptying ends after a full queue, so that some are taken again.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"net"
 	"runtime"
 	"sync"
@@ -17,16 +16,19 @@
 // Under a flood of new connections each that waits for its turn has goroutines, buffers
 // and unread bytes: a small VM's process is ended for its memory, and every request in it
 // is lost. Before that, all wait for a turn among thousands, the answers of peers too: the
-// router takes homes for silent, and refuses what it could have served. So each connection
-// is taken after the work in hand has had its turn, and the others wait in the listener's
-// queue. Nobody knows how long a request has waited there: it would be served late, or be
-// cut while an engine works for it. So the queue is emptied before that takes long, with
-// an answer, as callers whose connections just break come back at once, to the same router.
-// That answer is the same for all and looks at nothing, and costs a fraction of another.
+// router takes homes for silent, and refuses what it could have served. So new connections
+// have half of the processor at most, in short turns, and wait in the listener's queue
+// meanwhile. Nobody knows how long a request has waited there: it would be served late, or
+// be cut while an engine works for it. So the queue is emptied before that takes long, with
+// an answer, as callers whose connections just break come back at once. That answer is the
+// same for all and looks at nothing, and costs a fraction of another.
 type boundedListener struct {
 	net.Listener
 	queue connQueue
 	clock listenerClock
+	turns turns
+	// queueConns is how many connections wait at most.
+	queueConns int
 	// places are taken by the connections that are open.
 	places chan struct{}
 	over   chan struct{}
@@ -66,6 +68,8 @@
 	// longestQueued is how long connections wait to be taken: little against the
 	// objectives of requests.
 	longestQueued = 50 * time.Millisecond
+	// refusedInRow is how many connections are refused between two looks at the clock.
+	refusedInRow = 16
 	// looksEvery is the time between two looks at the queue.
 	looksEvery = longestQueued / 4
 )
@@ -80,7 +84,7 @@
 	}
 	clock := systemClock()
 	return &boundedListener{
-		Listener: l, queue: queue, clock: clock, places: make(chan struct{}, cfg.MaxConns), over: make(chan struct{}),
+		Listener: l, queue: queue, clock: clock, queueConns: cfg.QueueConns, places: make(chan struct{}, cfg.MaxConns), over: make(chan struct{}),
 		log: log, emptyAt: clock.now(), busy: busyRefusal().closing(), refused: refused,
 	}, nil
 }
@@ -90,9 +94,6 @@
 	if err := l.takePlace(); err != nil {
 		return nil, err
 	}
-	// The run queue is first in, first out: what could run before the next connection is
-	// taken has run when this returns.
-	l.clock.yield()
 	l.look()
 	began := l.clock.now()
 	c, err := l.Listener.Accept()
@@ -100,13 +101,29 @@
 		l.closed()
 		return nil, err
 	}
-	if now := l.clock.now(); now-began >= looksEvery {
+	now := l.clock.now()
+	if now-began >= looksEvery {
 		// It had to wait for a connection: the queue was empty until now.
 		l.emptyAt = now
+		l.turns.begin(now)
+		return c, nil
 	}
+	l.leave(now - began)
 	return c, nil
 }
 
+// leave leaves the processor to the work in hand after so much work on new connections.
+func (l *boundedListener) leave(took time.Duration) {
+	pause := l.turns.spend(l.clock.now(), took)
+	if pause == 0 {
+		// The run queue is first in, first out: what could run has run when this returns.
+		l.clock.yield()
+		return
+	}
+	l.clock.pause(pause)
+	l.turns.begin(l.clock.now())
+}
+
 // takePlace waits until fewer connections are open than there is memory for.
 func (l *boundedListener) takePlace() error {
 	for {
@@ -147,15 +164,31 @@
 	if queued < longestQueued {
 		return
 	}
-	began := l.clock.now()
-	n, err := l.queue.refuse(l.busy, math.MaxInt)
+	n, err := l.turnAway()
 	l.emptyAt = l.clock.now()
-	l.refused(n, l.emptyAt-began)
 	l.log.Warn("connections", func(e *obs.Event) {
 		e.Int("refused", n).Int("open", len(l.places)).Err(err).Msg("router_busy to all connections that waited")
 	})
 }
 
+// turnAway refuses the connections that wait, and returns their number. Under a flood as
+// many come meanwhile: it ends after as many as can wait, so that some are taken again.
+func (l *boundedListener) turnAway() (refused int, err error) {
+	for refused < l.queueConns && err == nil {
+		began := l.clock.now()
+		var n int
+		n, err = l.queue.refuse(l.busy, refusedInRow)
+		took := l.clock.now() - began
+		refused += n
+		l.refused(n, took)
+		if n < refusedInRow {
+			break
+		}
+		l.leave(took)
+	}
+	return refused, err
+}
+
 // Close implements net.Listener.
 func (l *boundedListener) Close() error {
 	l.once.Do(func() { close(l.over) })
--- a/gateway/listener_internal_test.go
+++ b/gateway/listener_internal_test.go
@@ -68,7 +68,7 @@
 		g := NewWithT(t)
 		q := &floodedQueue{perSecond: perSecond}
 		l := &boundedListener{
-			Listener: q, queue: q, places: make(chan struct{}, 1), over: make(chan struct{}),
+			Listener: q, queue: q, queueConns: 700, places: make(chan struct{}, 1), over: make(chan struct{}),
 			clock: listenerClock{now: func() time.Duration { return q.now }, yield: func() {}, pause: q.pause},
 			log:   obs.NewLimited(zerolog.Nop(), 1), refused: func(int, time.Duration) {},
 		}
