A team isn't charged for requests that no upstream ran

Callers saw: a team held below its share while its router was late. Cause: a request was charged to its team when a home placed it, and stayed charged when its router had turned to another home meanwhile, when its caller had left, or when the engine said that it didn't run it.

The outcome Withdrawn tells a request that wasn't sent from one that was cancelled while an engine worked on it; the latter stays charged.

--- a/dispatch/account.go
+++ b/dispatch/account.go
@@ -50,6 +50,13 @@
 	a.servedAll += tokens
 }
 
+// giveBack takes back what was noted as served so long ago.
+func (a *account) giveBack(ago, window time.Duration, tokens float64) {
+	a.served = max(a.served-tokens*math.Exp(-float64(ago)/float64(window)), 0)
+	a.lately = max(a.lately-tokens*math.Exp(-float64(ago)/float64(rateWindow)), 0)
+	a.servedAll -= tokens
+}
+
 // total is what the team got within the window from all homes.
 func (a *account) total() float64 { return a.served + a.elsewhere.Window }
 
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -296,3 +296,27 @@
 	}
 	g.Expect(other.CopyFrom).To(Equal("e0"))
 }
+
+// Guards against teams that are charged for requests that no upstream ran.
+func TestRequestThatDidNotRunIsNotCharged(t *testing.T) {
+	for _, o := range []dispatch.Outcome{dispatch.Withdrawn, dispatch.Rejected} {
+		g := NewWithT(t)
+		c := newCore(2)
+		now := 2 * time.Second
+		g.Expect(c.Ask(now, request(1, "a", 5))[0].Verdict).To(Equal(dispatch.Send))
+		charged := c.Served(now, "a")
+		g.Expect(charged.Window).To(BeNumerically(">=", 9000))
+		g.Expect(charged.Lately).To(BeNumerically(">=", 9000))
+		now += 300 * time.Millisecond
+		c.Done(now, ticket(1), o, 0)
+		left := c.Served(now, "a")
+		g.Expect(left.Window).To(BeNumerically("<", 1))
+		g.Expect(left.Lately).To(BeNumerically("<", 1))
+
+		// One that has begun ran, whatever ends it.
+		g.Expect(c.Ask(now, request(2, "b", 6))[0].Verdict).To(Equal(dispatch.Send))
+		c.Started(now, ticket(2))
+		c.Done(now, ticket(2), o, time.Second)
+		g.Expect(c.Served(now, "b").Window).To(BeNumerically(">=", 9000))
+	}
+}
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -35,6 +35,9 @@
 		u.queue = slices.DeleteFunc(u.queue, func(q *job) bool { return q == j })
 		return
 	}
+	if j.state == sent && o.unrun() {
+		c.teams.giveBack(now, j)
+	}
 	u.ended(j, now, o, took)
 	c.drainMember(now, u)
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -116,4 +116,10 @@
 	Cancelled
 	// Silent: nothing came until the request's deadline.
 	Silent
+	// Withdrawn: the request wasn't sent; its caller left first, or its router turned to
+	// another home or upstream.
+	Withdrawn
 )
+
+// unrun reports whether an upstream certainly didn't run the request.
+func (o Outcome) unrun() bool { return o == Rejected || o == Withdrawn }
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -60,6 +60,13 @@
 	s.account(now, team).serve(tokens)
 }
 
+// giveBack takes back what a team was charged for a request that didn't run. Routers ask
+// several homes for a request whose answer is late, and each charges it: a team would be
+// held to a part of its share.
+func (s *shares) giveBack(now time.Duration, j *job) {
+	s.account(now, j.Team).giveBack(now-j.sentAt, s.window, j.tokens)
+}
+
 func (s *shares) refused(now time.Duration, team string) {
 	s.account(now, team).refusedAt = now
 }
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -241,7 +241,7 @@
 		if u.hangs(j, now, took) {
 			u.leaveAlone(now)
 		}
-	case Cancelled:
+	case Cancelled, Withdrawn:
 	}
 }
 
--- a/fleet/ask.go
+++ b/fleet/ask.go
@@ -113,7 +113,7 @@
 // cancelAt tells a home that it need not keep room for a request.
 func (n *Node) cancelAt(home *member, key groupKey, seq uint64) {
 	n.send(home.addr, &packet{Report: &report{
-		Kind: ended, Seq: seq, Service: key.service, Group: key.index, Outcome: dispatch.Cancelled,
+		Kind: ended, Seq: seq, Service: key.service, Group: key.index, Outcome: dispatch.Withdrawn,
 	}})
 }
 
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -47,7 +47,7 @@
 	case d := <-answer:
 		return d, nil
 	case <-ctx.Done():
-		n.Done(service, r.Ticket, dispatch.Cancelled, 0)
+		n.Done(service, r.Ticket, dispatch.Withdrawn, 0)
 		return dispatch.Decision{}, ctx.Err()
 	}
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -85,7 +85,7 @@
 	}
 	u, refused := s.mayUse(r, d.Upstream)
 	if refused != nil {
-		s.placer.Done(r.service, ticket, dispatch.Cancelled, 0)
+		s.placer.Done(r.service, ticket, dispatch.Withdrawn, 0)
 		return result{refused: refused, again: u}
 	}
 	return s.send(ctx, r, out, ticket, d)
