An old allowance is asked for anew

Callers saw: a team refused for seconds by its router alone while its homes would have served it (shed_age_ms up to 5,000, over_share false at all homes). Cause: the router's bucket is filled at the rate that the home told last; one request outweighs a small rate for seconds, in which nothing is asked and no new word comes.

A word counts for half a second; then one request is let through, uncharged, to hear a new one: two questions a second for each team and home at most.

limits TestOldAllowanceIsAskedForAnew failed before (1 question in 5 s).

--- a/limits/allowances.go
+++ b/limits/allowances.go
@@ -29,6 +29,8 @@
 	// toldAt is when the home last told the rate, after when its last refusal told
 	// callers to come back.
 	toldAt, after time.Duration
+	// renewedAt is when a request was last let through to hear the home's word anew.
+	renewedAt time.Duration
 }
 
 const (
@@ -41,6 +43,9 @@
 	// mostBuckets bounds the memory, at some 100 bytes each. Above it all are forgotten;
 	// homes tell them again with the next answers.
 	mostBuckets = 8192
+	// wordHolds is how long a home's word is taken for its present one: as long as a home
+	// takes to hear of what other homes gave.
+	wordHolds = 500 * time.Millisecond
 	// behindPart is the part of its allowance that a router asks for while it is behind
 	// with its work: homes allow twice what a team gets, to see whether it may get more.
 	behindPart = 0.5
@@ -54,6 +59,9 @@
 		return true, 0, 0
 	}
 	b.fill(now)
+	if b.left <= 0 && b.renew(now) {
+		return true, 0, 0
+	}
 	if b.left <= 0 {
 		return false, b.after, now - b.toldAt
 	}
@@ -64,6 +72,17 @@
 	return true, 0, 0
 }
 
+// renew reports whether a home's word is so old that a request must be asked for to hear
+// a new one: an allowance that lets nothing through would else hold for as long as it takes
+// to fill the bucket, whatever the team's share is by then.
+func (b *bucket) renew(now time.Duration) bool {
+	if now-max(b.toldAt, b.renewedAt) < wordHolds {
+		return false
+	}
+	b.renewedAt = now
+	return true
+}
+
 func (b *bucket) fill(now time.Duration) {
 	if now > b.at {
 		b.left = min(b.left+b.rate*(now-b.at).Seconds(), b.rate*bucketSpan.Seconds())
--- a/limits/shedder_test.go
+++ b/limits/shedder_test.go
@@ -129,6 +129,27 @@
 	})
 }
 
+// Guards against a team that is held for seconds to what its home allowed for a moment.
+func TestOldAllowanceIsAskedForAnew(t *testing.T) {
+	g := NewWithT(t)
+	s := limits.NewShedder(limits.DefaultShedConfig())
+	a := arrival("flood")
+	a.Tokens = 10000
+	const allowed, least = 100, 8
+	s.Told(time.Second, a.Share, allowed, 0)
+	asked := 0
+	for now := time.Second; now < 6*time.Second; now += time.Millisecond {
+		if s.Arrived(now, a).Shed == limits.Ask {
+			asked++
+		}
+	}
+	g.Expect(asked).To(BeNumerically(">=", least), "one question uses up what is allowed for 100 s")
+	g.Expect(asked).To(BeNumerically("<=", 2*least))
+
+	s.Told(6*time.Second, a.Share, 1000*allowed*allowed, 0)
+	g.Expect(s.Arrived(6*time.Second+100*time.Millisecond, a).Shed).To(Equal(limits.Ask), "questions for a new word cost nothing")
+}
+
 // Ninety of a hundred requests at a router are one team's, which has no bound: when the
 // router is behind, that team's are refused and the others' served.
 func TestHeavyTeamIsRefusedWhileTheRouterIsBehind(t *testing.T) {
