--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -42,17 +42,22 @@
 	})
 	raw := fmt.Sprintf("POST /unsafe/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k1\r\nX-Left: 60000\r\nContent-Length: 18000\r\n\r\n%s", strings.Repeat("x", 9000))
 	held := make(chan net.Conn, floodConns)
-	var answered atomic.Int64
+	var answered, unconnected atomic.Int64
 	var over sync.WaitGroup
 	for range floodConns {
 		over.Go(func() {
-			if c := openUnlessRefused(r.addr, raw, &answered); c != nil {
+			c, err := openUnlessRefused(r.addr, raw, &answered)
+			if c != nil {
 				held <- c
 			}
+			if err != nil {
+				unconnected.Add(1)
+			}
 		})
 	}
 	over.Wait()
 	close(held)
+	t.Logf("%d held, %d answered, %d got no connection", len(held), answered.Load(), unconnected.Load())
 	half := smallMemory / 2 / (gateway.ConnBytes + gateway.UnreadBytes)
 	g.Expect(len(held)).To(BeNumerically("<=", half))
 	g.Expect(r.server.Load().Connections).To(BeNumerically("<=", half))
@@ -92,11 +97,12 @@
 }
 
 // openUnlessRefused connects and sends; it returns the connection unless that was refused,
-// and counts the answers that tell the caller to go to another router.
-func openUnlessRefused(addr, raw string, answered *atomic.Int64) net.Conn {
+// and counts the answers that tell the caller to go to another router. It fails if there
+// was no connection.
+func openUnlessRefused(addr, raw string, answered *atomic.Int64) (net.Conn, error) {
 	c, err := net.DialTimeout("tcp", addr, dialFor)
 	if err != nil {
-		return nil
+		return nil, err
 	}
 	_, err = io.WriteString(c, raw)
 	if err == nil {
@@ -104,10 +110,10 @@
 		err = readBusy(c, answered)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return c
+		return c, nil
 	}
 	_ = c.Close()
-	return nil
+	return nil, nil
 }
 
 func readBusy(c net.Conn, answered *atomic.Int64) error {
