A router that reads late sends nothing on an old view

Whether its view is too old to send on, or to deny a route or key, was judged by the control goroutine's lag (17 to 110 ms) where peers were read 386 ms late: a departure or a change could lie unread while the router took itself for timely.

The age of the oldest heartbeat to itself counts too; they are sent while the view isn't renewed for a second.

gateway TestRouterThatReadsLateDoesNotSendOnAnOldView failed before (200).

--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -142,6 +142,7 @@
 	if n.feed != nil && n.feed.Snapshot() != n.filled {
 		n.changed(now)
 	}
+	n.markOldView(now)
 	n.seek(now)
 	n.chooseReaders(now)
 	n.retryAsks(now)
--- a/fleet/mark.go
+++ b/fleet/mark.go
@@ -28,6 +28,7 @@
 		return
 	}
 	n.marks.sentAt = now
+	n.unreadSince.CompareAndSwap(0, int64(now))
 	n.send(at, &packet{Beat: &beat{Sent: int64(now)}})
 }
 
@@ -35,10 +36,33 @@
 func (n *Node) readMark(now boottime.Time, m *beat) {
 	n.marks.readTo = max(n.marks.readTo, boottime.Time(m.Sent))
 	n.readLag.Store(int64(now.Sub(boottime.Time(m.Sent))))
+	if n.marks.readTo == n.marks.sentAt {
+		n.unreadSince.Store(0)
+		return
+	}
+	n.unreadSince.Store(int64(n.marks.sentAt))
+}
+
+// ReadLag implements gateway.Placer: how long the newest mark that was read had waited, or
+// how long one has waited that wasn't. It is zero until a mark was sent.
+func (n *Node) ReadLag() time.Duration {
+	lag := time.Duration(n.readLag.Load())
+	if since := boottime.Time(n.unreadSince.Load()); since != 0 {
+		lag = max(lag, n.now().Sub(since))
+	}
+	return lag
 }
 
-// ReadLag is how long the newest mark waited to be read. It is zero until one was.
-func (n *Node) ReadLag() time.Duration { return time.Duration(n.readLag.Load()) }
+// viewAge is the age of the published state from which on a router must know whether it
+// is late itself.
+const viewAge = time.Second
+
+// markOldView sends marks while the published state isn't renewed.
+func (n *Node) markOldView(now boottime.Time) {
+	if n.feed != nil && n.feed.Age() > viewAge {
+		n.sendMark(now)
+	}
+}
 
 // MarkRead sends a mark, so that ReadLag is renewed.
 func (n *Node) MarkRead() { n.post(inspectEvent{do: n.sendMark}) }
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -47,6 +47,8 @@
 	lag atomic.Int64
 	// readLag is how long the newest mark waited to be read.
 	readLag atomic.Int64
+	// unreadSince is when the oldest mark was sent that hasn't been read, 0 if none.
+	unreadSince atomic.Int64
 
 	shed shedList
 	// counts are into how many groups services' upstreams fall.
--- a/gateway/allowed.go
+++ b/gateway/allowed.go
@@ -33,7 +33,8 @@
 // it is behind it trusts no old view; without that condition an outage of the
 // platform would stop all.
 func (s *Server) tooOld() bool {
-	return s.placer.Lag() > s.cfg.Shed.Lag && s.state.Age() > s.cfg.OldView
+	lag := max(s.placer.Lag(), s.placer.ReadLag())
+	return lag > s.cfg.Shed.Lag && s.state.Age() > s.cfg.OldView
 }
 
 // stillAllowed checks the key against the newest configuration.
--- a/gateway/busy_test.go
+++ b/gateway/busy_test.go
@@ -81,6 +81,19 @@
 	g.Expect(resp.StatusCode).To(Equal(200))
 }
 
+// Guards against work on an old view by a router that reads what its peers tell it late,
+// though it isn't behind with its own work.
+func TestRouterThatReadsLateDoesNotSendOnAnOldView(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t, map[string]script{"u1": ok("answer")})
+	r.placer.readLag.Store(int64(400 * time.Millisecond))
+	r.state.age.Store(int64(3 * time.Second))
+	resp, _, err := r.call("/safe/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(503))
+	g.Expect(r.runs()).To(BeEmpty())
+}
+
 // A route or a key was added three seconds ago, and a flooded router hasn't read that
 // yet. It must not tell callers that they are unknown, which they would take for final:
 // it sends them to another router.
--- a/gateway/deps.go
+++ b/gateway/deps.go
@@ -33,6 +33,8 @@
 	NewTicket() dispatch.Ticket
 	// Lag is how far the router is behind with its work.
 	Lag() time.Duration
+	// ReadLag is how late it reads what other routers send.
+	ReadLag() time.Duration
 	// Routers is the number of routers in the fleet.
 	Routers() int
 }
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -65,6 +65,7 @@
 	before   func()
 	refuse   *dispatch.Decision
 	lag      atomic.Int64
+	readLag  atomic.Int64
 	shed     []dispatch.Request
 	// group is the home that decides.
 	group int
@@ -118,6 +119,8 @@
 	p.shed = append(p.shed, r)
 }
 
+func (p *placer) ReadLag() time.Duration { return time.Duration(p.readLag.Load()) }
+
 func (p *placer) Lag() time.Duration { return time.Duration(p.lag.Load()) }
 
 func (p *placer) seen() []dispatch.Outcome {
