--- a/gateway/config.go
+++ b/gateway/config.go
@@ -27,7 +27,7 @@
 	// be reached.
 	KeepConns int
 	// MaxConns is the number of callers' connections above which new ones aren't taken,
-	// and are told to go to another router.
+	// and are told to come back.
 	// It is above KeepConns: answers close the connections between the two, so that
 	// places become free.
 	MaxConns int
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -11,7 +11,7 @@
 
 // boundedListener takes new connections no faster than the process can handle them, and
 // only while there is memory for them. Callers that would have to wait for long are told to
-// go to another router.
+// come back.
 //
 // Under a flood of new connections each that waits for its turn has goroutines, buffers
 // and unread bytes: a small VM's process is ended for its memory, and every request in it
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -80,7 +80,7 @@
 	return r, nil
 }
 
-// minRetryAfter is told to callers that another router can serve at once.
+// minRetryAfter is told to callers that another router may serve at once.
 const minRetryAfter = 50 * time.Millisecond
 
 // denied is a final refusal. A router that doesn't know whether its view is the
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -78,7 +78,8 @@
 	s.shedder.with(func(t *limits.Shedder) { t.Told(time.Since(s.start), key, d.Allowance, after) })
 }
 
-// busyRefusal sends a caller to another router, which can serve it at once.
+// busyRefusal tells a caller to come back at once. Another router can serve it, if the
+// balancer sends second tries elsewhere.
 func busyRefusal() *refusal {
 	return notRun("router_busy", "this router is behind with its work; the request was not run", minRetryAfter)
 }
--- a/limits/shedder.go
+++ b/limits/shedder.go
@@ -10,7 +10,7 @@
 	Lag, All time.Duration
 }
 
-// DefaultShedConfig answers a flood that a VM with 0.19 of a core can't keep up with.
+// DefaultShedConfig fits a flood that a small VM can't keep up with.
 func DefaultShedConfig() ShedConfig {
 	return ShedConfig{Lag: 25 * time.Millisecond, All: 250 * time.Millisecond}
 }
@@ -32,9 +32,7 @@
 // Callers of one team often share a few routers. When such a team floods, its
 // routers' processors are the first to give out; then every request there waits,
 // heartbeats are lost, and the router's view grows stale. Refusing the flood at
-// once keeps the rest served. Measured on a day of 86 VMs with a team at twelve
-// times its usual: one router of 0.19 cores got 2,000 requests a second, could ask
-// for a third of them, and what it served came 0.1 to 1 s late.
+// once keeps the rest served.
 //
 // It isn't safe for concurrent use.
 type Shedder struct {
