fleet status and dump for hundreds of routers: asked in parallel, those that differ first

Operators saw: one row a router, asked one after the other, and a dump that ended at the first that didn't answer. No change to the daemon.

--- a/cmd/aspenswitchctl/main.go
+++ b/cmd/aspenswitchctl/main.go
@@ -65,15 +65,34 @@
 func addFleet(app *kingpin.Application, add adder) {
 	fleet := app.Command("fleet", "Ask running routers.")
 	admins := fleet.Flag("admin", "Base URL of a router's operators' API; may stand several times.").Required().Strings()
-	token := fleet.Flag("token", "Operators' token.").Envar("ASPENSWITCH_TOKEN").Required().String()
-	client := func() *ctl.Client { return ctl.NewClient(*admins, *token) }
+	token := fleet.Flag("token", "Operators' token; routers on the platform need none.").Envar("ASPENSWITCH_TOKEN").String()
+	platform := fleet.Flag("platform", "The URLs are control listeners of routers on the users' platform.").Bool()
+	discover := fleet.Flag("discover", "Ask all routers that these hear, too (with --platform).").Bool()
+	client := func() (*ctl.Client, error) {
+		c := ctl.NewClient(*admins, *token)
+		if !*discover {
+			return c, nil
+		}
+		return c, c.Discover()
+	}
 
-	status := fleet.Command("status", "Print a table of all routers.")
-	add(status, func() error { return client().Status(os.Stdout) })
+	status := fleet.Command("status", "Sum up the fleet: routers that differ, then counts by failure domain and role.")
+	format := status.Flag("output", "table or json.").Default(string(ctl.Table)).Enum(string(ctl.Table), string(ctl.JSON))
+	add(status, withClient(client, func(c *ctl.Client) error { return c.Status(os.Stdout, *platform, ctl.Format(*format)) }))
 	dump := fleet.Command("dump", "Print the whole state of each router as JSON.")
-	add(dump, func() error { return client().Dump(os.Stdout) })
+	add(dump, withClient(client, func(c *ctl.Client) error { return c.Dump(os.Stdout) }))
 	drain := fleet.Command("drain", "Begin a graceful shutdown of each router named.")
-	add(drain, func() error { return client().Drain(os.Stdout) })
+	add(drain, func() error { return ctl.NewClient(*admins, *token).Drain(os.Stdout) })
+}
+
+func withClient(client func() (*ctl.Client, error), run func(*ctl.Client) error) func() error {
+	return func() error {
+		c, err := client()
+		if err != nil {
+			return err
+		}
+		return run(c)
+	}
 }
 
 func addExplain(app *kingpin.Application, add adder) {
--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"text/tabwriter"
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/admin"
@@ -26,53 +25,88 @@
 	return &Client{admins: admins, token: token, http: &http.Client{Timeout: requestTimeout}}
 }
 
-// Status prints a table of all routers; one that doesn't answer has a row too.
-func (c *Client) Status(out io.Writer) error {
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "router\tdomain\tstate\tbundle\tlive\twaiting\trunning\thome of\tpeer bytes\tplatform calls")
-	failed := 0
-	for _, base := range c.admins {
-		var s admin.Status
-		if err := c.get(base, "/status", &s); err != nil {
-			failed++
-			fmt.Fprintf(w, "%s\t\t%v\n", base, err)
-			continue
+// Status prints the state of the fleet; routers that don't answer are told too. platform
+// is set for routers on the users' platform.
+func (c *Client) Status(out io.Writer, platform bool, format Format) error {
+	ask := c.ownStatus
+	if platform {
+		ask = c.platformStatus
+	}
+	var routers []RouterStatus
+	for _, a := range gather(c.admins, ask) {
+		if a.err != nil {
+			a.value = RouterStatus{Router: a.base, Error: a.err.Error()}
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d %.8s\t%d\t%d\t%d\t%d\t%d\t%d\n", s.Name, s.FailureDomain, state(s),
-			s.InForce.Version, s.InForce.Digest, len(s.Live), s.Waiting, s.Running, s.HomeOf, s.PeerBytes, s.PlatformCalls)
+		routers = append(routers, a.value)
+	}
+	o := newOverview(routers)
+	if err := o.print(out, format); err != nil {
+		return err
 	}
-	if err := w.Flush(); err != nil {
-		return Error.Wrap(err)
+	return missing(o.missing(), len(routers))
+}
+
+func missing(n, of int) error {
+	if n == 0 {
+		return nil
 	}
-	if failed > 0 {
-		return Error.New("%d of %d routers did not answer", failed, len(c.admins))
+	return Error.New("%d of %d routers did not answer", n, of)
+}
+
+func (c *Client) ownStatus(base string) (RouterStatus, error) {
+	var s admin.Status
+	if err := c.get(base, "/status", &s); err != nil {
+		return RouterStatus{}, err
 	}
-	return nil
+	return RouterStatus{
+		Router: s.Name, FailureDomain: s.FailureDomain, Role: RoleRouter, State: stateOf(s.Ready, s.Leaving),
+		Version: fmt.Sprintf("%d %.8s", s.InForce.Version, s.InForce.Digest), Peers: len(s.Live), Waiting: s.Waiting, Running: s.Running,
+	}, nil
 }
 
-func state(s admin.Status) string {
+func (c *Client) platformStatus(base string) (RouterStatus, error) {
+	var d platformDump
+	if err := c.get(base, "/dump", &d); err != nil {
+		return RouterStatus{}, err
+	}
+	return d.status(base), nil
+}
+
+const stateReady = "ready"
+
+func stateOf(ready, leaving bool) string {
 	switch {
-	case s.Leaving:
+	case leaving:
 		return "leaving"
-	case s.Ready:
-		return "ready"
+	case ready:
+		return stateReady
 	}
 	return "not ready"
 }
 
-// Dump prints the whole state of each router.
+// dumpResult is the state of one router, or why there is none.
+type dumpResult struct {
+	Router string          `json:"router"`
+	State  json.RawMessage `json:"state,omitempty"`
+	Error  string          `json:"error,omitempty"`
+}
+
+// Dump prints the whole state of each router as JSON; those that don't answer are told.
 func (c *Client) Dump(out io.Writer) error {
-	all := map[string]json.RawMessage{}
-	for _, base := range c.admins {
-		var one json.RawMessage
-		if err := c.get(base, "/dump", &one); err != nil {
-			return err
+	var results []dumpResult
+	failed := 0
+	for _, a := range gather(c.admins, func(base string) (one json.RawMessage, err error) { return one, c.get(base, "/dump", &one) }) {
+		r := dumpResult{Router: a.base, State: a.value}
+		if a.err != nil {
+			failed++
+			r = dumpResult{Router: a.base, Error: a.err.Error()}
 		}
-		all[base] = one
+		results = append(results, r)
+	}
+	if err := printJSON(out, results); err != nil {
+		return err
 	}
-	enc := json.NewEncoder(out)
-	enc.SetIndent("", "  ")
-	return Error.Wrap(enc.Encode(all))
+	return missing(failed, len(results))
 }
 
 // Drain begins a graceful shutdown of each router.
--- /dev/null
+++ b/ctl/print.go
@@ -0,0 +1,56 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// Format is how results are printed.
+type Format string
+
+// Formats.
+const (
+	Table Format = "table"
+	JSON  Format = "json"
+)
+
+// mostRows is the number of routers up to which a table has a row for each.
+const mostRows = 24
+
+func printJSON(out io.Writer, v any) error {
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", "  ")
+	return Error.Wrap(enc.Encode(v))
+}
+
+// print writes the overview: routers that differ first, then sums, then each router if
+// they are few.
+func (o *Overview) print(out io.Writer, format Format) error {
+	if format == JSON {
+		return printJSON(out, o)
+	}
+	fmt.Fprintf(out, "%d routers, %d without an answer, %d differ\n", len(o.Routers), o.missing(), len(o.Outliers))
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if len(o.Outliers) > 0 {
+		fmt.Fprintln(w, "\nrouter\tdomain\trole\tdiffers")
+	}
+	for _, r := range o.Outliers {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", r.Router, r.FailureDomain, r.Role, strings.Join(r.Reasons, "; "))
+	}
+	fmt.Fprintln(w, "\ndomain\trole\trouters\tready\twaiting\trunning")
+	for _, s := range o.Summary {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", s.FailureDomain, s.Role, s.Routers, s.Ready, s.Waiting, s.Running)
+	}
+	if len(o.Routers) <= mostRows {
+		fmt.Fprintln(w, "\nrouter\tdomain\trole\tstate\tversion\tpeers\twaiting\trunning")
+		for _, r := range o.Routers {
+			if r.Error == "" {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\n", r.Router, r.FailureDomain, r.Role, r.State, r.Version, r.Peers, r.Waiting, r.Running)
+			}
+		}
+	}
+	return Error.Wrap(w.Flush())
+}
