--- a/cmd/aspenswitchctl/main.go
+++ b/cmd/aspenswitchctl/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -96,19 +97,49 @@
 }
 
 func addExplain(app *kingpin.Application, add adder) {
-	explain := app.Command("explain", "Tell the story of one request from the routers' logs.")
-	id := explain.Arg("id", "The request's id.").Required().String()
-	files := explain.Arg("logs", "Files of log lines; standard input if none is named.").ExistingFiles()
-	add(explain, func() error {
-		if len(*files) == 0 {
-			return ctl.Explain(os.Stdout, *id, os.Stdin)
+	request := app.Command("explain", "Tell the story of one request from the routers' logs.")
+	id := request.Arg("id", "The request's id.").Required().String()
+	files := request.Arg("logs", "Files of log lines; standard input if none is named.").ExistingFiles()
+	add(request, func() error {
+		return withLogs(*files, func(in io.Reader) error { return ctl.Explain(os.Stdout, *id, in) })
+	})
+
+	team := app.Command("explain-team", "Tell second by second what a team asked for and got, and who refused the rest.")
+	name := team.Arg("team", "The team's name.").Required().String()
+	from := team.Flag("from", "First moment, as 2006-01-02T15:04:05Z.").String()
+	to := team.Flag("to", "Last moment, as 2006-01-02T15:04:05Z.").String()
+	teamFiles := team.Arg("logs", "Files of log lines; standard input if none is named.").ExistingFiles()
+	add(team, func() error {
+		span, err := parseSpan(*from, *to)
+		if err != nil {
+			return err
 		}
-		return explainFiles(*id, *files)
+		return withLogs(*teamFiles, func(in io.Reader) error { return ctl.ExplainTeam(os.Stdout, *name, span, in) })
 	})
 }
 
-// explainFiles reads the files one after the other; the lines' times order them.
-func explainFiles(id string, files []string) error {
+// parseSpan reads the ends of a span; an empty one is open.
+func parseSpan(from, to string) (span ctl.Span, err error) {
+	for _, end := range []struct {
+		flag, text string
+		into       *time.Time
+	}{{"--from", from, &span.From}, {"--to", to, &span.To}} {
+		if end.text == "" {
+			continue
+		}
+		if *end.into, err = time.Parse(time.RFC3339Nano, end.text); err != nil {
+			return span, fmt.Errorf("%s: %w", end.flag, err)
+		}
+	}
+	return span, nil
+}
+
+// withLogs reads the files one after the other, or standard input; the lines' times order
+// them.
+func withLogs(files []string, do func(io.Reader) error) error {
+	if len(files) == 0 {
+		return do(os.Stdin)
+	}
 	var readers []io.Reader
 	for _, name := range files {
 		f, err := os.Open(name)
@@ -118,5 +149,5 @@
 		defer func() { _ = f.Close() }()
 		readers = append(readers, f)
 	}
-	return ctl.Explain(os.Stdout, id, io.MultiReader(readers...))
+	return do(io.MultiReader(readers...))
 }
--- /dev/null
+++ b/ctl/explain_team_test.go
@@ -0,0 +1,42 @@
+package ctl_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/aspenswitch/aspenswitch/ctl"
+)
+
+const teamLog = `{"process":"r1","event":"team","team":"farms","asked":900,"sent":100,"begun":90,"begun_tokens":400000,"over_share":30,"no_room":0,"shed":770,"busy":0,"full":0,"time":1001020,"message":"a team's requests"}
+{"process":"r2","event":"team","team":"farms","asked":10,"sent":10,"begun":10,"begun_tokens":50000,"over_share":0,"no_room":1,"shed":0,"busy":0,"full":0,"time":1001040,"message":"a team's requests"}
+{"process":"h1","event":"share","team":"farms","served_tokens":1000,"elsewhere_tokens":2000,"share_tokens":2500,"time":1001100,"message":"a team's account"}
+{"process":"h2","event":"share","team":"farms","served_tokens":1500,"elsewhere_tokens":1600,"share_tokens":2600,"time":1001200,"message":"a team's account"}
+{"process":"r1","event":"team","team":"farms","asked":800,"sent":0,"begun":0,"begun_tokens":0,"over_share":0,"no_room":0,"shed":100,"busy":700,"full":0,"time":1002030,"message":"a team's requests"}
+{"process":"h1","event":"share","team":"farms","served_tokens":100,"elsewhere_tokens":200,"share_tokens":2500,"time":1002100,"message":"a team's account"}
+{"process":"r1","event":"team","team":"other","asked":5,"time":1002030,"message":"a team's requests"}
+`
+
+func TestExplainTeamTellsWhoRefusedAndWhy(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	g.Expect(ctl.ExplainTeam(&out, "farms", ctl.Span{}, strings.NewReader(teamLog))).To(Succeed())
+	rows := strings.Split(strings.TrimSpace(out.String()), "\n")
+	g.Expect(rows).To(HaveLen(4))
+	g.Expect(strings.Fields(rows[1])[1:7]).To(Equal([]string{"910", "110", "100", "450000", "3100", "2600"}))
+	g.Expect(rows[1]).To(And(ContainSubstring("770 router: share used up, by the home's last word"), HaveSuffix("r1")))
+	g.Expect(rows[2]).To(ContainSubstring("700 router: behind with its work"))
+	g.Expect(rows[3]).To(And(ContainSubstring("farms: 1710 asked, 110 sent"), ContainSubstring("in 1 of 2 seconds a router refused by itself while the team was below its share")))
+}
+
+func TestExplainTeamKeepsToItsSpan(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	span := ctl.Span{From: time.UnixMilli(1001500), To: time.UnixMilli(1003000)}
+	g.Expect(ctl.ExplainTeam(&out, "farms", span, strings.NewReader(teamLog))).To(Succeed())
+	g.Expect(out.String()).To(ContainSubstring("800 asked"))
+	g.Expect(ctl.ExplainTeam(&out, "nobody", ctl.Span{}, strings.NewReader(teamLog))).To(MatchError(ContainSubstring("no line about team nobody")))
+}
