--- a/cmd/aspenswitch-load/main.go
+++ b/cmd/aspenswitch-load/main.go
@@ -12,7 +12,6 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/aspenswitch/aspenswitch/capacity"
 	"github.com/aspenswitch/aspenswitch/experiment"
 	"github.com/aspenswitch/aspenswitch/lab"
 	"github.com/aspenswitch/aspenswitch/load"
@@ -35,9 +34,6 @@
 	over.Flag("streams", "Streams to send each way.").Default("20000").IntVar(&size.Streams)
 	over.Flag("callers", "Streams at once.").Default("4").IntVar(&size.Callers)
 	over.Flag("tokens", "Events of each stream.").Default("16").IntVar(&size.Tokens)
-	slopes := app.Command("capacity", "Measure how control grows, and write it into the capacity page.")
-	page := slopes.Flag("page", "Page with the marks.").Default("docs/CAPACITY.md").String()
-	figures := slopes.Flag("out", "File for the figures as JSON.").Default("docs/capacity.json").String()
 	table := app.Command("lab", "Play days over a model of the engines under the real placing and its rivals.")
 	sheet := table.Flag("sheet", "Deployment to play, JSON with comments; lab/sheets has examples.").Default("lab/sheets/midlands.json").ExistingFile()
 	seed := table.Flag("seed", "Seed of the load.").Default("1").Uint64()
@@ -50,11 +46,6 @@
 		r.Print(os.Stdout)
 	case table.FullCommand():
 		app.FatalIfError(runLab(*sheet, *seed), "lab")
-	case slopes.FullCommand():
-		r := capacity.Measure()
-		fmt.Print(r.Table())
-		app.FatalIfError(r.Write(*figures), "")
-		app.FatalIfError(r.WritePage(*page), "")
 	case bench.FullCommand():
 		app.FatalIfError(runBench(*quick, *bounds, *dir), "bench")
 	}
