--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -4,8 +4,8 @@
 
 // turns divide a processor between new connections and the work in hand. What is spent on
 // new connections is followed by a pause that is as long, and a turn takes longestTurn at
-// most. A pause is a sleep: the runtime looks at the network only when nothing can run,
-// and a goroutine that only yields can run always.
+// most. A pause is a sleep: the runtime polls the network only when no goroutine is
+// runnable, and one that only yields stays runnable.
 type turns struct {
 	// began is when the turn began, spent what of it went to new connections.
 	began, spent time.Duration
