--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -77,6 +77,9 @@
 	ran(r, a.Status)
 	if err := out.rest(body, a); err != nil {
 		r.record.cause = err.Error()
+		if !out.callerGone && ctx.Err() == nil {
+			s.noteBrokenConnection(r, err)
+		}
 		return s.cutOff(r), dispatch.Failed
 	}
 	r.record.cause = ""
@@ -97,6 +100,7 @@
 		}
 		return result{refused: noAnswer(r)}, o
 	}
+	s.noteBrokenConnection(r, err)
 	return s.broken(r, nil), dispatch.Failed
 }
 
@@ -126,6 +130,7 @@
 		return result{refused: unknown(http.StatusGatewayTimeout, "deadline", "no answer came in time; the request may have run")}, dispatch.Failed
 	}
 	r.record.cause = err.Error()
+	s.noteBrokenConnection(r, err)
 	if out.started && !out.resumable {
 		return s.cutOff(r), dispatch.Failed
 	}
--- /dev/null
+++ b/gateway/breaks.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"syscall"
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/obs"
+	"github.com/aspenswitch/aspenswitch/quarantine"
+)
+
+// ensureContentID returns the request's content ID. The first call must come before the
+// body is released.
+func (r *request) ensureContentID() quarantine.ContentID {
+	if !r.hasContentID {
+		r.hasContentID = true
+		r.contentID = quarantine.NewContentID(r.teamName(), r.in.Method, r.in.Host, r.in.RequestURI, r.body)
+	}
+	return r.contentID
+}
+
+// noteBrokenConnection logs that an upstream closed or reset the connection while it was
+// handling the request. A crash breaks every request on the upstream; the content ID
+// shows which of them breaks on each upstream that it is sent to.
+func (s *Server) noteBrokenConnection(r *request, err error) {
+	if !closedByUpstream(err) {
+		return
+	}
+	contentID := r.ensureContentID()
+	r.record.content = contentID.String()
+	s.log.Warn("upstream_broke", func(e *obs.Event) {
+		e.Str("request", r.id).Str("route", r.record.route).Str("team", contentID.Team).Stringer("content", contentID).
+			Str("upstream", r.sentTo.ID).Int64("started", r.sentTo.Started).
+			Int64("ran_ms", time.Since(r.sentAt).Milliseconds()).Err(err).
+			Msg("upstream closed the connection while handling a request")
+	})
+}
+
+// closedByUpstream reports whether err means that the upstream closed or reset the
+// connection. Timeouts are excluded, since a network failure causes them as well.
+func closedByUpstream(err error) bool {
+	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, closed) {
+			return true
+		}
+	}
+	return false
+}
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -27,7 +27,9 @@
 	waited time.Duration
 	over   bool
 	// lag is how far the router was behind, if that decided.
-	lag        time.Duration
+	lag time.Duration
+	// content is the content hash, set if an upstream connection broke during the request.
+	content    string
 	retryAfter time.Duration
 	status     int
 	outcome    string
@@ -56,6 +58,9 @@
 	if r.retryAfter > 0 {
 		e.Int64("retry_after_ms", r.retryAfter.Milliseconds())
 	}
+	if r.content != "" {
+		e.Str("content", r.content)
+	}
 	if r.cause != "" {
 		e.Str("cause", r.cause)
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -11,6 +11,7 @@
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/feed"
+	"github.com/aspenswitch/aspenswitch/quarantine"
 	"github.com/aspenswitch/aspenswitch/routing"
 )
 
@@ -31,6 +32,12 @@
 	prompt   int
 	output   int
 	parts    []dispatch.Part
+	// contentID is computed on first use and is valid if hasContentID is set.
+	contentID    quarantine.ContentID
+	hasContentID bool
+	// sentTo is the upstream of the latest attempt, which was sent at sentAt.
+	sentTo dispatch.Incarnation
+	sentAt time.Time
 	// tried are the upstreams that it was sent to.
 	tried []string
 	// mayHaveRun is set once an upstream may have run the request.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -26,6 +26,7 @@
 	s.count(r)
 	r.record.upstream = id
 	at := time.Now()
+	r.sentTo, r.sentAt = dispatch.Incarnation{ID: u.ID, Started: u.Started}, at
 	call := s.call(r, out, u)
 	if from := s.state.Snapshot().View.Upstream(d.CopyFrom); from != nil {
 		call.Header.Set(s.cfg.Names.CopyFrom, from.Address)
@@ -38,7 +39,9 @@
 	defer a.Close()
 	if !r.route.Repeatable() {
 		// The body won't be sent again, and hundreds of prompts would be held for as
-		// long as their answers run.
+		// long as their answers run. The content ID is computed first, since it is logged if
+		// the answer breaks off.
+		r.ensureContentID()
 		r.body, call.Body = nil, nil
 	}
 	r.tried = append(r.tried, id)
@@ -99,6 +102,7 @@
 		return result{refused: noAnswer(r)}
 	}
 	s.placer.Done(r.service, t, lostOutcome(err), took)
+	s.noteBrokenConnection(r, err)
 	return s.broken(r, nil)
 }
 
--- /dev/null
+++ b/quarantine/content.go
@@ -0,0 +1,35 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ContentID identifies a request by its content. It is the same for all request IDs,
+// attempts and routers.
+type ContentID struct {
+	// Team is compared in full and is not hashed, so that a hash collision can't affect
+	// the requests of another team. It is empty for all callers of public routes.
+	Team string
+	// Hash covers the method, the host, the URI and the body.
+	Hash uint64
+}
+
+// NewContentID returns the content ID of a request.
+func NewContentID(team, method, host, uri string, body []byte) ContentID {
+	h := xxhash.New()
+	for _, field := range []string{method, host, uri} {
+		// The length prefix keeps adjacent fields from being confused.
+		var size [8]byte
+		binary.LittleEndian.PutUint64(size[:], uint64(len(field)))
+		_, _ = h.Write(size[:]) // never returns an error
+		_, _ = h.WriteString(field)
+	}
+	_, _ = h.Write(body)
+	return ContentID{Team: team, Hash: h.Sum64()}
+}
+
+// String returns the hash in hexadecimal, without the team.
+func (c ContentID) String() string { return strconv.FormatUint(c.Hash, 16) }
