--- a/standin/runner.go
+++ b/standin/runner.go
@@ -49,6 +49,9 @@
 	// Began is told that a request begins to run, and what it returns is told
 	// the end; gone is set if the connection ended before the answer was whole.
 	Began func(id string) (ended func(gone bool))
+	// Crashes reports whether the runner crashes once it has worked on a request; nil is
+	// never.
+	Crashes func(*http.Request) bool
 	// Address is where it listens, a free port of loopback if empty. A runner that
 	// starts again under its name has the address that it had.
 	Address string
@@ -203,6 +206,12 @@
 	if r.opts.Work != nil {
 		work = r.opts.Work(req)
 	}
+	if r.opts.Crashes != nil && r.opts.Crashes(req) {
+		_ = waitOrGone(work.Takes, next) // it crashes either way
+		r.Crash()
+		ended(true)
+		return false
+	}
 	keep := r.run(c, req, next, work, fault, last)
 	ended(!keep)
 	return keep && <-next == nil
