--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -32,6 +32,7 @@
 	m.heard, m.silent = now, false
 	n.updateHubs(now)
 	n.vouched(m, b)
+	n.repairQuarantine(now, m, b.Quarantine)
 	n.meet(now, b.Peers)
 	if b.Answer {
 		n.beatTo(now, m, false)
@@ -94,7 +95,7 @@
 func (n *Node) newBeat(now boottime.Time, echo int64, answer bool) *beat {
 	b := &beat{
 		Sent: int64(now), Echo: echo, IP: n.cfg.IP, Domain: n.cfg.Domain, Weight: n.cfg.Weight,
-		Leaving: n.leaving, Answer: answer,
+		Leaving: n.leaving, Answer: answer, Quarantine: n.quarantine.table.Digest(),
 	}
 	if n.feed != nil {
 		// The age is read before the revision: a newer state only looks older.
@@ -151,6 +152,7 @@
 	}
 	n.checkHomes(now)
 	n.pushState(now)
+	n.tickQuarantine(now)
 	if n.feed != nil {
 		n.tellShed(now)
 		n.tellTallies(now)
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/quarantine"
 )
 
 // Config tunes a Node.
@@ -50,6 +51,8 @@
 	// Seed of the process's random numbers, among them its incarnation: two
 	// processes must not have the same.
 	Seed uint64
+	// Quarantine configures the detection of requests that crash upstreams.
+	Quarantine quarantine.Config
 	// Engine and Plain tune the decisions.
 	Engine, Plain dispatch.Config
 }
@@ -68,7 +71,9 @@
 		AskLocal:  100 * time.Millisecond,
 		GroupSize: 32,
 		Seed:      rand.Uint64(),
-		Engine:    dispatch.DefaultConfig(true),
-		Plain:     dispatch.DefaultConfig(false),
+
+		Quarantine: quarantine.DefaultConfig(),
+		Engine:     dispatch.DefaultConfig(true),
+		Plain:      dispatch.DefaultConfig(false),
 	}
 }
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -125,6 +125,10 @@
 		}
 	case seedsEvent:
 		n.cfg.Seeds = e.ips
+	case crashEvent:
+		n.handleCrash(now, e.crash)
+	case successEvent:
+		n.clearSuspicion(now, e)
 	case inspectEvent:
 		e.do(now)
 	}
@@ -152,10 +156,19 @@
 	if p.Report != nil {
 		n.takeReport(now, p.From, p.Report)
 	}
-	if p.Shed != nil {
-		n.takeShed(now, p.From, p.Shed)
+	if p.Infrequent != nil {
+		n.takeInfrequent(now, p.From, p.Infrequent)
 	}
-	if p.Tally != nil {
-		n.takeTally(now, p.From, p.Tally)
+}
+
+func (n *Node) takeInfrequent(now boottime.Time, from uint64, m *infrequent) {
+	if m.Shed != nil {
+		n.takeShed(now, from, m.Shed)
+	}
+	if m.Tally != nil {
+		n.takeTally(now, from, m.Tally)
+	}
+	if m.Quarantine != nil && n.members[from] != nil {
+		n.takeQuarantineUpdate(now, m.Quarantine)
 	}
 }
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -35,9 +35,13 @@
 		{From: 2, Beat: &beat{IP: "127.0.0.1", Domain: "d", Weight: 1, Peers: []string{"x"}}},
 		{From: 2, Ask: &ask{Seq: 1, Service: "llm", Group: -1, Prompt: -5, Parts: []part{{ID: 1, Tokens: -1}}, TargetMs: -1}},
 		{From: 2, Reply: &reply{Seq: 1, Verdict: 9}},
-		{From: 2, Shed: &shed{Service: "llm", Group: 1 << 40, Requests: []shedRequest{{Fingerprint: 1, AgoMs: -1, LeftMs: -1}}}},
-		{From: 2, Tally: &tally{Teams: []teamGot{{Team: "t", Window: -1, Lately: float32(math.NaN())}}}},
-		{From: 2, Tally: &tally{Return: true, Teams: []teamGot{{Team: "t", Window: float32(math.Inf(1))}}}},
+		{From: 2, Infrequent: &infrequent{Quarantine: &quarantineUpdate{
+			Crashes: []crashReport{{Team: "t", Hash: 1, RanMs: -1}},
+			Notices: []statusNotice{{Team: "t", Hash: 1, Status: 200, Version: 1 << 31, LeftMs: -1}},
+		}}},
+		{From: 2, Infrequent: &infrequent{Shed: &shed{Service: "llm", Group: 1 << 40, Requests: []shedRequest{{Fingerprint: 1, AgoMs: -1, LeftMs: -1}}}}},
+		{From: 2, Infrequent: &infrequent{Tally: &tally{Teams: []teamGot{{Team: "t", Window: -1, Lately: float32(math.NaN())}}}}},
+		{From: 2, Infrequent: &infrequent{Tally: &tally{Return: true, Teams: []teamGot{{Team: "t", Window: float32(math.Inf(1))}}}}},
 		{From: 2, Report: &report{Kind: holds, Seq: 1, Service: "llm", Held: &ask{}, Upstream: "u"}},
 	} {
 		raw, err := cbor.Marshal(&p)
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -34,6 +34,9 @@
 	nearAt       boottime.Time
 	beatAt       boottime.Time
 	pingAt       boottime.Time
+	// repairedAt is when this router last resent notices because the member's quarantine
+	// digest differed.
+	repairedAt boottime.Time
 }
 
 // preference is a member's weighted rendezvous score for a key (Thaler and
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "github.com/aspenswitch/aspenswitch/dispatch"
+import (
+	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/quarantine"
+)
 
 // packet is one datagram. Fields are arrays on the wire, for their size.
 type packet struct {
@@ -11,8 +14,17 @@
 	Ask    *ask
 	Reply  *reply
 	Report *report
-	Shed   *shed
-	Tally  *tally
+	// Infrequent keeps frequent packets small: they encode one empty field instead of one
+	// for each rarely sent message.
+	Infrequent *infrequent
+}
+
+// infrequent holds the messages that are rarely sent.
+type infrequent struct {
+	_          struct{} `cbor:",toarray"`
+	Shed       *shed
+	Tally      *tally
+	Quarantine *quarantineUpdate
 }
 
 // beat is a heartbeat.
@@ -42,6 +54,8 @@
 	AgeNanos int64
 	// Peers are some routers that the sender hears.
 	Peers []string
+	// Quarantine is the digest of the sender's quarantine table.
+	Quarantine uint32
 }
 
 // ask is a request to be placed.
@@ -140,6 +154,42 @@
 	Window, Lately float32
 }
 
+// quarantineUpdate carries crashes and successes to the hub of a content, and notices to
+// all members.
+type quarantineUpdate struct {
+	_         struct{} `cbor:",toarray"`
+	Crashes   []crashReport
+	Successes []successReport
+	Notices   []statusNotice
+}
+
+// successReport reports that a request with a content received a complete response.
+type successReport struct {
+	_    struct{} `cbor:",toarray"`
+	Team string
+	Hash uint64
+}
+
+// crashReport reports that an upstream crashed while handling a request with a content.
+type crashReport struct {
+	_        struct{} `cbor:",toarray"`
+	Team     string
+	Hash     uint64
+	Upstream uint64
+	// RanMs is the time from sending the request to the crash.
+	RanMs int32
+}
+
+// statusNotice is the encoding of a quarantine.Notice.
+type statusNotice struct {
+	_       struct{} `cbor:",toarray"`
+	Team    string
+	Hash    uint64
+	Status  quarantine.Status
+	Version uint32
+	LeftMs  int32
+}
+
 type shedRequest struct {
 	_           struct{} `cbor:",toarray"`
 	Fingerprint uint64
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -17,6 +17,7 @@
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/feed"
 	"github.com/aspenswitch/aspenswitch/obs"
+	"github.com/aspenswitch/aspenswitch/quarantine"
 )
 
 // Error is the class of this package's errors.
@@ -50,7 +51,8 @@
 	// unreadSince is when the oldest mark was sent that hasn't been read, 0 if none.
 	unreadSince atomic.Int64
 
-	shed shedList
+	shed       shedList
+	quarantine quarantineState
 	// counts are into how many groups services' upstreams fall.
 	counts *groupCounts
 
@@ -104,6 +106,7 @@
 	for i := range n.ledgers {
 		n.ledgers[i] = dispatch.NewLedger(cfg.Engine.ShareWindow)
 	}
+	n.quarantine.table = quarantine.NewTable(cfg.Quarantine)
 	n.self = n.random.Uint64()
 	n.routers.Store(1)
 	n.reads.Store(true)
--- a/fleet/shed.go
+++ b/fleet/shed.go
@@ -83,7 +83,7 @@
 			n.takeShed(now, n.self, m)
 			continue
 		}
-		n.send(home.addr, &packet{Shed: m})
+		n.send(home.addr, &packet{Infrequent: &infrequent{Shed: m}})
 	}
 }
 
--- a/fleet/size_test.go
+++ b/fleet/size_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/quarantine"
 )
 
 // The bounds of what a router's control costs in bytes: docs/CAPACITY.md reckons
@@ -28,8 +29,14 @@
 			TargetMs: 800, LeftMs: 6000, Warm: "i-7f3a91c2d0",
 		}}, 130},
 		"decision": {packet{From: 1 << 63, Reply: &reply{Seq: 1 << 20, Service: "huvo11a", Verdict: dispatch.Send, Upstream: "i-7f3a91c2d0", WaitMs: 120}}, 55},
-		"tally": {packet{From: 1 << 63, Tally: &tally{Teams: slices.Repeat([]teamGot{{Team: "hule930", Window: 2.5e6, Lately: 1e6}}, teamsInTally)}},
+		"tally": {packet{From: 1 << 63, Infrequent: &infrequent{Tally: &tally{Teams: slices.Repeat([]teamGot{{Team: "hule930", Window: 2.5e6, Lately: 1e6}}, teamsInTally)}}},
 			20 + 20*teamsInTally},
+		"crash": {packet{From: 1 << 63, Infrequent: &infrequent{Quarantine: &quarantineUpdate{Crashes: []crashReport{{
+			Team: "hule930", Hash: 1 << 63, Upstream: 1 << 63, RanMs: 2000,
+		}}}}}, 60},
+		"notices": {packet{From: 1 << 63, Infrequent: &infrequent{Quarantine: &quarantineUpdate{Notices: slices.Repeat([]statusNotice{{
+			Team: "hule930", Hash: 1 << 63, Status: quarantine.Quarantined, Version: 3, LeftMs: 600000,
+		}}, noticesInDatagram)}}}, 20 + 30*noticesInDatagram},
 		"report": {packet{From: 1 << 63, Report: &report{Kind: ended, Seq: 1 << 20, Service: "huvo11a", TookMs: 2000}}, 45},
 	}
 	for name, c := range cases {
--- a/fleet/tally.go
+++ b/fleet/tally.go
@@ -107,7 +107,7 @@
 		return
 	}
 	for part := range slices.Chunk(teams, teamsInTally) {
-		n.send(hub.addr, &packet{Tally: &tally{Teams: part}})
+		n.send(hub.addr, &packet{Infrequent: &infrequent{Tally: &tally{Teams: part}}})
 	}
 }
 
@@ -122,7 +122,7 @@
 		return
 	}
 	if others := n.addUp(now, from, t.Teams); len(others) > 0 {
-		n.send(m.addr, &packet{Tally: &tally{Return: true, Teams: others}})
+		n.send(m.addr, &packet{Infrequent: &infrequent{Tally: &tally{Return: true, Teams: others}}})
 	}
 }
 
--- a/gateway/allowed.go
+++ b/gateway/allowed.go
@@ -13,6 +13,9 @@
 	if refused := s.stillAllowed(r); refused != nil {
 		return false, refused
 	}
+	if refused := s.refuseQuarantined(r); refused != nil {
+		return false, refused
+	}
 	if s.tooOld() {
 		r.record.lag = s.placer.Lag()
 		return false, notRun("router_busy", "this router is behind and its view too old to send on", retryLater)
--- a/gateway/breaks.go
+++ b/gateway/breaks.go
@@ -20,14 +20,16 @@
 	return r.contentID
 }
 
-// noteBrokenConnection logs that an upstream closed or reset the connection while it was
-// handling the request. A crash breaks every request on the upstream; the content ID
+// noteBrokenConnection reports and logs that an upstream closed or reset the connection while
+// it was handling the request. A crash breaks every request on the upstream; the content ID
 // shows which of them breaks on each upstream that it is sent to.
 func (s *Server) noteBrokenConnection(r *request, err error) {
 	if !closedByUpstream(err) {
 		return
 	}
 	contentID := r.ensureContentID()
+	r.crashes++
+	s.placer.ReportCrash(contentID, r.sentTo, time.Since(r.sentAt))
 	r.record.content = contentID.String()
 	s.log.Warn("upstream_broke", func(e *obs.Event) {
 		e.Str("request", r.id).Str("route", r.record.route).Str("team", contentID.Team).Stringer("content", contentID).
--- a/gateway/deps.go
+++ b/gateway/deps.go
@@ -6,6 +6,7 @@
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/feed"
+	"github.com/aspenswitch/aspenswitch/quarantine"
 )
 
 // State is what the gateway reads of the platform's published state.
@@ -35,6 +36,13 @@
 	Lag() time.Duration
 	// ReadLag is how late it reads what other routers send.
 	ReadLag() time.Duration
+	// ReportCrash reports that an upstream closed the connection after it had been handling
+	// a request for the time ran.
+	ReportCrash(id quarantine.ContentID, at dispatch.Incarnation, ran time.Duration)
+	// ReportSuccess reports that a request received a complete response.
+	ReportSuccess(id quarantine.ContentID)
+	// Quarantine returns the current statuses of contents; nil means that all are normal.
+	Quarantine() *quarantine.View
 	// Routers is the number of routers in the fleet.
 	Routers() int
 }
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/feed"
+	"github.com/aspenswitch/aspenswitch/quarantine"
 )
 
 // state is a published state that a test sets.
@@ -44,6 +45,9 @@
 	lag      atomic.Int64
 	readLag  atomic.Int64
 	shed     []dispatch.Request
+	// table is the quarantine table of the fleet; crashes is the number of reported crashes.
+	table   *quarantine.Table
+	crashes int
 	// group is the home that decides.
 	group int
 }
@@ -105,3 +109,31 @@
 	defer p.mu.Unlock()
 	return append([]dispatch.Outcome(nil), p.outcomes...)
 }
+
+func (p *placer) ReportCrash(id quarantine.ContentID, _ dispatch.Incarnation, _ time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.table == nil {
+		p.table = quarantine.NewTable(quarantine.DefaultConfig())
+	}
+	p.crashes++
+	now := time.Duration(p.crashes) * time.Second
+	p.table.RecordCrash(now, quarantine.Crash{ID: id, Upstream: uint64(p.crashes), Sent: now})
+}
+
+func (p *placer) ReportSuccess(id quarantine.ContentID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.table != nil {
+		p.table.RecordSuccess(time.Hour, id)
+	}
+}
+
+func (p *placer) Quarantine() *quarantine.View {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.table == nil {
+		return nil
+	}
+	return p.table.View()
+}
--- /dev/null
+++ b/gateway/quarantine_test.go
@@ -0,0 +1,80 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/quarantine"
+)
+
+// closeConnectionOn closes the connection on requests for a URI and answers others.
+func closeConnectionOn(uri string) script {
+	return func(req *http.Request, w io.Writer) bool {
+		return req.RequestURI != uri && ok("answer")(req, w)
+	}
+}
+
+func newCrashingRig(t *testing.T, uri string) *rig {
+	return newRig(t, map[string]script{"u1": closeConnectionOn(uri), "u2": closeConnectionOn(uri), "u3": closeConnectionOn(uri)})
+}
+
+// Guards against sending quarantined requests, and against wrong outcomes in the answers.
+func TestQuarantinedRequestIsRejectedAtOnce(t *testing.T) {
+	// Repeatable requests are retried once, so that fewer calls reach three crashes.
+	for path, calls := range map[string]int{"/safe/bad": 2, "/resume/bad": 2, "/unsafe/bad": 3, "/stream/bad": 3} {
+		t.Run(path, func(t *testing.T) {
+			g := NewWithT(t)
+			r := newCrashingRig(t, path)
+			for range calls {
+				resp, body, err := r.call(path, nil)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+				g.Expect(body).To(ContainSubstring(`"outcome":"unknown"`))
+			}
+			for range 3 {
+				resp, body, err := r.call(path, nil)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+				g.Expect(resp.Header.Get("Retry-After")).To(BeEmpty())
+				g.Expect(body).To(ContainSubstring(`"outcome":"not-run"`))
+				g.Expect(body).To(ContainSubstring(`"code":"quarantined"`))
+			}
+			g.Expect(r.runs()).To(HaveLen(3))
+			resp, _, err := r.call(strings.Replace(path, "bad", "good", 1), nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+			g.Expect(r.eventLines("failed")[calls]).To(HaveKey("content"))
+		})
+	}
+}
+
+// Guards against retries that crash more upstreams.
+func TestSuspectRequestIsNotRetried(t *testing.T) {
+	g := NewWithT(t)
+	r := newCrashingRig(t, "/safe/bad")
+	_, _, _ = r.call("/safe/bad", nil)
+	g.Expect(r.runs()).To(HaveLen(2), "a request is retried after its first crash")
+	_, _, _ = r.call("/safe/bad", nil)
+	g.Expect(r.runs()).To(HaveLen(3))
+}
+
+// Guards against sending a request that was quarantined while it waited to be placed.
+func TestQuarantineIsCheckedBeforeSending(t *testing.T) {
+	g := NewWithT(t)
+	r := newCrashingRig(t, "/unsafe/bad")
+	for range 2 {
+		_, _, _ = r.call("/unsafe/bad", nil)
+	}
+	id := quarantine.NewContentID("schools", http.MethodPost, "h", "/unsafe/bad", []byte("hello"))
+	r.placer.before = func() { r.placer.ReportCrash(id, dispatch.Incarnation{ID: "u9"}, 0) }
+	resp, body, err := r.call("/unsafe/bad", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+	g.Expect(body).To(ContainSubstring(`"outcome":"not-run"`))
+	g.Expect(r.runs()).To(HaveLen(2))
+}
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -28,7 +28,8 @@
 	over   bool
 	// lag is how far the router was behind, if that decided.
 	lag time.Duration
-	// content is the content hash, set if an upstream connection broke during the request.
+	// content is the content hash, set if an upstream connection broke during the request or
+	// the request was quarantined.
 	content    string
 	retryAfter time.Duration
 	status     int
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -38,6 +38,8 @@
 	// sentTo is the upstream of the latest attempt, which was sent at sentAt.
 	sentTo dispatch.Incarnation
 	sentAt time.Time
+	// crashes is how many upstreams closed the connection while handling the request.
+	crashes int
 	// tried are the upstreams that it was sent to.
 	tried []string
 	// mayHaveRun is set once an upstream may have run the request.
@@ -84,7 +86,7 @@
 	if refused := s.readBody(r); refused != nil {
 		return r, refused
 	}
-	return r, nil
+	return r, s.refuseQuarantined(r)
 }
 
 // minRetryAfter is told to callers that another router may serve at once.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -39,7 +39,7 @@
 	defer a.Close()
 	if !r.route.Repeatable() {
 		// The body won't be sent again, and hundreds of prompts would be held for as
-		// long as their answers run. The content ID is computed first, since it is logged if
+		// long as their answers run. The content ID is computed first, since it is needed if
 		// the answer breaks off.
 		r.ensureContentID()
 		r.body, call.Body = nil, nil
@@ -51,6 +51,9 @@
 		s.placer.Started(r.service, t)
 		s.teams.begun(r)
 	})
+	if o == dispatch.Served {
+		s.noteSuccess(r)
+	}
 	s.placer.Done(r.service, t, o, time.Since(at))
 	return res
 }
@@ -135,7 +138,7 @@
 	if last == nil {
 		last = unknown(http.StatusBadGateway, "upstream_failed", "the upstream broke off; the request may have run")
 	}
-	return result{refused: last, again: r.route.Repeatable() && s.mayRetry(r)}
+	return result{refused: last, again: r.route.Repeatable() && !s.isSuspect(r) && s.mayRetry(r)}
 }
 
 // call is the request as it goes to an upstream.
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -12,18 +12,21 @@
 	outcomes map[string]tally.Counter
 	other    tally.Counter
 	refused  tally.Counter
-	first    tally.Histogram
-	placing  tally.Histogram
+	// quarantined counts requests that were rejected because their content is in quarantine.
+	quarantined tally.Counter
+	first       tally.Histogram
+	placing     tally.Histogram
 }
 
 func newStats(scope tally.Scope) *stats {
 	s := &stats{
-		requests: scope.Counter("requests"),
-		outcomes: map[string]tally.Counter{},
-		other:    scope.Tagged(map[string]string{"outcome": "other"}).Counter("answers"),
-		refused:  scope.Counter("refusals"),
-		first:    scope.Histogram("first_byte_seconds", latencies),
-		placing:  scope.Histogram("placing_seconds", latencies),
+		requests:    scope.Counter("requests"),
+		outcomes:    map[string]tally.Counter{},
+		other:       scope.Tagged(map[string]string{"outcome": "other"}).Counter("answers"),
+		refused:     scope.Counter("refusals"),
+		quarantined: scope.Counter("quarantined"),
+		first:       scope.Histogram("first_byte_seconds", latencies),
+		placing:     scope.Histogram("placing_seconds", latencies),
 	}
 	for _, name := range []string{"ran", "not-run", "unknown", "cancelled", "cut"} {
 		s.outcomes[name] = scope.Tagged(map[string]string{"outcome": name}).Counter("answers")
--- /dev/null
+++ b/quarantine/status.go
@@ -0,0 +1,57 @@
+package quarantine
+
+import "time"
+
+// Status determines how requests with a content are handled.
+type Status uint8
+
+// Statuses in increasing order of severity.
+const (
+	// Normal requests are sent and may be retried.
+	Normal Status = iota
+	// Suspect requests are sent but not retried after a crash.
+	Suspect
+	// Quarantined requests are rejected.
+	Quarantined
+)
+
+// String returns the status as it appears in logs.
+func (s Status) String() string {
+	switch s {
+	case Suspect:
+		return "suspect"
+	case Quarantined:
+		return "quarantined"
+	default:
+		return "normal"
+	}
+}
+
+// Crash reports that an upstream closed the connection while handling a request.
+type Crash struct {
+	ID ContentID
+	// Upstream identifies the upstream's incarnation.
+	Upstream uint64
+	// Sent is when the request was sent to the upstream.
+	Sent time.Duration
+}
+
+// Notice informs other routers of the status of a content.
+type Notice struct {
+	ID     ContentID
+	Status Status
+	// Version is incremented with each status change. The notice with the higher version
+	// takes precedence; with equal versions, the more severe status does.
+	Version uint32
+	// Left is the remaining time for which the status is valid.
+	Left time.Duration
+}
+
+// Entry describes the state of a content in a Table.
+type Entry struct {
+	ID      ContentID
+	Status  Status
+	Crashes int
+	// Left is the time until the status expires.
+	Left time.Duration
+}
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -49,7 +49,7 @@
 	// Began is told that a request begins to run, and what it returns is told
 	// the end; gone is set if the connection ended before the answer was whole.
 	Began func(id string) (ended func(gone bool))
-	// Crashes reports whether the runner crashes once it has worked on a request; nil is
+	// Crashes reports whether the runner crashes after working on a request; nil means
 	// never.
 	Crashes func(*http.Request) bool
 	// Address is where it listens, a free port of loopback if empty. A runner that
@@ -207,7 +207,7 @@
 		work = r.opts.Work(req)
 	}
 	if r.opts.Crashes != nil && r.opts.Crashes(req) {
-		_ = waitOrGone(work.Takes, next) // it crashes either way
+		_ = waitOrGone(work.Takes, next) // crashes even if the caller has gone
 		r.Crash()
 		ended(true)
 		return false
