--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -14,6 +14,8 @@
 // answer judges an upstream's answer and passes it on. begun is called at the
 // first byte of the body.
 func (s *Server) answer(ctx context.Context, r *request, out *relay, a *upstream.Answer, begun func()) (result, dispatch.Outcome) {
+	notice := s.parseUpstreamNotice(a)
+	r.record.upstreamLeaving, r.record.upstreamRetryAfter = notice.leaving, notice.retryAfter
 	if a.Header.Get(s.cfg.Names.NotRun) != "" || a.Status == http.StatusMisdirectedRequest {
 		return s.rejected(r, a)
 	}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -26,7 +26,7 @@
 // names of the headers in these tests: any will do.
 var names = gateway.Names{
 	RequestID: "X-Id", Deadline: "X-Left", Upstream: "X-Upstream", Team: "X-Team", Key: "X-Key",
-	Seal: "X-Seal", NotRun: "X-Not-Run", Tokens: "X-Tokens", Parts: "X-Parts", LengthHint: "X-Hint",
+	Seal: "X-Seal", NotRun: "X-Not-Run", Leaving: "X-Leaving", Tokens: "X-Tokens", Parts: "X-Parts", LengthHint: "X-Hint",
 	Load: "X-Load", CopyFrom: "X-Copy", Private: []string{"X-Secret"},
 }
 
--- a/gateway/names.go
+++ b/gateway/names.go
@@ -16,6 +16,8 @@
 	Seal string
 	// NotRun marks an answer whose request the upstream didn't run.
 	NotRun string
+	// Leaving is set to 1 on the answers of an upstream that is shutting down.
+	Leaving string
 	// Tokens are the prompt's and the most of the output's, with a comma.
 	Tokens string
 	// Parts of the prompt, as HEXID:TOKENS with commas.
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -30,11 +30,14 @@
 	lag time.Duration
 	// content is the content hash, set if an upstream connection broke during the request or
 	// the request was quarantined.
-	content    string
-	retryAfter time.Duration
-	status     int
-	outcome    string
-	cause      string
+	content string
+	// upstreamLeaving and upstreamRetryAfter are from the answer of the last upstream.
+	upstreamLeaving    bool
+	upstreamRetryAfter time.Duration
+	retryAfter         time.Duration
+	status             int
+	outcome            string
+	cause              string
 }
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
@@ -62,6 +65,12 @@
 	if r.content != "" {
 		e.Str("content", r.content)
 	}
+	if r.upstreamLeaving {
+		e.Bool("upstream_leaving", true)
+	}
+	if r.upstreamRetryAfter > 0 {
+		e.Int64("upstream_rest_ms", r.upstreamRetryAfter.Milliseconds())
+	}
 	if r.cause != "" {
 		e.Str("cause", r.cause)
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -25,6 +25,7 @@
 	}
 	s.count(r)
 	r.record.upstream = id
+	r.record.upstreamLeaving, r.record.upstreamRetryAfter = false, 0
 	at := time.Now()
 	r.sentTo, r.sentAt = dispatch.Incarnation{ID: u.ID, Started: u.Started}, at
 	call := s.call(r, out, u)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -54,7 +54,8 @@
 func (s *Server) logAttempt(r *request) {
 	s.log.Warn("attempt", func(e *obs.Event) {
 		e.Str("request", r.id).Str("route", r.record.route).Str("upstream", r.record.upstream).Int("attempts", r.record.attempts).
-			Int64("left_ms", time.Until(r.deadline).Milliseconds()).Str("cause", r.record.cause).Msg("going to another upstream")
+			Int64("left_ms", time.Until(r.deadline).Milliseconds()).Str("cause", r.record.cause).
+			Bool("upstream_leaving", r.record.upstreamLeaving).Int64("upstream_rest_ms", r.record.upstreamRetryAfter.Milliseconds()).Msg("going to another upstream")
 	})
 }
 
