--- a/standin/runner.go
+++ b/standin/runner.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,7 +41,7 @@
 )
 
 // RunnerNames are the headers that a Runner reads and writes.
-type RunnerNames struct{ RequestID, Instance, Seal, NotRun string }
+type RunnerNames struct{ RequestID, Instance, Seal, NotRun, Leaving string }
 
 // RunnerOptions say how a Runner works. The zero value answers at once.
 type RunnerOptions struct {
@@ -78,7 +79,10 @@
 	names    RunnerNames
 	opts     RunnerOptions
 	fault    atomic.Uint32
+	leaving  atomic.Bool
+	rest     atomic.Int64
 	requests atomic.Int64
+	rejected atomic.Int64
 	l        net.Listener
 	mu       sync.Mutex
 	ran      map[string]int
@@ -107,6 +111,15 @@
 // SetFault makes it misbehave from the next request on.
 func (r *Runner) SetFault(f RunnerFault) { r.fault.Store(uint32(f)) }
 
+// SetLeaving makes all answers say whether the runner shuts down.
+func (r *Runner) SetLeaving(leaving bool) { r.leaving.Store(leaving) }
+
+// SetRest makes it reject requests and ask for a time without any; 0 ends that.
+func (r *Runner) SetRest(rest time.Duration) { r.rest.Store(int64(rest)) }
+
+// Rejected is how many requests it has not run.
+func (r *Runner) Rejected() int { return int(r.rejected.Load()) }
+
 // Ran is how often a request ran here.
 func (r *Runner) Ran(id string) int {
 	r.mu.Lock()
@@ -191,6 +204,7 @@
 func (r *Runner) handle(c net.Conn, in *bufio.Reader, req *http.Request, last string) bool {
 	id, fault := req.Header.Get(r.names.RequestID), r.nextFault()
 	if raw := r.reject(req, fault); raw != "" {
+		r.rejected.Add(1)
 		_, err := io.WriteString(c, raw)
 		return err == nil
 	}
@@ -242,6 +256,10 @@
 	if meant := req.Header.Get(r.names.Instance); meant != "" && meant != r.id {
 		return r.head(http.StatusMisdirectedRequest, id, "Content-Length: 0")
 	}
+	if rest := time.Duration(r.rest.Load()); rest > 0 {
+		seconds := strconv.FormatFloat(rest.Seconds(), 'f', -1, 64)
+		return r.head(http.StatusServiceUnavailable, id, r.names.NotRun+": 1", "Retry-After: "+seconds, "Content-Length: 0")
+	}
 	if fault == RunnerFull {
 		return r.head(http.StatusServiceUnavailable, id, r.names.NotRun+": 1", "Content-Length: 0")
 	}
--- a/standin/runner_answer.go
+++ b/standin/runner_answer.go
@@ -106,5 +106,8 @@
 
 func (r *Runner) head(status int, id string, lines ...string) string {
 	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n", status, http.StatusText(status), r.names.RequestID, id)
+	if r.leaving.Load() {
+		head += r.names.Leaving + ": 1\r\n"
+	}
 	return head + strings.Join(lines, "\r\n") + "\r\n\r\n"
 }
