--- /dev/null
+++ b/availability/table_test.go
@@ -0,0 +1,28 @@
+package availability_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/aspenswitch/aspenswitch/availability"
+	"github.com/aspenswitch/aspenswitch/dispatch"
+)
+
+const start = time.Hour
+
+// Guards against excluding a restarted upstream because of a notice from its previous incarnation.
+func TestLeavingAppliesToOneIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	table := availability.NewTable()
+	first, second := dispatch.Incarnation{ID: "u", Started: 1000}, dispatch.Incarnation{ID: "u", Started: 500}
+	g.Expect(table.RecordLeaving(start, first)).To(BeTrue())
+	g.Expect(table.RecordLeaving(start, first)).To(BeFalse())
+	g.Expect(table.Leaving(start, first)).To(BeTrue())
+	g.Expect(table.Leaving(start, dispatch.Incarnation{ID: "u"})).To(BeTrue(), "an unknown start matches any incarnation")
+	g.Expect(table.Leaving(start, second)).To(BeFalse())
+	g.Expect(table.RecordLeaving(start, second)).To(BeTrue())
+	g.Expect(table.Leaving(start, first)).To(BeFalse())
+	g.Expect(table.Leaving(start+availability.LeavingTTL, second)).To(BeFalse())
+}
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -129,6 +129,8 @@
 		n.handleCrash(now, e.crash)
 	case successEvent:
 		n.clearSuspicion(now, e)
+	case leavingEvent:
+		n.handleLeaving(now, e)
 	case inspectEvent:
 		e.do(now)
 	}
@@ -171,4 +173,7 @@
 	if m.Quarantine != nil && n.members[from] != nil {
 		n.takeQuarantineUpdate(now, m.Quarantine)
 	}
+	if m.Leaving != nil && n.members[from] != nil {
+		n.takeLeaving(now, m.Leaving)
+	}
 }
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -81,7 +81,7 @@
 	count := n.counts.of(key.service, len(ready))
 	var members []dispatch.Member
 	for _, u := range ready {
-		if groupOfUpstream(u.ID, count) != key.index {
+		if groupOfUpstream(u.ID, count) != key.index || n.availability.Leaving(time.Duration(now), incarnation(u)) {
 			continue
 		}
 		m := dispatch.Member{Incarnation: incarnation(u), Slots: slots(u)}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -25,6 +25,14 @@
 	Shed       *shed
 	Tally      *tally
 	Quarantine *quarantineUpdate
+	Leaving    *leavingReport
+}
+
+// leavingReport reports that an upstream is shutting down.
+type leavingReport struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream string
+	Started  int64
 }
 
 // beat is a heartbeat.
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 
+	"github.com/aspenswitch/aspenswitch/availability"
 	"github.com/aspenswitch/aspenswitch/boottime"
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/feed"
@@ -53,6 +54,8 @@
 
 	shed       shedList
 	quarantine quarantineState
+	// availability has the upstreams that are shutting down, as reported by any router.
+	availability *availability.Table
 	// counts are into how many groups services' upstreams fall.
 	counts *groupCounts
 
@@ -102,6 +105,7 @@
 		members: map[uint64]*member{}, byIP: map[string]*member{}, groups: map[groupKey]*group{},
 		pending: map[uint64]*pending{}, held: map[uint64]*heldRequest{}, warm: map[uint64]dispatch.Incarnation{},
 		tallyEvery: minTallyEvery, counts: newGroupCounts(cfg.GroupSize),
+		availability: availability.NewTable(),
 	}
 	for i := range n.ledgers {
 		n.ledgers[i] = dispatch.NewLedger(cfg.Engine.ShareWindow)
--- a/gateway/allowed.go
+++ b/gateway/allowed.go
@@ -26,6 +26,10 @@
 		r.record.cause = "upstream " + id + " has left"
 		return true, notRun("upstream_left", "the upstream left before the request was sent", retryLater)
 	}
+	if refused := s.refuseLeaving(r, u); refused != nil {
+		r.tried = append(r.tried, id)
+		return true, refused
+	}
 	return false, nil
 }
 
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -16,6 +16,7 @@
 func (s *Server) answer(ctx context.Context, r *request, out *relay, a *upstream.Answer, begun func()) (result, dispatch.Outcome) {
 	notice := s.parseUpstreamNotice(a)
 	r.record.upstreamLeaving, r.record.upstreamRetryAfter = notice.leaving, notice.retryAfter
+	s.handleNotice(r, notice)
 	if a.Header.Get(s.cfg.Names.NotRun) != "" || a.Status == http.StatusMisdirectedRequest {
 		return s.rejected(r, a)
 	}
--- a/gateway/deps.go
+++ b/gateway/deps.go
@@ -36,6 +36,8 @@
 	Lag() time.Duration
 	// ReadLag is how late it reads what other routers send.
 	ReadLag() time.Duration
+	// ReportLeaving reports that an upstream is shutting down.
+	ReportLeaving(service string, upstream dispatch.Incarnation)
 	// ReportCrash reports that an upstream closed the connection after it had been handling
 	// a request for the time ran.
 	ReportCrash(id quarantine.ContentID, at dispatch.Incarnation, ran time.Duration)
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -48,6 +48,8 @@
 	// table is the quarantine table of the fleet; crashes is the number of reported crashes.
 	table   *quarantine.Table
 	crashes int
+	// leaving are the upstreams that were reported as leaving.
+	leaving []dispatch.Incarnation
 	// group is the home that decides.
 	group int
 }
@@ -110,6 +112,12 @@
 	return append([]dispatch.Outcome(nil), p.outcomes...)
 }
 
+func (p *placer) ReportLeaving(_ string, upstream dispatch.Incarnation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving = append(p.leaving, upstream)
+}
+
 func (p *placer) ReportCrash(id quarantine.ContentID, _ dispatch.Incarnation, _ time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -137,3 +145,9 @@
 	}
 	return p.table.View()
 }
+
+func (p *placer) reportedLeaving() []dispatch.Incarnation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]dispatch.Incarnation(nil), p.leaving...)
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -27,7 +27,7 @@
 	r.record.upstream = id
 	r.record.upstreamLeaving, r.record.upstreamRetryAfter = false, 0
 	at := time.Now()
-	r.sentTo, r.sentAt = dispatch.Incarnation{ID: u.ID, Started: u.Started}, at
+	r.sentTo, r.sentAt = incarnation(u), at
 	call := s.call(r, out, u)
 	if from := s.state.Snapshot().View.Upstream(d.CopyFrom); from != nil {
 		call.Header.Set(s.cfg.Names.CopyFrom, from.Address)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -31,6 +31,9 @@
 	stats  *stats
 	start  time.Time
 
+	// availability has the upstreams that have sent this router a leaving notice.
+	availability *upstreamAvailability
+
 	shedder *shedder
 	teams   teamLoads
 
@@ -59,7 +62,7 @@
 	base, giveUp := context.WithCancelCause(context.Background())
 	return &Server{
 		cfg: cfg, state: state, placer: placer, pool: pool, budget: budget,
-		log: log, stats: newStats(metrics.Scope), start: time.Now(), shedder: newShedder(cfg.Shed),
+		log: log, stats: newStats(metrics.Scope), start: time.Now(), shedder: newShedder(cfg.Shed), availability: newUpstreamAvailability(),
 		base: base, giveUp: giveUp,
 	}
 }
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -111,13 +111,13 @@
 // SetFault makes it misbehave from the next request on.
 func (r *Runner) SetFault(f RunnerFault) { r.fault.Store(uint32(f)) }
 
-// SetLeaving makes all answers say whether the runner shuts down.
+// SetLeaving sets whether answers carry the leaving notice.
 func (r *Runner) SetLeaving(leaving bool) { r.leaving.Store(leaving) }
 
-// SetRest makes it reject requests and ask for a time without any; 0 ends that.
+// SetRest makes the runner reject requests with a 503 and rest as the Retry-After delay; 0 disables it.
 func (r *Runner) SetRest(rest time.Duration) { r.rest.Store(int64(rest)) }
 
-// Rejected is how many requests it has not run.
+// Rejected returns the number of requests rejected without being run.
 func (r *Runner) Rejected() int { return int(r.rejected.Load()) }
 
 // Ran is how often a request ran here.
