--- a/availability/table.go
+++ b/availability/table.go
@@ -14,9 +14,9 @@
 	cleanupThreshold = 4096
 )
 
-// Table tracks the upstreams that are shutting down. An entry applies to one incarnation:
-// an upstream that restarts under the same ID is available again. A Table isn't safe for
-// concurrent use.
+// Table tracks the upstreams that are shutting down and the Retry-After delays that upstreams
+// have requested. An entry applies to one incarnation: an upstream that restarts under the
+// same ID is available again. A Table isn't safe for concurrent use.
 type Table struct {
 	entries map[string]*entry
 }
@@ -25,6 +25,8 @@
 type entry struct {
 	upstream     dispatch.Incarnation
 	leavingUntil time.Duration
+	// retryAt is when the Retry-After delay ends.
+	retryAt time.Duration
 }
 
 // NewTable returns an empty table.
@@ -45,6 +47,43 @@
 	return e != nil && e.upstream.Same(upstream) && now < e.leavingUntil
 }
 
+// RecordRetryAfter records the Retry-After delay requested by an upstream. It never shortens
+// a delay that is already recorded.
+func (t *Table) RecordRetryAfter(now time.Duration, upstream dispatch.Incarnation, delay time.Duration) {
+	e := t.entryFor(now, upstream)
+	e.retryAt = max(e.retryAt, now+delay)
+}
+
+// RetryAfter returns the remaining Retry-After delay of an upstream, or 0 if there is none.
+func (t *Table) RetryAfter(now time.Duration, upstream dispatch.Incarnation) time.Duration {
+	e := t.entries[upstream.ID]
+	if e == nil || !e.upstream.Same(upstream) {
+		return 0
+	}
+	return max(e.retryAt-now, 0)
+}
+
+// Unavailable is an upstream that is leaving or whose Retry-After delay hasn't ended.
+type Unavailable struct {
+	Upstream dispatch.Incarnation
+	// RetryAfter is the remaining delay, or 0 if the upstream is leaving.
+	RetryAfter time.Duration
+}
+
+// Unavailable returns the upstreams that currently accept no requests, in no particular order.
+func (t *Table) Unavailable(now time.Duration) []Unavailable {
+	var unavailable []Unavailable
+	for _, e := range t.entries {
+		switch {
+		case now < e.leavingUntil:
+			unavailable = append(unavailable, Unavailable{Upstream: e.upstream})
+		case now < e.retryAt:
+			unavailable = append(unavailable, Unavailable{Upstream: e.upstream, RetryAfter: e.retryAt - now})
+		}
+	}
+	return unavailable
+}
+
 // entryFor returns the entry of an incarnation, replacing that of any other incarnation with
 // the same ID.
 func (t *Table) entryFor(now time.Duration, upstream dispatch.Incarnation) *entry {
@@ -61,7 +100,7 @@
 
 func (t *Table) removeExpired(now time.Duration) {
 	for id, e := range t.entries {
-		if now >= e.leavingUntil {
+		if now >= max(e.leavingUntil, e.retryAt) {
 			delete(t.entries, id)
 		}
 	}
--- a/gateway/allowed.go
+++ b/gateway/allowed.go
@@ -30,6 +30,9 @@
 		r.tried = append(r.tried, id)
 		return true, refused
 	}
+	if refused := s.refuseRetryAfter(r, u); refused != nil {
+		return true, refused
+	}
 	return false, nil
 }
 
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -54,7 +54,12 @@
 	r.record.cause = "upstream rejected with " + strconv.Itoa(a.Status)
 	// The connection is good; reading to the end lets it be used again.
 	_, _ = io.CopyN(io.Discard, a, maxWhole)
-	res := result{refused: notRun("upstream_full", "the upstream had no room; the request was not run", retryLater)}
+	retryAfter := retryLater
+	if r.record.upstreamRetryAfter > 0 {
+		// The upstream is now excluded, so the caller's next request goes to another one.
+		retryAfter = minRetryAfter
+	}
+	res := result{refused: notRun("upstream_full", "the upstream had no room; the request was not run", retryAfter)}
 	res.again = s.mayRetry(r)
 	return res, dispatch.Rejected
 }
--- a/gateway/availability_test.go
+++ b/gateway/availability_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -76,3 +77,37 @@
 	_, err := io.WriteString(w, b.String())
 	return err == nil
 }
+
+// Guards against sending a request to an upstream that sent Retry-After during its placement.
+func TestRetryAfterIsCheckedBeforeSending(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t, map[string]script{"u1": status(503, "X-Not-Run: 1\r\nRetry-After: 30\r\n"), "u2": ok("answer")})
+	placing, resume := make(chan struct{}), make(chan struct{})
+	var blocked atomic.Bool
+	r.placer.before = func() {
+		if !blocked.Swap(true) {
+			close(placing)
+			<-resume
+		}
+	}
+	firstStatus := make(chan int)
+	go func() {
+		resp, _, err := r.call("/unsafe/x", nil)
+		if err != nil {
+			firstStatus <- 0
+			return
+		}
+		firstStatus <- resp.StatusCode
+	}()
+	<-placing
+	resp, _, err := r.call("/unsafe/x", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusOK), "it is retried at the other upstream")
+	close(resume)
+	g.Expect(<-firstStatus).To(Equal(http.StatusOK))
+	var upstreams []string
+	for _, run := range r.runs() {
+		upstreams = append(upstreams, run.upstream)
+	}
+	g.Expect(upstreams).To(Equal([]string{"u1", "u2", "u2"}))
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -29,7 +29,7 @@
 	at := time.Now()
 	r.sentTo, r.sentAt = incarnation(u), at
 	call := s.call(r, out, u)
-	if from := s.state.Snapshot().View.Upstream(d.CopyFrom); from != nil {
+	if from := s.state.Snapshot().View.Upstream(d.CopyFrom); from != nil && s.mayCopyFrom(from) {
 		call.Header.Set(s.cfg.Names.CopyFrom, from.Address)
 		r.record.copyFrom = from.ID
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -68,9 +68,13 @@
 
 // attempt places the request, sends it once and passes the answer on.
 func (s *Server) attempt(ctx context.Context, r *request, out *relay) result {
+	avoid, refused := s.avoid(r)
+	if refused != nil {
+		return result{refused: refused}
+	}
 	ticket := s.placer.NewTicket()
 	at := time.Now()
-	d, err := s.placer.Place(ctx, r.service, s.ask(r, ticket))
+	d, err := s.placer.Place(ctx, r.service, s.ask(r, ticket, avoid))
 	r.places++
 	r.record.placed += time.Since(at)
 	r.record.predicted, r.record.waited, r.record.over = d.Wait, d.Waited, d.Over
@@ -93,13 +97,13 @@
 }
 
 // ask describes the request to the placer.
-func (s *Server) ask(r *request, t dispatch.Ticket) dispatch.Request {
+func (s *Server) ask(r *request, t dispatch.Ticket, avoid []string) dispatch.Request {
 	target := r.route.Target
 	if target <= 0 {
 		target = r.deadline.Sub(r.arrived)
 	}
 	return dispatch.Request{
 		Ticket: t, ID: r.id, Team: r.teamName(), Rank: r.rank(), Prompt: r.prompt, Output: r.output, Parts: r.parts,
-		Target: target - time.Since(r.arrived), Left: time.Until(r.deadline), Avoid: r.tried,
+		Target: target - time.Since(r.arrived), Left: time.Until(r.deadline), Avoid: avoid,
 	}
 }
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -40,7 +40,7 @@
 // shed refuses what this router can't or needn't ask a home for.
 func (s *Server) shed(r *request) *refusal {
 	lag := s.placer.Lag()
-	ask := s.ask(r, dispatch.Ticket{})
+	ask := s.ask(r, dispatch.Ticket{}, r.tried)
 	arrival := limits.Arrival{
 		Share:  limits.ShareKey{Service: r.service, Group: s.placer.Group(r.service, ask), Team: r.teamName()},
 		Tokens: dispatch.Tokens(&ask), Streaming: r.route.Kind == routing.Streaming, Lag: lag,
