--- a/cmd/aspenswitchctl/main.go
+++ b/cmd/aspenswitchctl/main.go
@@ -82,6 +82,10 @@
 	add(status, withClient(client, func(c *ctl.Client) error { return c.Status(os.Stdout, *platform, ctl.Format(*format)) }))
 	dump := fleet.Command("dump", "Print the whole state of each router as JSON.")
 	add(dump, withClient(client, func(c *ctl.Client) error { return c.Dump(os.Stdout) }))
+	release := fleet.Command("release", "End the quarantine of a request content at all routers on the users' platform.")
+	team := release.Flag("team", "Team that sends the requests.").Required().String()
+	content := release.Arg("content", "Hash of the content, as shown in logs and dumps.").Required().String()
+	add(release, withClient(client, func(c *ctl.Client) error { return c.Release(os.Stdout, *team, *content) }))
 	drain := fleet.Command("drain", "Begin a graceful shutdown of each router named.")
 	add(drain, func() error { return ctl.NewClient(*admins, *token).Drain(os.Stdout) })
 }
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -102,10 +102,23 @@
 			story = append(story, l)
 		}
 	}
+	for _, l := range lines {
+		if l.text("event") == "quarantine" && hasContentOf(l, own) {
+			story = append(story, l)
+		}
+	}
 	slices.SortStableFunc(story, func(a, b logLine) int { return cmp.Compare(a.at.UnixMilli(), b.at.UnixMilli()) })
 	return story
 }
 
+// hasContentOf reports whether a line has the same team and content as one of the request's
+// lines.
+func hasContentOf(l logLine, own []logLine) bool {
+	return slices.ContainsFunc(own, func(o logLine) bool {
+		return o.text("content") != "" && o.text("content") == l.text("content") && o.text("team") == l.text("team")
+	})
+}
+
 // explains reports whether what a router learnt bears on a request's lines: it
 // was the same router, and the time is near. A line about an upstream counts
 // only if the request met that upstream.
--- a/ctl/explain_test.go
+++ b/ctl/explain_test.go
@@ -40,3 +40,19 @@
 	var out bytes.Buffer
 	g.Expect(ctl.Explain(&out, "zzz", strings.NewReader(sampleLog))).NotTo(Succeed())
 }
+
+const quarantineLog = `
+{"level":"warn","process":"r2","event":"quarantine","team":"schools","content":"ab12","status":"quarantined","crashes":3,"time":1000000,"message":"quarantine status of a content changed"}
+{"level":"warn","process":"r2","event":"quarantine","team":"homes","content":"ab12","status":"suspect","crashes":2,"time":1000000,"message":"quarantine status of a content changed"}
+{"level":"warn","process":"r1","event":"failed","request":"abc","team":"schools","content":"ab12","cause":"quarantined","took_ms":1,"time":1300000,"message":"request"}
+`
+
+// Guards against output that omits why the content of a rejected request is in quarantine.
+func TestExplainShowsQuarantineOfRequestContent(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	g.Expect(ctl.Explain(&out, "abc", strings.NewReader(quarantineLog))).To(Succeed())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	g.Expect(lines).To(HaveLen(2))
+	g.Expect(lines[0]).To(ContainSubstring("status=quarantined"))
+}
--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
+	"strings"
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/admin"
@@ -122,6 +124,24 @@
 	return nil
 }
 
+// Release ends the quarantine of a team's content at all routers. It tries the routers in
+// order until one succeeds, which notifies the others.
+func (c *Client) Release(out io.Writer, team, content string) error {
+	query := url.Values{"team": {team}, "content": {content}}
+	var lastErr error
+	for _, base := range c.admins {
+		resp, err := c.do(http.MethodPost, base+"/quarantine/release?"+query.Encode())
+		if err != nil {
+			lastErr = err
+			continue
+		}
+		_ = resp.Body.Close()
+		_, err = fmt.Fprintf(out, "%s: released\n", base)
+		return Error.Wrap(err)
+	}
+	return lastErr
+}
+
 func (c *Client) get(base, path string, v any) error {
 	resp, err := c.do(http.MethodGet, base+path)
 	if err != nil {
@@ -131,6 +151,9 @@
 	return Error.Wrap(json.NewDecoder(resp.Body).Decode(v))
 }
 
+// maxErrorBody limits the part of an error response's body that is read, in bytes.
+const maxErrorBody = 512
+
 func (c *Client) do(method, url string) (*http.Response, error) {
 	req, err := http.NewRequest(method, url, nil)
 	if err != nil {
@@ -142,8 +165,9 @@
 		return nil, Error.Wrap(err)
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
-		_ = resp.Body.Close()
-		return nil, Error.New("%s answered %s", url, resp.Status)
+		defer func() { _ = resp.Body.Close() }()
+		body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody)) // a read error must not hide the status
+		return nil, Error.New("%s", strings.TrimSpace(fmt.Sprintf("%s answered %s %s", url, resp.Status, body)))
 	}
 	return resp, nil
 }
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/aspenswitch/aspenswitch/gateway"
 	"github.com/aspenswitch/aspenswitch/obs"
 	"github.com/aspenswitch/aspenswitch/platform"
+	"github.com/aspenswitch/aspenswitch/quarantine"
 	"github.com/aspenswitch/aspenswitch/retry"
 	"github.com/aspenswitch/aspenswitch/settings"
 	"github.com/aspenswitch/aspenswitch/upstream"
@@ -121,6 +122,9 @@
 // CallersAddress is where callers are heard, for settings with port 0.
 func (d *Fleet) CallersAddress() string { return d.listeners.callers.Addr().String() }
 
+// ControlAddress returns the address of the control listener, for settings with port 0.
+func (d *Fleet) ControlAddress() string { return d.listeners.control.Addr().String() }
+
 // Run serves until ctx ends or Drain's grace is over.
 func (d *Fleet) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -189,9 +193,23 @@
 	e := quietEcho()
 	e.GET("/dump", func(c echo.Context) error { return c.JSON(http.StatusOK, d.dump()) })
 	e.GET("/metrics", echo.WrapHandler(d.metrics.Handler))
+	e.POST("/quarantine/release", d.release)
 	return e
 }
 
+// release handles requests to end the quarantine of a team's content at all routers.
+func (d *Fleet) release(c echo.Context) error {
+	id, err := quarantine.ParseContentID(c.QueryParam("team"), c.QueryParam("content"))
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	if d.node.Quarantine().Status(id) == quarantine.Normal {
+		return echo.NewHTTPError(http.StatusNotFound, "content "+id.String()+" of team "+strconv.Quote(id.Team)+" is neither suspect nor in quarantine")
+	}
+	d.node.Release(id)
+	return c.NoContent(http.StatusNoContent)
+}
+
 // fleetDump is a process's state on request.
 type fleetDump struct {
 	Ready         bool       `json:"ready"`
--- a/fleet/dump.go
+++ b/fleet/dump.go
@@ -22,6 +22,17 @@
 	Held     int          `json:"held"`
 	Members  []MemberDump `json:"members"`
 	Groups   []GroupDump  `json:"groups"`
+	// Quarantine lists the contents that are suspect or in quarantine.
+	Quarantine []ContentDump `json:"quarantine"`
+}
+
+// ContentDump is the quarantine state of a content.
+type ContentDump struct {
+	Team    string `json:"team"`
+	Content string `json:"content"`
+	Status  string `json:"status"`
+	Crashes int    `json:"crashes"`
+	LeftMs  int64  `json:"leftMs"`
 }
 
 // MemberDump is a peer's.
@@ -71,6 +82,11 @@
 	for _, g := range n.groups {
 		d.Groups = append(d.Groups, GroupDump{Group: g.key, Home: g.home, State: g.core.State(time.Duration(now))})
 	}
+	for _, e := range n.quarantine.table.Entries(time.Duration(now)) {
+		d.Quarantine = append(d.Quarantine, ContentDump{
+			Team: e.ID.Team, Content: e.ID.String(), Status: e.Status.String(), Crashes: e.Crashes, LeftMs: e.Left.Milliseconds(),
+		})
+	}
 	return d
 }
 
--- a/quarantine/content.go
+++ b/quarantine/content.go
@@ -5,8 +5,12 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/zeebo/errs"
 )
 
+// Error is the class of this package's errors.
+var Error = errs.Class("quarantine")
+
 // ContentID identifies a request by its content. It is the same for all request IDs,
 // attempts and routers.
 type ContentID struct {
@@ -31,5 +35,14 @@
 	return ContentID{Team: team, Hash: h.Sum64()}
 }
 
+// ParseContentID returns the content ID for a team and a hash in the format of String.
+func ParseContentID(team, hash string) (ContentID, error) {
+	n, err := strconv.ParseUint(hash, 16, 64)
+	if err != nil {
+		return ContentID{}, Error.New("content %q: must be up to 16 hexadecimal digits", hash)
+	}
+	return ContentID{Team: team, Hash: n}, nil
+}
+
 // String returns the hash in hexadecimal, without the team.
 func (c ContentID) String() string { return strconv.FormatUint(c.Hash, 16) }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -1,7 +1,9 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -175,6 +177,20 @@
 	return Entry{ID: id, Status: e.status, Crashes: e.crashes, Left: e.expires - now}
 }
 
+// Entries returns the contents that are suspect or in quarantine, sorted by team and hash.
+func (t *Table) Entries(now time.Duration) []Entry {
+	var all []Entry
+	for id, e := range t.entries {
+		if e.status != Normal {
+			all = append(all, t.Get(now, id))
+		}
+	}
+	slices.SortFunc(all, func(a, b Entry) int {
+		return cmp.Or(strings.Compare(a.ID.Team, b.ID.Team), cmp.Compare(a.ID.Hash, b.ID.Hash))
+	})
+	return all
+}
+
 func (t *Table) notice(now time.Duration, id ContentID, e *entry) Notice {
 	return Notice{ID: id, Status: e.status, Version: e.version, Left: e.expires - now}
 }
