--- a/fleet/events.go
+++ b/fleet/events.go
@@ -129,6 +129,8 @@
 		n.handleCrash(now, e.crash)
 	case successEvent:
 		n.clearSuspicion(now, e)
+	case trialEvent:
+		n.handleTrial(now, e)
 	case leavingEvent:
 		n.handleLeaving(now, e)
 	case inspectEvent:
@@ -170,8 +172,11 @@
 	if m.Tally != nil {
 		n.takeTally(now, from, m.Tally)
 	}
-	if m.Quarantine != nil && n.members[from] != nil {
-		n.takeQuarantineUpdate(now, m.Quarantine)
+	if peer := n.members[from]; m.Quarantine != nil && peer != nil {
+		n.takeQuarantineUpdate(now, peer, m.Quarantine)
+	}
+	if m.Broken != nil && n.members[from] != nil {
+		n.takeBroken(now, m.Broken.Upstream, m.Broken.Announced)
 	}
 	if m.Leaving != nil && n.members[from] != nil {
 		n.takeLeaving(now, m.Leaving)
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -26,6 +26,15 @@
 	Tally      *tally
 	Quarantine *quarantineUpdate
 	Leaving    *leavingReport
+	Broken     *brokenNotice
+}
+
+// brokenNotice reports that an upstream closed a connection while handling a request.
+type brokenNotice struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream uint32
+	// Announced distinguishes the hub's announcement to all routers from a report to the hub.
+	Announced bool
 }
 
 // leavingReport reports that an upstream is shutting down.
@@ -63,7 +72,7 @@
 	// Peers are some routers that the sender hears.
 	Peers []string
 	// Quarantine is the digest of the sender's quarantine table.
-	Quarantine uint32
+	Quarantine uint16
 }
 
 // ask is a request to be placed.
@@ -169,6 +178,17 @@
 	Crashes   []crashReport
 	Successes []successReport
 	Notices   []statusNotice
+	Trial     *trialMessage
+}
+
+// trialMessage asks the hub of a content to grant a trial or, if Answer is set, carries the
+// hub's answer.
+type trialMessage struct {
+	_       struct{} `cbor:",toarray"`
+	Team    string
+	Hash    uint64
+	Answer  bool
+	Granted bool
 }
 
 // successReport reports that a request with a content received a complete response.
@@ -183,19 +203,20 @@
 	_        struct{} `cbor:",toarray"`
 	Team     string
 	Hash     uint64
-	Upstream uint64
+	Upstream uint32
 	// RanMs is the time from sending the request to the crash.
 	RanMs int32
 }
 
 // statusNotice is the encoding of a quarantine.Notice.
 type statusNotice struct {
-	_       struct{} `cbor:",toarray"`
-	Team    string
-	Hash    uint64
-	Status  quarantine.Status
-	Version uint32
-	LeftMs  int32
+	_            struct{} `cbor:",toarray"`
+	Team         string
+	Hash         uint64
+	Status       quarantine.Status
+	Version      uint32
+	LeftS        int32
+	FailedTrials uint8
 }
 
 type shedRequest struct {
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -111,6 +111,7 @@
 		n.ledgers[i] = dispatch.NewLedger(cfg.Engine.ShareWindow)
 	}
 	n.quarantine.table = quarantine.NewTable(cfg.Quarantine)
+	n.quarantine.pendingTrials = map[quarantine.ContentID]*pendingTrial{}
 	n.self = n.random.Uint64()
 	n.routers.Store(1)
 	n.reads.Store(true)
--- a/fleet/quarantine.go
+++ b/fleet/quarantine.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -15,16 +16,21 @@
 )
 
 // quarantineState is what this router knows of contents that crash upstreams. Except for
-// view and successes, it is owned by the control goroutine.
+// view and what mu guards, it is owned by the control goroutine.
 type quarantineState struct {
 	table *quarantine.Table
 	view  atomic.Pointer[quarantine.View]
-	// mu guards successes, which has only the successes that this router has observed.
-	mu        sync.Mutex
-	successes quarantine.RecentSuccesses
 	// notices have not been sent to the members yet.
-	notices   []quarantine.Notice
-	expiredAt boottime.Time
+	notices []quarantine.Notice
+	// pendingTrials has the trial requests awaiting the hub's answer, at most one per content.
+	pendingTrials map[quarantine.ContentID]*pendingTrial
+	expiredAt     boottime.Time
+
+	// mu guards the fields below it.
+	mu sync.Mutex
+	// successes has only the successes that this router has observed.
+	successes quarantine.RecentSuccesses
+	broken    quarantine.BrokenUpstreams
 }
 
 const (
@@ -55,17 +61,18 @@
 }
 
 // ReportSuccess implements gateway.Placer.
-func (n *Node) ReportSuccess(id quarantine.ContentID) {
-	n.quarantine.addSuccess(time.Duration(n.now()), id)
+func (n *Node) ReportSuccess(id quarantine.ContentID, from dispatch.Incarnation) {
+	n.quarantine.addSuccess(time.Duration(n.now()), id, incarnationHash(from))
 	if n.Quarantine().Contains(id) {
 		n.post(successEvent{id: id, why: successReason})
 	}
 }
 
-func (q *quarantineState) addSuccess(now time.Duration, id quarantine.ContentID) {
+func (q *quarantineState) addSuccess(now time.Duration, id quarantine.ContentID, upstream uint32) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.successes.Add(now, id)
+	q.broken.RecordSuccess(upstream)
 }
 
 func (q *quarantineState) recentlySucceeded(now time.Duration, id quarantine.ContentID) bool {
@@ -85,16 +92,21 @@
 // Quarantine implements gateway.Placer.
 func (n *Node) Quarantine() *quarantine.View { return n.quarantine.view.Load() }
 
-func incarnationHash(at dispatch.Incarnation) uint64 {
-	return xxhash.Sum64String(at.ID + "/" + strconv.FormatInt(at.Started, 10))
+func incarnationHash(at dispatch.Incarnation) uint32 {
+	return uint32(xxhash.Sum64String(at.ID + "/" + strconv.FormatInt(at.Started, 10)))
 }
 
 // quarantineKey is the key by which the hub of a content is chosen.
 func quarantineKey(id quarantine.ContentID) string { return "content/" + id.Team + "/" + id.String() }
 
 // handleCrash records a crash that this router has observed, and reports it to the hub of
-// the content, which counts the crashes observed by all routers.
+// the content, which counts the crashes observed by all routers. It ignores requests sent to
+// broken upstreams.
 func (n *Node) handleCrash(now boottime.Time, c quarantine.Crash) {
+	if n.quarantine.sentToBrokenUpstream(c) {
+		return
+	}
+	n.reportBroken(now, c.Upstream)
 	n.recordCrash(now, c)
 	n.sendToHub(now, c.ID, &quarantineUpdate{Crashes: []crashReport{{
 		Team: c.ID.Team, Hash: c.ID.Hash, Upstream: c.Upstream, RanMs: millis(time.Duration(now) - c.Sent),
@@ -139,8 +151,8 @@
 	n.quarantine.view.Store(n.quarantine.table.View())
 }
 
-// announce logs a status change and queues its notice for all members. A quarantine is sent
-// immediately, without waiting for the next tick.
+// announce logs a status change or a failed trial and queues its notice for all members. A
+// quarantine is sent immediately, without waiting for the next tick.
 func (n *Node) announce(now boottime.Time, notice quarantine.Notice, why string) {
 	n.logQuarantine(now, notice.ID, why)
 	n.quarantine.notices = append(n.quarantine.notices, notice)
@@ -163,14 +175,18 @@
 	update := &quarantineUpdate{}
 	for _, notice := range notices {
 		update.Notices = append(update.Notices, statusNotice{
-			Team: notice.ID.Team, Hash: notice.ID.Hash, Status: notice.Status, Version: notice.Version, LeftMs: millis(notice.Left),
+			Team: notice.ID.Team, Hash: notice.ID.Hash, Status: notice.Status, Version: notice.Version, LeftS: int32(math.Ceil(notice.Left.Seconds())),
+			FailedTrials: uint8(min(notice.FailedTrials, math.MaxUint8)),
 		})
 	}
 	n.send(to.addr, &packet{Infrequent: &infrequent{Quarantine: update}})
 }
 
-// takeQuarantineUpdate applies the crashes, successes and notices of a peer.
-func (n *Node) takeQuarantineUpdate(now boottime.Time, update *quarantineUpdate) {
+// takeQuarantineUpdate applies the trial message, crashes, successes and notices of a peer.
+func (n *Node) takeQuarantineUpdate(now boottime.Time, from *member, update *quarantineUpdate) {
+	if update.Trial != nil {
+		n.takeTrialMessage(now, from, update.Trial)
+	}
 	if max(len(update.Crashes), len(update.Successes), len(update.Notices)) > noticesInDatagram {
 		return
 	}
@@ -188,7 +204,7 @@
 	for i := range update.Notices {
 		s := &update.Notices[i]
 		id := quarantine.ContentID{Team: s.Team, Hash: s.Hash}
-		if n.quarantine.table.Apply(time.Duration(now), quarantine.Notice{ID: id, Status: s.Status, Version: s.Version, Left: duration(s.LeftMs)}) {
+		if n.quarantine.table.Apply(time.Duration(now), s.notice()) {
 			n.logQuarantine(now, id, "told by a peer")
 			n.clearIfSucceeded(now, id)
 		}
@@ -199,7 +215,7 @@
 // repairQuarantine resends this router's notices to a peer whose digest differs. It guards
 // against routers that missed notices, because they were starting or partitioned, and keep
 // sending quarantined requests.
-func (n *Node) repairQuarantine(now boottime.Time, m *member, digest uint32) {
+func (n *Node) repairQuarantine(now boottime.Time, m *member, digest uint16) {
 	if digest == n.quarantine.table.Digest() || now.Sub(m.repairedAt) < repairEvery || !n.hub && !m.hub {
 		return
 	}
@@ -214,6 +230,7 @@
 	if len(n.quarantine.notices) > 0 {
 		n.broadcastNotices()
 	}
+	n.expirePendingTrials(now)
 	if now.Sub(n.quarantine.expiredAt) >= expireEvery {
 		n.quarantine.expiredAt = now
 		n.quarantine.table.Expire(time.Duration(now))
@@ -224,5 +241,13 @@
 func (n *Node) logQuarantine(now boottime.Time, id quarantine.ContentID, why string) {
 	e := n.quarantine.table.Get(time.Duration(now), id)
 	n.log.Warn().Str("event", "quarantine").Str("team", id.Team).Stringer("content", id).Stringer("status", e.Status).
-		Int("crashes", e.Crashes).Int64("left_s", int64(e.Left.Seconds())).Str("why", why).Msg("quarantine status of a content changed")
+		Int("crashes", e.Crashes).Int("failed_trials", e.FailedTrials).Int64("left_s", int64(e.Left.Seconds())).Str("why", why).Msg("quarantine status of a content changed")
+}
+
+// notice returns the decoded notice.
+func (s *statusNotice) notice() quarantine.Notice {
+	return quarantine.Notice{
+		ID: quarantine.ContentID{Team: s.Team, Hash: s.Hash}, Status: s.Status, Version: s.Version,
+		Left: time.Duration(s.LeftS) * time.Second, FailedTrials: int(s.FailedTrials),
+	}
 }
--- a/gateway/deps.go
+++ b/gateway/deps.go
@@ -41,8 +41,11 @@
 	// ReportCrash reports that an upstream closed the connection after it had been handling
 	// a request for the time ran.
 	ReportCrash(id quarantine.ContentID, at dispatch.Incarnation, ran time.Duration)
-	// ReportSuccess reports that a request received a complete response.
-	ReportSuccess(id quarantine.ContentID)
+	// ReportSuccess reports that a request received a complete response from an upstream.
+	ReportSuccess(id quarantine.ContentID, from dispatch.Incarnation)
+	// RequestTrial reports whether a request with a quarantined content may be sent as a
+	// trial, to find out whether the content still crashes upstreams.
+	RequestTrial(ctx context.Context, id quarantine.ContentID) bool
 	// Quarantine returns the current statuses of contents; nil means that all are normal.
 	Quarantine() *quarantine.View
 	// Routers is the number of routers in the fleet.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -17,11 +17,15 @@
 	return view.Status(r.ensureContentID())
 }
 
-// refuseQuarantined rejects a request whose content is in quarantine. It answers 502 without
-// Retry-After, so that callers don't repeat non-repeatable requests; the body states that
-// the request was not run.
+// refuseQuarantined rejects a request whose content is in quarantine, unless it may be sent
+// as a trial. It answers 502 without Retry-After, so that callers don't repeat non-repeatable
+// requests; the body states that the request was not run.
 func (s *Server) refuseQuarantined(r *request) *refusal {
-	if s.quarantineStatus(r) != quarantine.Quarantined {
+	if s.quarantineStatus(r) != quarantine.Quarantined || r.trial {
+		return nil
+	}
+	// Only a first attempt can be a trial.
+	if r.trial = len(r.tried) == 0 && s.placer.RequestTrial(r.ctx, r.contentID); r.trial {
 		return nil
 	}
 	r.record.content = r.contentID.String()
@@ -45,5 +49,5 @@
 // noteSuccess reports a complete response. It is reported even if no content has crashes
 // yet: a recent success clears content that many callers share when upstreams crash.
 func (s *Server) noteSuccess(r *request) {
-	s.placer.ReportSuccess(r.ensureContentID())
+	s.placer.ReportSuccess(r.ensureContentID(), r.sentTo)
 }
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -78,3 +78,20 @@
 	g.Expect(body).To(ContainSubstring(`"outcome":"not-run"`))
 	g.Expect(r.runs()).To(HaveLen(2))
 }
+
+// Guards against trials that are retried or aren't sent.
+func TestTrialIsSentOnce(t *testing.T) {
+	g := NewWithT(t)
+	r := newCrashingRig(t, "/safe/bad")
+	for range 2 {
+		_, _, _ = r.call("/safe/bad", nil)
+	}
+	g.Expect(r.runs()).To(HaveLen(3))
+	r.placer.grantTrial.Store(true)
+	for _, sends := range []int{4, 4} {
+		resp, _, err := r.call("/safe/bad", nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+		g.Expect(r.runs()).To(HaveLen(sends))
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -38,6 +38,8 @@
 	// sentTo is the upstream of the latest attempt, which was sent at sentAt.
 	sentTo dispatch.Incarnation
 	sentAt time.Time
+	// trial is set if the request may be sent although its content is in quarantine.
+	trial bool
 	// crashes is how many upstreams closed the connection while handling the request.
 	crashes int
 	// tried are the upstreams that it was sent to.
--- a/quarantine/status.go
+++ b/quarantine/status.go
@@ -31,7 +31,7 @@
 type Crash struct {
 	ID ContentID
 	// Upstream identifies the upstream's incarnation.
-	Upstream uint64
+	Upstream uint32
 	// Sent is when the request was sent to the upstream.
 	Sent time.Duration
 }
@@ -45,6 +45,8 @@
 	Version uint32
 	// Left is the remaining time for which the status is valid.
 	Left time.Duration
+	// FailedTrials is the number of failed trials in the current quarantine.
+	FailedTrials int
 }
 
 // Entry describes the state of a content in a Table.
@@ -52,6 +54,8 @@
 	ID      ContentID
 	Status  Status
 	Crashes int
+	// FailedTrials is the number of failed trials in the current quarantine.
+	FailedTrials int
 	// Left is the time until the status expires.
 	Left time.Duration
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -16,7 +16,7 @@
 	entries map[ContentID]*entry
 	perTeam map[string]int
 	view    *View
-	digest  uint32
+	digest  uint16
 	// stale is set if the view and the digest must be recomputed from the entries.
 	stale bool
 }
@@ -28,12 +28,16 @@
 	// crashes is the number of consecutive crashes; upstreams are the most recent
 	// incarnations among them.
 	crashes   int
-	upstreams []uint64
+	upstreams []uint32
 	lastCrash time.Duration
 	// lastSuccess is when a request with the content last received a complete response.
 	lastSuccess time.Duration
-	// duration is the length of the latest quarantine.
-	duration time.Duration
+	// failedTrials is the number of failed trials in the current quarantine; the next trial
+	// is due at nextTrialAt.
+	failedTrials int
+	nextTrialAt  time.Duration
+	// trialGrantedAt is when the pending trial was granted, or 0 if none is pending.
+	trialGrantedAt time.Duration
 	// expires is when the quarantine ends or, outside quarantine, when the entry is removed.
 	expires time.Duration
 }
@@ -44,12 +48,13 @@
 }
 
 // RecordCrash records a crash. It returns a notice for the other routers if the status of
-// the content has changed.
+// the content has changed or a trial has failed.
 //
 // A crash interrupts every request on the upstream, so one crash doesn't show which request
 // caused it. Only consecutive crashes of different incarnations count, with no success in
 // between. Requests sent before the last counted crash are ignored, since the loss of a
-// failure domain crashes many upstreams at once.
+// failure domain crashes many upstreams at once. A failed trial counts even if the
+// incarnation has crashed before.
 func (t *Table) RecordCrash(now time.Duration, c Crash) (Notice, bool) {
 	e := t.entries[c.ID]
 	if e == nil {
@@ -57,7 +62,13 @@
 			return Notice{}, false
 		}
 	}
-	if c.Sent < e.lastSuccess || c.Sent < e.lastCrash || slices.Contains(e.upstreams, c.Upstream) {
+	if c.Sent < e.lastSuccess || c.Sent < e.lastCrash {
+		return Notice{}, false
+	}
+	if e.status == Quarantined {
+		return t.recordFailedTrial(now, c, e)
+	}
+	if slices.Contains(e.upstreams, c.Upstream) {
 		return Notice{}, false
 	}
 	e.upstreams = append(e.upstreams, c.Upstream)
@@ -73,12 +84,9 @@
 func (t *Table) updateStatus(now time.Duration, id ContentID, e *entry) (Notice, bool) {
 	before := e.status
 	switch {
-	case e.status == Quarantined:
-		return Notice{}, false
 	case e.crashes >= t.cfg.QuarantineAfter:
 		e.status = Quarantined
-		e.duration = min(max(2*e.duration, t.cfg.MinDuration), t.cfg.MaxDuration)
-		e.expires = now + e.duration
+		t.scheduleQuarantine(now, e, t.cfg.QuarantineDuration)
 	case e.crashes >= t.cfg.SuspectAfter:
 		e.status = Suspect
 		e.expires = now + t.cfg.EntryTTL
@@ -114,7 +122,7 @@
 
 // reset clears the crashes and records a success.
 func (e *entry) reset(now time.Duration) {
-	e.status, e.crashes, e.upstreams, e.duration, e.lastSuccess = Normal, 0, nil, 0, now
+	*e = entry{version: e.version, expires: e.expires, lastSuccess: now}
 }
 
 // Apply merges a notice from another router. It reports whether the status of the content
@@ -135,11 +143,12 @@
 	before := e.status
 	e.version = n.Version
 	t.stale = true
-	left := min(max(n.Left, 0), t.cfg.MaxDuration)
+	left := min(max(n.Left, 0), t.cfg.QuarantineDuration)
 	switch n.Status {
 	case Quarantined:
 		e.crashes = max(e.crashes, t.cfg.QuarantineAfter)
-		e.duration = max(e.duration, left)
+		e.failedTrials = max(n.FailedTrials, 0)
+		t.scheduleQuarantine(now, e, left)
 	case Suspect:
 		e.crashes = max(e.crashes, t.cfg.SuspectAfter)
 		// Prevents counting a crash twice: one that is recorded here later may already be
@@ -152,17 +161,10 @@
 	return e.status != before
 }
 
-// Expire ends quarantines and removes other entries that have expired. A content whose
-// quarantine has ended is suspect, and its next crash starts another quarantine.
+// Expire removes expired entries, including those in quarantine.
 func (t *Table) Expire(now time.Duration) {
 	for id, e := range t.entries {
-		switch {
-		case now < e.expires:
-		case e.status == Quarantined:
-			e.status, e.crashes, e.upstreams = Suspect, t.cfg.QuarantineAfter-1, nil
-			e.expires = now + max(e.duration, t.cfg.EntryTTL)
-			t.stale = true
-		default:
+		if now >= e.expires {
 			t.remove(id)
 		}
 	}
@@ -174,7 +176,7 @@
 	if e == nil {
 		return Entry{ID: id}
 	}
-	return Entry{ID: id, Status: e.status, Crashes: e.crashes, Left: e.expires - now}
+	return Entry{ID: id, Status: e.status, Crashes: e.crashes, FailedTrials: e.failedTrials, Left: e.expires - now}
 }
 
 // Entries returns the contents that are suspect or in quarantine, sorted by team and hash.
@@ -192,7 +194,7 @@
 }
 
 func (t *Table) notice(now time.Duration, id ContentID, e *entry) Notice {
-	return Notice{ID: id, Status: e.status, Version: e.version, Left: e.expires - now}
+	return Notice{ID: id, Status: e.status, Version: e.version, Left: e.expires - now, FailedTrials: e.failedTrials}
 }
 
 // Notices returns the notices that bring a router up to date after a start or a network
--- /dev/null
+++ b/quarantine/trial.go
@@ -0,0 +1,51 @@
+package quarantine
+
+import "time"
+
+// scheduleQuarantine sets when a quarantine expires and when its next trial is due. No trial
+// is pending afterwards.
+func (t *Table) scheduleQuarantine(now time.Duration, e *entry, left time.Duration) {
+	e.expires = now + left
+	e.trialGrantedAt = 0
+	e.nextTrialAt = now + t.cfg.TrialDelays[min(e.failedTrials, len(t.cfg.TrialDelays)-1)]
+}
+
+// TrialDue reports whether a trial may be granted: a request with a quarantined content that
+// is sent to find out whether the content still crashes upstreams.
+//
+// Quarantined requests can't succeed, since they aren't sent. Without trials, a content that
+// was interrupted by unrelated crashes would be rejected until its quarantine expires.
+func (t *Table) TrialDue(now time.Duration, id ContentID) bool {
+	e := t.entries[id]
+	if e == nil || e.status != Quarantined || now < e.nextTrialAt {
+		return false
+	}
+	return e.trialGrantedAt == 0 || now >= e.trialGrantedAt+t.cfg.TrialTimeout
+}
+
+// GrantTrial grants a trial if one is due, and reports whether it did. Only the hub of a
+// content may call it, so that the routers don't send trials concurrently.
+func (t *Table) GrantTrial(now time.Duration, id ContentID) bool {
+	if !t.TrialDue(now, id) {
+		return false
+	}
+	t.entries[id].trialGrantedAt = now
+	return true
+}
+
+// recordFailedTrial records a crash during a quarantine, and returns a notice with the number
+// of failed trials. It ignores crashes while no trial is pending and crashes of requests that
+// were sent before the trial was granted: routers may have sent those before they received
+// the notice of the quarantine.
+func (t *Table) recordFailedTrial(now time.Duration, c Crash, e *entry) (Notice, bool) {
+	if e.trialGrantedAt == 0 || c.Sent < e.trialGrantedAt {
+		return Notice{}, false
+	}
+	e.failedTrials++
+	e.crashes++
+	e.version++
+	e.lastCrash = now
+	t.stale = true
+	t.scheduleQuarantine(now, e, t.cfg.QuarantineDuration)
+	return t.notice(now, c.ID, e), true
+}
--- a/quarantine/view.go
+++ b/quarantine/view.go
@@ -41,7 +41,7 @@
 
 // Digest returns a checksum of the replicated entries. Tables with the same replicated
 // entries have the same digest; without any it is 0.
-func (t *Table) Digest() uint32 {
+func (t *Table) Digest() uint16 {
 	t.refresh()
 	return t.digest
 }
@@ -63,9 +63,9 @@
 	}
 }
 
-func (e *entry) digest(id ContentID) uint32 {
+func (e *entry) digest(id ContentID) uint16 {
 	raw := binary.LittleEndian.AppendUint64(nil, id.Hash)
 	raw = binary.LittleEndian.AppendUint32(raw, e.version)
 	raw = append(raw, byte(e.status))
-	return uint32(xxhash.Sum64(append(raw, id.Team...)))
+	return uint16(xxhash.Sum64(append(raw, id.Team...)))
 }
