--- a/soak/caller.go
+++ b/soak/caller.go
@@ -77,12 +77,16 @@
 	return true
 }
 
-// call sends a request and notes what came of it.
+// call connects if necessary and sends the next request.
 func (c *caller) call() {
 	if !c.connect() {
 		return
 	}
-	req := c.next()
+	c.send(c.next())
+}
+
+// send sends a request on the open connection and records the result.
+func (c *caller) send(req Request) {
 	out, err := c.build(req)
 	if err != nil {
 		return
@@ -142,7 +146,7 @@
 	if req.Kind.once() {
 		method, body = http.MethodPost, strings.NewReader("order of "+req.ID)
 	}
-	out, err := http.NewRequest(method, "http://"+host+req.Prefix+"1", body)
+	out, err := http.NewRequest(method, "http://"+host+req.uri(), body)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -166,6 +170,8 @@
 	req.Status = resp.StatusCode
 	body, err := io.ReadAll(resp.Body)
 	req.Whole = err == nil
+	req.Notice = resp.Header.Get(platform.Names().Leaving) != ""
+	req.Quarantined = strings.Contains(string(body), `"code":"quarantined"`)
 	if resp.StatusCode/100 == 2 {
 		req.Wrong = judge(req, resp.Header, string(body))
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -29,10 +29,14 @@
 		c.answered(req)
 		c.stopped(req)
 		c.unknown(req)
+		c.quarantined(req)
 	}
 	// Promises about all of them.
 	c.once()
 	c.retries()
+	c.crashLimit()
+	c.leavingNotices()
+	c.retryAfter()
 	c.moved()
 	c.neverBack()
 	c.cancelled()
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -103,6 +103,33 @@
 				h.Runs = append(h.Runs, Run{Request: r.ID, Upstream: "u0-1", Service: services[1], Began: at, Ended: at + 2*second})
 			}
 		},
+		"requests that crash upstreams are held": func(h *History) {
+			for i := range maxLateSends + 1 {
+				crashing := booking(func(r *Request) {
+					r.Kind, r.Prefix, r.Content, r.ID = Crashing, prefixes[Crashing], "1", string(rune('p'+i))
+				})
+				h.Requests = append(h.Requests, crashing)
+				h.Runs = append(h.Runs, Run{Request: crashing.ID, Upstream: "u9-1", Service: services[0], Began: at + second, Ended: at + second})
+				h.Crashes = append(h.Crashes, Crash{URI: crashing.uri(), Upstream: "u9-1", At: 5 * second})
+			}
+		},
+		"only what crashes upstreams is held": func(h *History) {
+			h.Requests = append(h.Requests, booking(func(r *Request) { r.Status, r.Quarantined = http.StatusBadGateway, true }))
+		},
+		"leaving notices are heeded": func(h *History) {
+			h.Requests = append(h.Requests, booking(func(r *Request) { r.ID, r.Sent, r.Ended, r.Notice = "a", 7*second, 7*second, true }),
+				booking(func(*Request) {}))
+			h.Runs = append(h.Runs, run("u0-1", services[0], at), Run{Request: "a", Upstream: "u0-1", Service: services[0], Began: 7 * second, Ended: 7 * second})
+			// An unavailable platform is no excuse.
+			h.Disturbances = []Disturbance{{Kind: StoreDown, From: 5 * second, To: 11 * second}}
+		},
+		"rest is kept": func(h *History) {
+			for i := range maxSendsDuringDelay + 2 {
+				rejected := booking(func(r *Request) { r.ID, r.Kind, r.Status = string(rune('p'+i)), Lookup, http.StatusServiceUnavailable })
+				h.Requests = append(h.Requests, rejected)
+				h.Rejections = append(h.Rejections, Rejection{Request: rejected.ID, Upstream: "u0-1", At: at + time.Duration(i)*600*time.Millisecond, Rest: 3 * second})
+			}
+		},
 		"serves as before": func(h *History) { h.Requests[0].Status = http.StatusServiceUnavailable },
 		"processes end when told": func(h *History) {
 			h.Exits = []Exit{{Router: 1, At: at, How: "ended by itself"}}
--- /dev/null
+++ b/soak/check_upstreams.go
@@ -0,0 +1,140 @@
+package soak
+
+import (
+	"slices"
+	"time"
+)
+
+// maxLateSends is how often a request may still be sent once contact has passed since it
+// crashed its third upstream.
+const maxLateSends = 3
+
+// crashLimit: a request that has crashed three upstreams is sent maxLateSends more times at most.
+func (c *checker) crashLimit() {
+	crashTimes := map[string][]time.Duration{}
+	for _, crash := range c.h.Crashes {
+		crashTimes[crash.URI] = append(crashTimes[crash.URI], crash.At)
+	}
+	lateSends := map[string]int{}
+	for _, req := range c.h.Requests {
+		crashes := crashTimes[req.uri()]
+		if req.Kind != Crashing || len(crashes) < 3 {
+			continue
+		}
+		slices.Sort(crashes)
+		for _, run := range c.runs[req.ID] {
+			if run.Began > crashes[2]+contact && !c.touched(req.Router, run.Began-contact, run.Began, storeSide) {
+				lateSends[req.uri()]++
+			}
+		}
+	}
+	for uri, sends := range lateSends {
+		if sends > maxLateSends {
+			c.add("requests that crash upstreams are held", crashTimes[uri][2], "%s was sent %d more times later than %v after its third crash", uri, sends, contact)
+		}
+	}
+}
+
+// quarantined: a request is rejected as quarantined only after requests of its team with the same
+// content got no complete response from quarantineAfter different upstream incarnations.
+func (c *checker) quarantined(req Request) {
+	if !req.Quarantined || req.Kind == Crashing {
+		return
+	}
+	failedUpstreams := map[string]bool{}
+	for _, other := range c.h.Requests {
+		if other.uri() != req.uri() || (other.Key == fixedKey) != (req.Key == fixedKey) {
+			continue
+		}
+		for i, run := range c.runs[other.ID] {
+			last := i == len(c.runs[other.ID])-1
+			if run.Began < req.Ended && !(last && other.served()) {
+				failedUpstreams[run.Upstream] = true
+			}
+		}
+	}
+	if len(failedUpstreams) < quarantineAfter {
+		c.add("only what crashes upstreams is held", req.Ended, "%s to %s was rejected as quarantined at router %d after failures of only %d upstreams", req.ID, req.uri(), req.Router, len(failedUpstreams))
+	}
+}
+
+// quarantineAfter is the number of upstreams that must fail before a content is quarantined.
+const quarantineAfter = 3
+
+// routerProcess identifies one process of a router.
+type routerProcess struct{ router, incarnation int }
+
+// leavingNotices: a router that has passed on an upstream's leaving notice sends nothing there
+// beyond the bound, whether or not it can reach the platform, unless it was killed, paused or
+// stopped since.
+func (c *checker) leavingNotices() {
+	type source struct {
+		routerProcess
+		upstream string
+	}
+	noticeTimes := map[source]time.Duration{}
+	for _, req := range c.h.Requests {
+		runs := c.runs[req.ID]
+		if !req.Notice || len(runs) == 0 {
+			continue
+		}
+		s := source{routerProcess{req.Router, req.Incarnation}, runs[len(runs)-1].Upstream}
+		if at, known := noticeTimes[s]; !known || req.Ended < at {
+			noticeTimes[s] = req.Ended
+		}
+	}
+	bound := time.Duration(c.b.LeaveMs * float64(time.Millisecond))
+	for _, req := range c.h.Requests {
+		for _, run := range c.runs[req.ID] {
+			at, known := noticeTimes[source{routerProcess{req.Router, req.Incarnation}, run.Upstream}]
+			if known && req.Sent > at+bound && !c.interrupted(req.Router, at, run.Began) {
+				c.add("leaving notices are heeded", run.Began, "%s reached %s %v after router %d passed on its leaving notice", req.ID, run.Upstream, run.Began-at, req.Router)
+			}
+		}
+	}
+}
+
+const (
+	// retryAfterGrace is how long after a rejection a router may take to apply its Retry-After.
+	retryAfterGrace = 500 * time.Millisecond
+	// maxSendsDuringDelay is how many requests of the router may reach the upstream in the
+	// remaining delay.
+	maxSendsDuringDelay = 2
+)
+
+// retryAfter: a router sends an upstream maxSendsDuringDelay requests at most from retryAfterGrace
+// until the end of a Retry-After delay.
+func (c *checker) retryAfter() {
+	for _, r := range c.h.Rejections {
+		rejected, known := c.byID[r.Request]
+		if !known || c.touched(rejected.Router, r.At-contact, r.At+r.Rest, storeSide) {
+			continue
+		}
+		sends := 0
+		for _, later := range c.h.Rejections {
+			other, known := c.byID[later.Request]
+			if known && other.Router == rejected.Router && later.Upstream == r.Upstream && later.At > r.At+retryAfterGrace && later.At < r.At+r.Rest {
+				sends++
+			}
+		}
+		if sends > maxSendsDuringDelay {
+			c.add("rest is kept", r.At, "%s sent router %d a Retry-After of %v and got %d more requests before it ended", r.Upstream, rejected.Router, r.Rest, sends)
+		}
+	}
+}
+
+// interrupted reports whether a router's process was killed, paused or stopped within a span.
+func (c *checker) interrupted(router int, from, to time.Duration) bool {
+	for _, d := range c.h.Disturbances {
+		ofRouter := d.Kind == HerdKill || d.Target == router && (d.Kind == RouterKill || d.Kind == RouterPause || d.Kind == RouterStop)
+		if ofRouter && d.To >= from && d.From <= to {
+			return true
+		}
+	}
+	return false
+}
+
+// crashed reports whether a request crashed an upstream, which cuts all requests running there.
+func (c *checker) crashed(upstream string) bool {
+	return slices.ContainsFunc(c.h.Crashes, func(crash Crash) bool { return crash.Upstream == upstream })
+}
--- a/soak/config.go
+++ b/soak/config.go
@@ -24,13 +24,15 @@
 	Callers   int
 	// Faults is the mean number of faults a second.
 	Faults float64
-	Bounds settings.Bounds
+	// UpstreamFaults adds faults drawn from upstreamMenu to the plan.
+	UpstreamFaults bool
+	Bounds         settings.Bounds
 }
 
 // DefaultConfig returns a run of some twenty seconds with five routers.
 func DefaultConfig() Config {
 	return Config{
-		Duration: 15 * time.Second, Settle: 8 * time.Second, Routers: 5, Upstreams: 3, Callers: 24, Faults: 1.2,
+		Duration: 15 * time.Second, Settle: 8 * time.Second, Routers: 5, Upstreams: 3, Callers: 24, Faults: 1.2, UpstreamFaults: true,
 		Bounds: settings.Bounds{
 			RevokeMs: 5000, ApplyMs: 2000, LeaveMs: 2000, GraceS: 4,
 			RetryRatio: 0.2, RetryAllowance: 40, RetryWindowS: 10, ShareWindowS: 4,
--- /dev/null
+++ b/soak/crashing.go
@@ -0,0 +1,55 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	// crashPathPrefix follows the route prefix in the path of a request that crashes upstreams.
+	crashPathPrefix = "crash-"
+	// meanCrashInterval is the mean time between two such requests of a fault.
+	meanCrashInterval = 80 * time.Millisecond
+	// crashDeregisterDelay is the time from a crash to the removal of the upstream's entry.
+	crashDeregisterDelay = 500 * time.Millisecond
+)
+
+// sendCrashingRequests repeats a request that crashes upstreams until the fault ends. Each one is
+// sent on a new connection, to a router picked by the balancer.
+func (d *deployment) sendCrashingRequests(f Fault) {
+	content := fmt.Sprintf("%d-%d", f.At.Milliseconds(), f.Variant)
+	c := &caller{number: f.Variant, rnd: rand.New(rand.NewPCG(uint64(f.Variant), uint64(f.At))), lb: d.lb, op: d.op, rec: d.rec}
+	defer c.hangUp()
+	for n, until := 0, d.rec.Now()+f.For; d.rec.Now() < until; n++ {
+		time.Sleep(time.Duration(c.rnd.ExpFloat64() * float64(meanCrashInterval)))
+		c.hangUp()
+		if c.connect() {
+			c.send(Request{
+				ID: fmt.Sprintf("x%s-%d", content, n), Kind: Crashing, Prefix: prefixes[Crashing], Key: fixedKey, Content: content,
+				Router: c.to.number, Incarnation: c.incarnation,
+			})
+		}
+	}
+}
+
+// crashIfMarked reports whether a request crashes the upstream. If so, it records the crash and
+// restarts the upstream as another incarnation.
+func (p *place) crashIfMarked(id string, r *http.Request) bool {
+	if !strings.Contains(r.RequestURI, crashPathPrefix) {
+		return false
+	}
+	p.rec.Add(func(h *History) {
+		h.Crashes = append(h.Crashes, Crash{URI: r.RequestURI, Upstream: id, At: p.rec.Now()})
+	})
+	if p.begin() {
+		go func() {
+			time.Sleep(crashDeregisterDelay)
+			p.op.deregister(id)
+			p.restart()
+		}()
+	}
+	return true
+}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -31,6 +31,7 @@
 	routers []*router
 	places  []*place
 	servers []*http.Server
+	lb      *balancer
 }
 
 // Play plays the plan of a seed and checks what came of it.
@@ -51,17 +52,17 @@
 	if err := d.open(); err != nil {
 		return nil, err
 	}
-	lb := newBalancer(d.routers)
+	d.lb = newBalancer(d.routers)
 	end := make(chan struct{})
 	var work sync.WaitGroup
-	work.Go(func() { lb.run(end) })
+	work.Go(func() { d.lb.run(end) })
 	if err := d.awaitReady(); err != nil {
 		close(end)
 		work.Wait()
 		return nil, err
 	}
 	for i := range cfg.Callers {
-		c := &caller{number: i, rnd: rand.New(rand.NewPCG(cfg.Seed, uint64(i)+1)), lb: lb, op: d.op, rec: d.rec}
+		c := &caller{number: i, rnd: rand.New(rand.NewPCG(cfg.Seed, uint64(i)+1)), lb: d.lb, op: d.op, rec: d.rec}
 		work.Go(func() { c.run(end) })
 	}
 	err := d.play(plan)
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -47,6 +47,14 @@
 	// UpstreamGrey makes an upstream fail part of its requests, break off its
 	// answers, send them twice, or send what is no answer.
 	UpstreamGrey FaultKind = "upstream-grey"
+	// CrashingRequest repeats a request that crashes every upstream that runs it, at any
+	// router.
+	CrashingRequest FaultKind = "crashing-request"
+	// UpstreamNotice is a leave that is announced only by the leaving notice in answers.
+	UpstreamNotice FaultKind = "upstream-notice"
+	// UpstreamRest makes an upstream, or all upstreams of a service, answer 503 with
+	// Retry-After.
+	UpstreamRest FaultKind = "upstream-rest"
 	// KeyChange takes a team's key away and gives it another; RouteMove sends a
 	// route to the other service; RouteAdd adds one.
 	KeyChange FaultKind = "key-change"
--- a/soak/history.go
+++ b/soak/history.go
@@ -17,6 +17,8 @@
 	Moves        []Change      `json:"moves"`
 	Additions    []Change      `json:"additions"`
 	Exits        []Exit        `json:"exits"`
+	Crashes      []Crash       `json:"crashes"`
+	Rejections   []Rejection   `json:"rejections"`
 }
 
 // Request is one request of a caller.
@@ -27,6 +29,8 @@
 	Key         string    `json:"key"`
 	Router      int       `json:"router"`
 	Incarnation int       `json:"incarnation"`
+	// Content is the part of the path that identifies the content of a crashing request.
+	Content string `json:"content,omitempty"`
 	// Sent is when the last byte was written, Ended when the answer or the
 	// connection ended.
 	Sent  time.Duration `json:"sent"`
@@ -37,6 +41,10 @@
 	Whole bool `json:"whole"`
 	// Left is set if the caller closed the connection before the answer's end.
 	Left bool `json:"left"`
+	// Notice is set if the answer carried a leaving notice.
+	Notice bool `json:"notice,omitempty"`
+	// Quarantined is set if the router rejected the request for its content.
+	Quarantined bool `json:"quarantined,omitempty"`
 	// Wrong says what is wrong with an answer.
 	Wrong string `json:"wrong,omitempty"`
 }
@@ -44,6 +52,14 @@
 // served reports whether a request got its whole answer.
 func (r Request) served() bool { return r.Whole && r.Status == http.StatusOK }
 
+// uri returns the path of the request.
+func (r Request) uri() string {
+	if r.Kind == Crashing {
+		return r.Prefix + crashPathPrefix + r.Content
+	}
+	return r.Prefix + "1"
+}
+
 // Run is one run of a request at an upstream.
 type Run struct {
 	Request  string        `json:"request"`
@@ -55,6 +71,21 @@
 	Cancelled bool `json:"cancelled"`
 }
 
+// Crash is a crash of an upstream caused by a request.
+type Crash struct {
+	URI      string        `json:"uri"`
+	Upstream string        `json:"upstream"`
+	At       time.Duration `json:"at"`
+}
+
+// Rejection is a request that an upstream rejected with a Retry-After of Rest.
+type Rejection struct {
+	Request  string        `json:"request"`
+	Upstream string        `json:"upstream"`
+	At       time.Duration `json:"at"`
+	Rest     time.Duration `json:"rest"`
+}
+
 // Disturbance is a fault while it was in force, and a while after, as long as its
 // traces last.
 type Disturbance struct {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -14,7 +14,7 @@
 	min, max time.Duration
 }
 
-// menu has all kinds. Changes are drawn most, since faults matter most beside
+// menu has all kinds but those of upstreamMenu. Changes are drawn most, since faults matter most beside
 // them; a herd kill leaves nothing to check for seconds and is rare.
 var menu = []weighted{
 	{RouterKill, 6, 100 * time.Millisecond, 2 * time.Second},
@@ -45,21 +45,46 @@
 	{RouteAdd, 4, 0, 0},
 }
 
+// upstreamMenu has faults that are drawn from a separate random stream, so that faults drawn
+// from menu stay the same for a given seed.
+var upstreamMenu = []weighted{
+	{CrashingRequest, 3, 6 * time.Second, 12 * time.Second},
+	{UpstreamNotice, 3, time.Second, 3 * time.Second},
+	{UpstreamRest, 3, 2 * time.Second, 5 * time.Second},
+}
+
+const (
+	// upstreamFaultRate is the mean number of faults drawn from upstreamMenu a second.
+	upstreamFaultRate = 0.25
+	// upstreamRandomStream is the random stream for upstreamMenu, above the streams of menu (0) and
+	// the callers (from 1).
+	upstreamRandomStream = 1 << 32
+)
+
 // repeatShare is how many faults in a hundred come in series: the same kind again
 // within half a second, beside what the first one left.
 const repeatShare = 25
 
 // Plan draws the faults of a run. Equal configurations give equal plans.
 func Plan(cfg Config) []Fault {
-	rnd := rand.New(rand.NewPCG(cfg.Seed, 0))
+	plan := drawFaults(rand.New(rand.NewPCG(cfg.Seed, 0)), cfg, menu, cfg.Faults)
+	if cfg.UpstreamFaults {
+		plan = append(plan, drawFaults(rand.New(rand.NewPCG(cfg.Seed, upstreamRandomStream)), cfg, upstreamMenu, upstreamFaultRate)...)
+	}
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
+// drawFaults draws faults from a menu. rate is the mean number a second.
+func drawFaults(rnd *rand.Rand, cfg Config, menu []weighted, rate float64) []Fault {
 	var plan []Fault
 	at := time.Second
 	for {
-		at += time.Duration(rnd.ExpFloat64() / cfg.Faults * float64(time.Second))
+		at += time.Duration(rnd.ExpFloat64() / rate * float64(time.Second))
 		if at >= cfg.Duration {
-			break
+			return plan
 		}
-		f := draw(rnd, cfg, at)
+		f := draw(rnd, cfg, menu, at)
 		plan = append(plan, f)
 		if rnd.IntN(100) < repeatShare {
 			f.At += time.Duration(rnd.IntN(int(500 * time.Millisecond)))
@@ -67,11 +92,9 @@
 			plan = append(plan, f)
 		}
 	}
-	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
-	return plan
 }
 
-func draw(rnd *rand.Rand, cfg Config, at time.Duration) Fault {
+func draw(rnd *rand.Rand, cfg Config, menu []weighted, at time.Duration) Fault {
 	total := 0
 	for _, w := range menu {
 		total += w.weight
@@ -95,7 +118,7 @@
 // target draws the part that a kind of fault meets.
 func target(rnd *rand.Rand, cfg Config, kind FaultKind) int {
 	switch kind {
-	case UpstreamDelay, UpstreamReset, UpstreamHush, UpstreamCut, UpstreamLeave, UpstreamCrash, UpstreamGrey:
+	case UpstreamDelay, UpstreamReset, UpstreamHush, UpstreamCut, UpstreamLeave, UpstreamCrash, UpstreamGrey, UpstreamNotice, UpstreamRest:
 		return rnd.IntN(2 * cfg.Upstreams)
 	default:
 		return rnd.IntN(cfg.Routers)
--- a/soak/play.go
+++ b/soak/play.go
@@ -69,6 +69,12 @@
 		return d.places[f.Target].crash(f.For)
 	case UpstreamGrey:
 		d.places[f.Target].grey(f.Variant, f.For)
+	case CrashingRequest:
+		d.sendCrashingRequests(f)
+	case UpstreamNotice:
+		return d.places[f.Target].leaveUnpublished(f.For)
+	case UpstreamRest:
+		d.rejectWithRetryAfter(f)
 	case KeyChange:
 		return d.op.changeKey()
 	case RouteMove:
--- a/soak/regression.go
+++ b/soak/regression.go
@@ -10,13 +10,15 @@
 	Seed uint64 `json:"seed"`
 	// Faults is Config.Faults as it was.
 	Faults float64 `json:"faults"`
+	// UpstreamFaults is Config.UpstreamFaults of the run that failed.
+	UpstreamFaults bool `json:"upstreamFaults"`
 	// Cause is what broke it.
 	Cause string `json:"cause"`
 }
 
 // Config is a configuration that plays the seed again.
 func (r Regression) Config(base Config) Config {
-	base.Seed, base.Faults = r.Seed, r.Faults
+	base.Seed, base.Faults, base.UpstreamFaults = r.Seed, r.Faults, r.UpstreamFaults
 	return base
 }
 
--- a/soak/route.go
+++ b/soak/route.go
@@ -23,6 +23,8 @@
 	Moving
 	// Added may be repeated; its route was added during the run.
 	Added
+	// Crashing uses the route of Lookup and crashes every upstream that runs it.
+	Crashing
 )
 
 const (
@@ -40,7 +42,7 @@
 
 // prefixes are where the kinds go; an added route has a prefix of its own.
 var prefixes = map[RouteKind]string{
-	Lookup: "/look/", Booking: "/book/", Stream: "/long/", Feed: "/feed/", Moving: "/move/",
+	Lookup: "/look/", Crashing: "/look/", Booking: "/book/", Stream: "/long/", Feed: "/feed/", Moving: "/move/",
 }
 
 func (k RouteKind) streams() bool { return k == Stream || k == Feed }
@@ -68,7 +70,7 @@
 		r.Kind, r.Resumable = routing.Streaming, true
 	case Feed:
 		r.Kind = routing.Streaming
-	case Lookup, Moving, Added:
+	case Lookup, Moving, Added, Crashing:
 	}
 	return r
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -77,6 +77,33 @@
 	}
 }
 
+// Guards against broken promises when requests crash upstreams, or upstreams leave or send Retry-After, during other faults.
+func TestFleetHandlesCrashesNoticesAndRetryAfter(t *testing.T) {
+	daemon := buildDaemon(t)
+	for slot, plan := range [][]soak.Fault{
+		{
+			{At: time.Second, Kind: soak.CrashingRequest, For: 8 * time.Second},
+			{At: 2 * time.Second, Kind: soak.RouterStop, Target: 1, For: 500 * time.Millisecond},
+		},
+		{
+			{At: time.Second, Kind: soak.StoreDown, For: 4 * time.Second},
+			{At: 1500 * time.Millisecond, Kind: soak.UpstreamNotice, Target: 1, For: time.Second},
+			{At: 2 * time.Second, Kind: soak.UpstreamNotice, Target: 4, For: time.Second},
+		},
+		{
+			{At: time.Second, Kind: soak.UpstreamRest, Target: 1, For: 5 * time.Second, Variant: 1},
+			{At: 7 * time.Second, Kind: soak.UpstreamRest, Target: 1, For: 2 * time.Second},
+		},
+	} {
+		t.Run(string(plan[0].Kind), func(t *testing.T) {
+			t.Parallel()
+			cfg := soak.DefaultConfig()
+			cfg.Seed, cfg.Daemon, cfg.Slot, cfg.Duration = 1, daemon, slot+7, 10*time.Second
+			playPlan(t, cfg, plan)
+		})
+	}
+}
+
 // killedAt is when all routers were killed.
 func killedAt(h *soak.History) time.Duration {
 	for _, d := range h.Disturbances {
--- a/soak/touched.go
+++ b/soak/touched.go
@@ -46,6 +46,9 @@
 // disturbed meanwhile.
 func (c *checker) upstreamsTouched(req Request, runs []Run) bool {
 	for _, run := range runs {
+		if c.crashed(run.Upstream) {
+			return true
+		}
 		place, ok := placeOf(run.Upstream)
 		if !ok {
 			continue
@@ -61,7 +64,7 @@
 
 func (d Disturbance) onUpstream() bool {
 	switch d.Kind {
-	case UpstreamDelay, UpstreamReset, UpstreamHush, UpstreamCut, UpstreamLeave, UpstreamCrash, UpstreamGrey:
+	case UpstreamDelay, UpstreamReset, UpstreamHush, UpstreamCut, UpstreamLeave, UpstreamCrash, UpstreamGrey, UpstreamNotice, UpstreamRest:
 		return true
 	default:
 		return false
--- a/soak/upstreams.go
+++ b/soak/upstreams.go
@@ -53,10 +53,12 @@
 func (p *place) runnerOf(service string) (*standin.Runner, error) {
 	p.started++
 	id, n := p.id(), platform.Names()
-	names := standin.RunnerNames{RequestID: n.RequestID, Instance: n.Upstream, Seal: n.Seal, NotRun: n.NotRun}
+	names := standin.RunnerNames{RequestID: n.RequestID, Instance: n.Upstream, Seal: n.Seal, NotRun: n.NotRun, Leaving: n.Leaving}
 	r, err := standin.NewRunner(id, names, standin.RunnerOptions{
 		Work: work, FaultEvery: greyEvery,
-		Began: func(request string) func(bool) { return p.rec.Began(request, id, service) },
+		Began:    func(request string) func(bool) { return p.rec.Began(request, id, service) },
+		Crashes:  func(r *http.Request) bool { return p.crashIfMarked(id, r) },
+		Rejected: func(request string, rest time.Duration) { p.recordRejection(id, request, rest) },
 	})
 	return r, Error.Wrap(err)
 }
@@ -94,6 +96,7 @@
 	}
 	p.mu.Lock()
 	p.entry.Draining = true
+	p.runner.SetLeaving(true)
 	err := p.op.register(p.entry)
 	id, runner := p.entry.ID, p.runner
 	p.mu.Unlock()
@@ -130,6 +133,19 @@
 	return true
 }
 
+// restart starts another incarnation of the same service without waiting.
+func (p *place) restart() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, err := p.runnerOf(p.entry.Service)
+	if err != nil {
+		return // no free port: the place stays without an upstream
+	}
+	p.link.Retarget(r.Address())
+	p.busy = false
+	_ = p.open(r, p.entry.Service) // encoding an entry can't fail
+}
+
 // next starts another incarnation, of the other service at every second place,
 // so that an address comes to belong to another service.
 func (p *place) next(rest time.Duration) error {
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -53,6 +53,8 @@
 	// Crashes reports whether the runner crashes after working on a request; nil means
 	// never.
 	Crashes func(*http.Request) bool
+	// Rejected is called for each request rejected with a Retry-After delay of rest; may be nil.
+	Rejected func(id string, rest time.Duration)
 	// Address is where it listens, a free port of loopback if empty. A runner that
 	// starts again under its name has the address that it had.
 	Address string
@@ -257,6 +259,9 @@
 		return r.head(http.StatusMisdirectedRequest, id, "Content-Length: 0")
 	}
 	if rest := time.Duration(r.rest.Load()); rest > 0 {
+		if r.opts.Rejected != nil {
+			r.opts.Rejected(id, rest)
+		}
 		seconds := strconv.FormatFloat(rest.Seconds(), 'f', -1, 64)
 		return r.head(http.StatusServiceUnavailable, id, r.names.NotRun+": 1", "Retry-After: "+seconds, "Content-Length: 0")
 	}
