--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -30,6 +30,17 @@
 // Status prints the state of the fleet; routers that don't answer are told too. platform
 // is set for routers on the users' platform.
 func (c *Client) Status(out io.Writer, platform bool, format Format) error {
+	routers := c.statuses(platform)
+	o := newOverview(routers)
+	if err := o.print(out, format); err != nil {
+		return err
+	}
+	return missing(o.missing(), len(routers))
+}
+
+// statuses queries all routers and returns their statuses in the order of c.admins. A failed
+// query is reported in the Error field.
+func (c *Client) statuses(platform bool) []RouterStatus {
 	ask := c.ownStatus
 	if platform {
 		ask = c.platformStatus
@@ -41,11 +52,7 @@
 		}
 		routers = append(routers, a.value)
 	}
-	o := newOverview(routers)
-	if err := o.print(out, format); err != nil {
-		return err
-	}
-	return missing(o.missing(), len(routers))
+	return routers
 }
 
 func missing(n, of int) error {
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -66,21 +66,16 @@
 	start vm$n "$bin/aspenswitchd" --settings "$dir/vm$n.json"
 done
 
-status() {
+# fleet COMMAND...: runs an aspenswitchctl fleet command against the three routers.
+fleet() {
 	"$bin/aspenswitchctl" fleet --token demo-operators-token --admin http://127.0.0.1:18301 \
-		--admin http://127.0.0.1:18302 --admin http://127.0.0.1:18303 status
+		--admin http://127.0.0.1:18302 --admin http://127.0.0.1:18303 "$@"
 }
-tries=0
-until [ "$(status 2>/dev/null | grep -v 'not ready' | grep -c ' ready ')" = 3 ]; do
-	tries=$((tries + 1))
-	if [ $tries -gt 100 ]; then
-		echo "the routers did not become ready" >&2
-		cat "$dir"/vm*.log >&2
-		exit 1
-	fi
-	sleep 0.1
-done
-status
+if ! fleet wait --ready 3 --timeout 10s; then
+	cat "$dir"/vm*.log >&2
+	exit 1
+fi
+fleet status
 case $fault in
 kill)
 	echo "sending requests; vm3 is killed after 4 seconds"
@@ -99,7 +94,7 @@
 result=0
 "$bin/aspenswitch-load" run --out "$dir/result.json" "$here/plan.json" || result=$?
 echo "after the run:"
-status 2>/dev/null || true
+fleet status 2>/dev/null || true
 if [ -n "${DEMO_LOGS:-}" ]; then
 	mkdir -p "$DEMO_LOGS"
 	"$bin/aspenswitchctl" fleet --token demo-operators-token --admin http://127.0.0.1:18301 dump >"$DEMO_LOGS/dump.json" || true
