--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -61,6 +61,12 @@
 	g.Expect(r.runs()).To(HaveLen(2), "a request is retried after its first crash")
 	_, _, _ = r.call("/safe/bad", nil)
 	g.Expect(r.runs()).To(HaveLen(3))
+
+	other := newCrashingRig(t, "/safe/bad")
+	id := quarantine.NewContentID("schools", http.MethodPost, "h", "/safe/bad", []byte("hello"))
+	other.placer.ReportCrash(id, dispatch.Incarnation{ID: "u9"}, 0)
+	_, _, _ = other.call("/safe/bad", nil)
+	g.Expect(other.runs()).To(HaveLen(1), "another router has reported a crash before")
 }
 
 // Guards against sending a request that was quarantined while it waited to be placed.
