--- a/soak/history.go
+++ b/soak/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -143,9 +144,13 @@
 	}
 }
 
-// History returns what was noted. Nothing may be noted any more.
+// History returns the events recorded so far. Runs is cloned because upstreams may still
+// record the end of a run after its caller has given up; the other slices are shared with
+// the recorder.
 func (r *Recorder) History() *History {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return &r.h
+	h := r.h
+	h.Runs = slices.Clone(h.Runs)
+	return &h
 }
