--- a/feed/lapse_test.go
+++ b/feed/lapse_test.go
@@ -161,3 +161,34 @@
 		g.Expect(peer.Snapshot().View.Upstream("leaves")).To(BeNil())
 	})
 }
+
+// Guards against a router that missed a lapse and goes on using the upstream.
+func TestRouterThatMissedALapseLearnsThatTheUpstreamIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		begin := time.Now()
+		clock := func() boottime.Time { return boottime.Time(time.Since(begin) + time.Hour) }
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		follower := func() *feed.Feed {
+			away := func(context.Context) (feed.Batch, error) { return feed.Batch{}, errors.New("platform is away") }
+			f := feed.New(feed.DefaultConfig(revoke, apply), &scripted{list: away, watch: quiet}, clock, zerolog.Nop(), func() bool { return false }, func() {})
+			f.Import(&feed.Export{
+				Revision: 16, Config: config(3).Config, Upstreams: []registry.Upstream{*up("leaves", 14).Upstream, *up("stays", 2).Upstream},
+			}, clock())
+			go f.Run(ctx)
+			return f
+		}
+		peer, late := follower(), follower()
+		peer.Import(&feed.Export{
+			Revision: 22, Since: 16, Upstreams: []registry.Upstream{*up("leaves", 14).Upstream},
+			Lapsed: map[string]int64{"leaves": int64(registry.LapseGrace)},
+		}, clock())
+		time.Sleep(registry.LapseGrace + time.Second)
+		g.Expect(peer.Snapshot().View.Upstream("leaves")).To(BeNil())
+		late.Import(peer.Export(late.Have()), clock())
+		g.Expect(late.Snapshot().Revision).To(Equal(int64(22)))
+		g.Expect(late.Snapshot().View.Upstream("leaves")).To(BeNil())
+		g.Expect(late.Snapshot().View.Upstream("stays")).NotTo(BeNil())
+	})
+}
