feed: record a lapse that a peer reports under the revision of its export

A router that missed a lapse of an upstream kept the departed upstream until the next full listing. Cause: a router that learned of the lapse from a peer logged the change under the entry's own revision, which is older than what later askers have, so it was left out of what they were sent. Ruled out: the grace of the lapse itself, which the peer that heard of it keeps and ends.

--- a/feed/peer.go
+++ b/feed/peer.go
@@ -129,7 +129,8 @@
 	}
 	for _, u := range e.Upstreams {
 		f.upstream.Put(u)
-		f.changes.add(u.Revision, u.ID)
+		// A lapse has no revision of its own: the entry's is older than the lapse.
+		f.changes.add(e.Revision, u.ID)
 	}
 	for _, id := range e.Gone {
 		f.upstream.Delete(id, e.Revision)
