Read warm-up limits, evacuations and regions at the boundary, and keep them in the view

Callers saw requests lost at engines that crash while they warm up, and operators an evacuated failure domain that was used to the end. Cause: coldPerS and coldS of a service, op/evacuate and allowedRegions were not decoded, and the registry had no state of a failure domain.

The registry keeps the newest order for each failure domain by revision; the view leaves its upstreams out, and remembers when a domain was reopened. Orders travel with every state that peers take from each other and hold through an outage. A complete listing ends an order whose end fell into a gap of the history. The warm-up that an entry tells counts on the router's boot clock from the first word of that entry.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -117,11 +118,13 @@
 	switch {
 	case c.Config != nil:
 		return f.adopt(c.Config)
+	case c.Evacuation != nil:
+		f.upstream.Evacuate(f.now(), c.Evacuation.Domain, c.Evacuation.Ended, c.Revision)
 	case c.Upstream != nil:
-		f.upstream.Put(*c.Upstream)
+		f.upstream.Put(f.now(), *c.Upstream)
 		f.changes.add(c.Revision, c.Upstream.ID)
 		f.log.Info().Str("event", "upstream").Str("upstream", c.Upstream.ID).Str("service", c.Upstream.Service).
-			Str("address", c.Upstream.Address).Int64("started", c.Upstream.Started).Bool("draining", c.Upstream.Draining).Int64("revision", c.Revision).Msg("upstream published")
+			Str("address", c.Upstream.Address).Int64("started", c.Upstream.Started).Bool("draining", c.Upstream.Draining).Int64("warm_up_ms", c.Upstream.WarmUpLeft.Milliseconds()).Int64("revision", c.Revision).Msg("upstream published")
 	default:
 		f.remove(c)
 	}
@@ -177,7 +180,21 @@
 		f.snapshot.Store(&Snapshot{Table: old.Table, View: old.View, Revision: f.revision})
 		return
 	}
-	f.snapshot.Store(&Snapshot{Table: f.table, View: f.upstream.View(), Revision: f.revision})
+	s := &Snapshot{Table: f.table, View: f.upstream.View(), Revision: f.revision}
+	f.logEvacuations(old, s)
+	f.snapshot.Store(s)
+}
+
+// logEvacuations tells which failure domains are being evacuated, whenever that changes.
+func (f *Feed) logEvacuations(old, s *Snapshot) {
+	var before []string
+	if old != nil {
+		before = old.View.Evacuated()
+	}
+	if now := s.View.Evacuated(); !slices.Equal(before, now) {
+		f.log.Warn().Str("event", "evacuation").Strs("failure_domains", now).Int64("revision", s.Revision).
+			Dur("age", f.Age()).Msg("evacuated failure domains changed")
+	}
 }
 
 // expire removes upstreams whose grace is over.
--- a/feed/peer.go
+++ b/feed/peer.go
@@ -30,6 +30,9 @@
 	// which they may still be used. Without them a peer would keep an upstream
 	// that has left until the next change.
 	Lapsed map[string]int64 `json:",omitempty"`
+	// Evacuated are the failure domains that are being evacuated, with the revisions of
+	// the orders. They are always complete.
+	Evacuated map[string]int64 `json:",omitempty"`
 }
 
 // Have is what this router has.
@@ -52,7 +55,7 @@
 	if s == nil {
 		return nil
 	}
-	e := &Export{Revision: s.Revision, AgeNanos: int64(age)}
+	e := &Export{Revision: s.Revision, AgeNanos: int64(age), Evacuated: f.upstream.Evacuated()}
 	f.exportUpstreams(e, s, have.Revision)
 	now := f.now()
 	for id, until := range f.upstream.Lapsed() {
@@ -116,19 +119,26 @@
 // importUpstreams takes in upstreams. It reports false for changes that don't join
 // what is known: one between them would be missing for good.
 func (f *Feed) importUpstreams(e *Export) bool {
+	now := f.now()
 	if e.Since == 0 {
-		f.upstream = registry.New()
 		f.changes.reset(e.Revision)
+		listed := map[string]bool{}
 		for _, u := range e.Upstreams {
-			f.upstream.Put(u)
+			listed[u.ID] = true
+			f.upstream.Put(now, u)
+		}
+		for _, id := range f.upstream.Missing(listed) {
+			f.upstream.Delete(id, e.Revision)
 		}
+		f.upstream.SetEvacuated(now, e.Evacuated, e.Revision)
 		return true
 	}
 	if e.Since > f.revision {
 		return false
 	}
+	f.upstream.SetEvacuated(now, e.Evacuated, e.Revision)
 	for _, u := range e.Upstreams {
-		f.upstream.Put(u)
+		f.upstream.Put(now, u)
 		// A lapse has no revision of its own: the entry's is older than the lapse.
 		f.changes.add(e.Revision, u.ID)
 	}
--- a/feed/read.go
+++ b/feed/read.go
@@ -62,11 +62,16 @@
 	f.succeeded()
 	f.mu.Lock()
 	listed := make(map[string]bool, len(b.Changes))
+	evacuated := map[string]int64{}
 	for _, c := range b.Changes {
 		if c.Upstream != nil {
 			listed[c.Upstream.ID] = true
 		}
+		if c.Evacuation != nil {
+			evacuated[c.Evacuation.Domain] = c.Revision
+		}
 	}
+	f.upstream.SetEvacuated(sent, evacuated, b.Revision)
 	for _, id := range f.upstream.Missing(listed) {
 		f.remove(Change{Gone: id, Revision: b.Revision})
 	}
--- a/feed/source.go
+++ b/feed/source.go
@@ -32,12 +32,21 @@
 	Revision int64
 }
 
-// Change is one entry as it was published. Exactly one of the pointers and Gone
-// is set.
+// Change is one entry as it was published. Exactly one of the pointers and
+// Gone is set.
 type Change struct {
 	Revision int64
 	Config   *routing.Config
 	Upstream *registry.Upstream
 	// Gone is the ID of an upstream whose entry was deleted.
 	Gone string
+	// Evacuation begins or ends the evacuation of a failure domain.
+	Evacuation *Evacuation
+}
+
+// Evacuation is an operator's order to send nothing to the upstreams of a failure domain.
+type Evacuation struct {
+	Domain string
+	// Ended is set if the order was withdrawn.
+	Ended bool
 }
--- a/gateway/availability_test.go
+++ b/gateway/availability_test.go
@@ -52,7 +52,7 @@
 	address := r.state.Snapshot().View.Upstream("u1").Address
 	publish := func(started, revision int64) {
 		reg := registry.New()
-		reg.Put(registry.Upstream{ID: "u1", Service: "llm", Address: address, Started: started, Revision: revision})
+		reg.Put(0, registry.Upstream{ID: "u1", Service: "llm", Address: address, Started: started, Revision: revision})
 		r.publish(reg.View(), "k1")
 	}
 	for i, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
--- a/gateway/cost_test.go
+++ b/gateway/cost_test.go
@@ -83,7 +83,7 @@
 	perConn := (idle - empty) / conns
 
 	reg := registry.New()
-	reg.Put(registry.Upstream{ID: "u1", Service: "llm", Address: silent.l.Addr().String(), Revision: 2})
+	reg.Put(0, registry.Upstream{ID: "u1", Service: "llm", Address: silent.l.Addr().String(), Revision: 2})
 	r.publish(reg.View(), "k1")
 	body := ask("/unsafe/", size)
 	for _, c := range all {
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -84,7 +84,7 @@
 	reg := registry.New()
 	for _, id := range []string{"u1", "u2", "u3"} {
 		if s := scripts[id]; s != nil {
-			reg.Put(registry.Upstream{ID: id, Service: "llm", Address: r.upstream(id, s), Revision: 1})
+			reg.Put(0, registry.Upstream{ID: id, Service: "llm", Address: r.upstream(id, s), Revision: 1})
 			r.placer.next = append(r.placer.next, id)
 		}
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -99,7 +99,7 @@
 			left := r.state.Snapshot().View.All()
 			for _, u := range left {
 				u.Draining = u.ID == "u1"
-				reg.Put(u)
+				reg.Put(0, u)
 			}
 			r.publish(reg.View(), "k1")
 		}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -23,15 +23,28 @@
 	gone map[string]int64
 	// lapsed entries are used until the moment given.
 	lapsed map[string]boottime.Time
+	// evacuations are by failure domain, reopened has when the evacuation of a failure
+	// domain was last withdrawn.
+	evacuations map[string]evacuation
+	reopened    map[string]boottime.Time
+}
+
+// evacuation is the newest order for a failure domain.
+type evacuation struct {
+	revision int64
+	ended    bool
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{entries: map[string]Upstream{}, gone: map[string]int64{}, lapsed: map[string]boottime.Time{}}
+	return &Registry{
+		entries: map[string]Upstream{}, gone: map[string]int64{}, lapsed: map[string]boottime.Time{},
+		evacuations: map[string]evacuation{}, reopened: map[string]boottime.Time{},
+	}
 }
 
-// Put takes an entry in, unless a later change of it is known.
-func (r *Registry) Put(u Upstream) {
+// Put takes an entry in that was learned of now, unless a later change of it is known.
+func (r *Registry) Put(now boottime.Time, u Upstream) {
 	if r.gone[u.ID] > u.Revision || r.entries[u.ID].Revision > u.Revision {
 		return
 	}
@@ -39,6 +52,10 @@
 	if u.Started == 0 {
 		u.Started = r.entries[u.ID].Started
 	}
+	u.WarmUntil = now.Add(u.WarmUpLeft)
+	if known := r.entries[u.ID]; known.Revision == u.Revision && known.WarmUntil != 0 {
+		u.WarmUntil = known.WarmUntil
+	}
 	r.entries[u.ID] = u
 }
 
@@ -112,10 +129,16 @@
 
 // View returns the present entries.
 func (r *Registry) View() *View {
-	v := &View{byID: make(map[string]*Upstream, len(r.entries)), ready: map[string][]*Upstream{}}
+	v := &View{
+		byID: make(map[string]*Upstream, len(r.entries)), ready: map[string][]*Upstream{}, counts: map[string]int{},
+		evacuated: r.Evacuated(), reopened: maps.Clone(r.reopened),
+	}
 	for _, u := range r.entries {
 		v.byID[u.ID] = &u
 		if !u.Draining {
+			v.counts[u.Service]++
+		}
+		if v.takesWork(&u) {
 			v.ready[u.Service] = append(v.ready[u.Service], &u)
 		}
 	}
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -11,6 +11,9 @@
 	"github.com/aspenswitch/aspenswitch/registry"
 )
 
+// learned is when the entries of tests became known.
+const learned = boottime.Time(time.Minute)
+
 func entry(id string, revision int64) registry.Upstream {
 	return registry.Upstream{ID: id, Service: "llm", Address: "10.0.0.1:80", Revision: revision}
 }
@@ -21,9 +24,9 @@
 func TestLatePageDoesNotBringBackADeletedEntry(t *testing.T) {
 	g := NewWithT(t)
 	r := registry.New()
-	r.Put(entry("a", 3))
+	r.Put(learned, entry("a", 3))
 	r.Delete("a", 7)
-	r.Put(entry("a", 3))
+	r.Put(learned, entry("a", 3))
 	g.Expect(r.View().Upstream("a")).To(BeNil())
 }
 
@@ -32,7 +35,7 @@
 func TestLapsedEntryIsUsedUntilItsGraceEnds(t *testing.T) {
 	g := NewWithT(t)
 	r := registry.New()
-	r.Put(entry("a", 3))
+	r.Put(learned, entry("a", 3))
 	now := boottime.Time(time.Second)
 	g.Expect(r.Missing(map[string]bool{"b": true})).To(ConsistOf("a"))
 	g.Expect(r.Missing(map[string]bool{"a": true})).To(BeEmpty())
@@ -48,7 +51,7 @@
 func TestLapseIsNotPutOff(t *testing.T) {
 	g := NewWithT(t)
 	r := registry.New()
-	r.Put(entry("a", 3))
+	r.Put(learned, entry("a", 3))
 	now := boottime.Time(time.Second)
 	r.Lapse("a", now.Add(registry.LapseGrace))
 	r.Lapse("a", now.Add(time.Second+registry.LapseGrace))
@@ -58,11 +61,11 @@
 func TestDrainingUpstreamGetsNoNewWork(t *testing.T) {
 	g := NewWithT(t)
 	r := registry.New()
-	r.Put(entry("a", 3))
+	r.Put(learned, entry("a", 3))
 	leaving := entry("a", 5)
 	leaving.Draining = true
-	r.Put(leaving)
-	r.Put(entry("a", 3))
+	r.Put(learned, leaving)
+	r.Put(learned, entry("a", 3))
 	g.Expect(r.View().Ready("llm")).To(BeEmpty())
 	g.Expect(r.View().Upstream("a")).To(BeNil())
 	g.Expect(r.View().All()).To(HaveLen(1))
@@ -86,7 +89,7 @@
 			if c.gone {
 				r.Delete("a", c.revision)
 			} else {
-				r.Put(entry("a", c.revision))
+				r.Put(learned, entry("a", c.revision))
 			}
 		}
 		last := changes[n-1]
--- a/registry/upstream.go
+++ b/registry/upstream.go
@@ -2,7 +2,11 @@
 // them. It is pure: the caller passes the time.
 package registry
 
-import "time"
+import (
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/boottime"
+)
 
 // Upstream is one incarnation of an upstream. A restart may keep the ID; Started then
 // tells the two apart.
@@ -16,8 +20,11 @@
 	Slots int
 	// Draining upstreams get no new work.
 	Draining bool
-	// ColdFor is how much longer it was slow after its start when it registered.
-	ColdFor time.Duration
+	// WarmUpLeft is how much longer it was warming up when it wrote its entry.
+	WarmUpLeft time.Duration
+	// WarmUntil is when its warm-up is over at the latest, on the boot clock of this router,
+	// which counts WarmUpLeft from the moment at which it learned of the entry.
+	WarmUntil boottime.Time `json:"-"`
 	// Started is when its process started by its own clock, in Unix milliseconds; 0 if
 	// it doesn't say. Clocks are set back: another moment is another start, an earlier
 	// one too.
--- a/registry/view.go
+++ b/registry/view.go
@@ -1,19 +1,34 @@
 package registry
 
+import (
+	"maps"
+	"slices"
+
+	"github.com/aspenswitch/aspenswitch/boottime"
+)
+
 // View is the registry at one moment. It isn't changed once made.
 type View struct {
 	byID  map[string]*Upstream
 	ready map[string][]*Upstream
+	// counts are the upstreams of a service that aren't leaving, evacuated ones included.
+	counts    map[string]int
+	evacuated map[string]int64
+	reopened  map[string]boottime.Time
 }
 
 // Ready returns the upstreams of a service that take new work, by ID.
 func (v *View) Ready(service string) []*Upstream { return v.ready[service] }
 
+// Count returns the number of a service's upstreams that aren't leaving, including those in
+// failure domains that are being evacuated.
+func (v *View) Count(service string) int { return v.counts[service] }
+
 // Upstream finds an upstream that takes new work, nil if it doesn't or is not
 // known.
 func (v *View) Upstream(id string) *Upstream {
 	u := v.byID[id]
-	if u == nil || u.Draining {
+	if u == nil || !v.takesWork(u) {
 		return nil
 	}
 	return u
@@ -27,3 +42,23 @@
 	}
 	return all
 }
+
+// Evacuated returns the failure domains that are being evacuated, sorted.
+func (v *View) Evacuated() []string { return slices.Sorted(maps.Keys(v.evacuated)) }
+
+// EvacuatedUpstream reports whether an upstream is in a failure domain that is being evacuated.
+func (v *View) EvacuatedUpstream(id string) bool {
+	u := v.byID[id]
+	return u != nil && v.isEvacuated(u.FailureDomain)
+}
+
+// ReopenedAt returns when this router learned that the evacuation of a failure domain was
+// withdrawn, 0 if it has not seen that.
+func (v *View) ReopenedAt(domain string) boottime.Time { return v.reopened[domain] }
+
+func (v *View) isEvacuated(domain string) bool {
+	_, evacuated := v.evacuated[domain]
+	return evacuated
+}
+
+func (v *View) takesWork(u *Upstream) bool { return !u.Draining && !v.isEvacuated(u.FailureDomain) }
--- a/routing/config.go
+++ b/routing/config.go
@@ -2,7 +2,11 @@
 // goes to which service, who may send it, and within which limits. It is pure.
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/warmup"
+)
 
 // Config is one version of the configuration. It isn't changed once made.
 type Config struct {
@@ -40,6 +44,8 @@
 	Sticky bool
 	// Resumable streams may go on at another upstream.
 	Resumable bool
+	// Regions are those whose upstreams may serve the route; empty means all.
+	Regions []string
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -61,6 +67,8 @@
 	MaxConns int
 	// Engine is set for model engines.
 	Engine *Engine
+	// WarmUp is how the upstreams warm up after a start.
+	WarmUp warmup.Limit
 }
 
 // Engine describes a model engine.
@@ -83,6 +91,8 @@
 	Priority int
 	// Ranked is set if Priority replaces the route's.
 	Ranked bool
+	// Regions are those whose upstreams may serve the team; empty means all.
+	Regions []string
 }
 
 // Limits bound what a caller may send.
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/aspenswitch/aspenswitch/jsonc"
+	"github.com/aspenswitch/aspenswitch/warmup"
 )
 
 // Fleet are the settings of a router that serves on a platform which publishes
@@ -16,6 +17,9 @@
 	// Name is the VM's name, for the log.
 	Name          string `json:"name"`
 	FailureDomain string `json:"failureDomain"`
+	// Regions are the regions of failure domains. They are only needed where routes or teams
+	// are restricted to regions.
+	Regions map[string]string `json:"regions"`
 	// Callers, Readiness and Control are where the process listens (IP:port):
 	// for callers, for the balancer's probe and for operators.
 	Callers   string `json:"callers"`
@@ -66,6 +70,13 @@
 	RetryWindowS   float64 `json:"retryWindowS"`
 	// ShareWindowS is the span over which teams' shares are reckoned.
 	ShareWindowS float64 `json:"shareWindowS"`
+	// WarmUpOverage and WarmUpSlack bound the requests that reach an upstream which is
+	// warming up, in any second: the multiple of its rate, and a number besides.
+	WarmUpOverage float64 `json:"warmUpOverage"`
+	WarmUpSlack   float64 `json:"warmUpSlack"`
+	// EvacuateMs is how soon the upstreams of a failure domain that is evacuated must get no
+	// more work.
+	EvacuateMs float64 `json:"evacuateMs"`
 }
 
 // Revoke is how long a key may be served after it was taken away.
@@ -73,7 +84,12 @@
 
 // Apply is how soon what is published must be acted upon.
 func (b Bounds) Apply() time.Duration {
-	return time.Duration(min(b.ApplyMs, b.LeaveMs) * float64(time.Millisecond))
+	return time.Duration(min(b.ApplyMs, b.LeaveMs, b.EvacuateMs) * float64(time.Millisecond))
+}
+
+// WarmUp is the bound on the requests to upstreams that are warming up.
+func (b Bounds) WarmUp() warmup.Policy {
+	return warmup.Policy{Overage: b.WarmUpOverage, Slack: b.WarmUpSlack}
 }
 
 // Grace is the time from SIGTERM to SIGKILL.
@@ -88,7 +104,8 @@
 func DefaultFleet() Fleet {
 	return Fleet{
 		Metrics: 9464, Processor: 1, MemoryMB: 256, Files: 4096, LogLevel: "info", LogLines: 20,
-		Bounds: Bounds{RevokeMs: 5000, ApplyMs: 2000, LeaveMs: 2000, GraceS: 8, RetryRatio: 0.2, RetryAllowance: 50, RetryWindowS: 10, ShareWindowS: 4},
+		Bounds: Bounds{RevokeMs: 5000, ApplyMs: 2000, LeaveMs: 2000, GraceS: 8, RetryRatio: 0.2, RetryAllowance: 50, RetryWindowS: 10, ShareWindowS: 4,
+			WarmUpOverage: 1, EvacuateMs: 5000},
 	}
 }
 
@@ -168,6 +185,12 @@
 	if b.ShareWindowS <= 0 {
 		doc.Add("/bounds/shareWindowS", "must be more than 0")
 	}
+	if b.WarmUpOverage < 0 || b.WarmUpSlack < 0 {
+		doc.Add("/bounds/warmUpOverage", "must not be negative, nor warmUpSlack")
+	}
+	if b.EvacuateMs < minApplyMs {
+		doc.Add("/bounds/evacuateMs", "must be %d or more", minApplyMs)
+	}
 }
 
 func checkAddress(doc *jsonc.Document, at, address string) {
--- a/settings/fleet_test.go
+++ b/settings/fleet_test.go
@@ -32,7 +32,7 @@
   "peers": {"ip": "x", "port": 99999},
   "platform": "10.0.0.9:4",
   "processor": 0, "files": 1,
-  "bounds": {"graceS": 0, "applyMs": 1}
+  "bounds": {"graceS": 0, "applyMs": 1, "warmUpSlack": -1, "evacuateMs": 0}
 }`))
 	places := map[string]int{}
 	for _, f := range findings {
@@ -45,4 +45,6 @@
 	g.Expect(places).To(HaveKeyWithValue("/files", 5))
 	g.Expect(places).To(HaveKeyWithValue("/bounds/graceS", 6))
 	g.Expect(places).To(HaveKeyWithValue("/bounds/applyMs", 6))
+	g.Expect(places).To(HaveKeyWithValue("/bounds/warmUpOverage", 6))
+	g.Expect(places).To(HaveKeyWithValue("/bounds/evacuateMs", 6))
 }
