Limit the requests to upstreams that are warming up; stop sending to evacuated domains

Only the home of an engine's group grants requests to it while it warms up, one by one from a token bucket whose rate leaves room for a second router that takes itself for the home. A router grants once it has been the home for longer than a grant lives, and while it hears more than half of the routers known of late. Nothing waits for a warming engine. One that couldn't be reached, or whose domain was reopened, is presumed cold.

Ruled out: a check of clocks between routers; the age of a grant counts from the router's own question.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // choice is a possible upstream of a job.
 type choice struct {
@@ -42,7 +39,7 @@
 	var found choice
 	ok := false
 	for i, u := range c.upstreams {
-		if now < u.banned || slices.Contains(j.Avoid, u.ID) {
+		if !c.eligible(now, u, j) {
 			continue
 		}
 		u.touch(now)
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -18,6 +18,8 @@
 	usual    usual
 	returns  returns
 	yield    yield
+	// warmUpGranted is set while this core may send to upstreams that are warming up.
+	warmUpGranted bool
 }
 
 // New returns a core without upstreams.
@@ -41,7 +43,7 @@
 	if j := c.jobs[r.Ticket]; j != nil {
 		d := Decision{Ticket: r.Ticket, Verdict: Wait}
 		if j.state != waiting {
-			d.Verdict, d.Upstream = Send, j.upstream.ID
+			d.Verdict, d.Upstream, d.Warming = Send, j.upstream.ID, j.warming
 			if j.copyFrom != nil {
 				d.CopyFrom = j.copyFrom.ID
 			}
@@ -109,7 +111,7 @@
 func (c *Core) place(now time.Duration, j *job) {
 	best, ok := c.best(now, j)
 	if !ok {
-		c.refuse(now, j, choice{first: time.Second})
+		c.refuse(now, j, choice{first: max(c.nextWarm(now, j), time.Second)})
 		return
 	}
 	if !best.admitted {
@@ -128,11 +130,16 @@
 }
 
 func (c *Core) send(now time.Duration, u *upstream, j *job, wait time.Duration) {
+	warming := u.warming(now)
+	if warming {
+		u.warmUp.Take(now)
+	}
+	j.warming = warming
 	u.take(j, now)
 	c.counts.Sent++
 	c.teams.serve(now, j.Team, j.tokens)
 	d := Decision{
-		Ticket: j.Ticket, Verdict: Send, Upstream: u.ID, Wait: wait, Waited: j.waited, Over: j.over(),
+		Ticket: j.Ticket, Verdict: Send, Upstream: u.ID, Wait: wait, Waited: j.waited, Over: j.over(), Warming: warming,
 		Allowance: c.teams.allowance(now, j.Ticket.Router, j.Team),
 	}
 	if j.copyFrom != nil {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -9,7 +9,9 @@
 	state    state
 	// copyFrom is where the upstream copies parts from, nil if it doesn't.
 	copyFrom *upstream
-	sentAt   time.Duration
+	// warming is set if the upstream was warming up when the job was sent to it.
+	warming bool
+	sentAt  time.Duration
 	// cost is the predicted time that the upstream works on it alone.
 	cost time.Duration
 	// readBy is when the upstream should have read the prompt at the latest.
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// GrantWarmUp sets whether this core may send requests to upstreams that are warming up. Only
+// the home of their group may, as their rate is bounded over all routers together.
+func (c *Core) GrantWarmUp(granted bool) { c.warmUpGranted = granted }
+
 // SetMembers replaces the group's upstreams. What waits for one that has gone
 // is placed anew.
 //
@@ -19,24 +23,30 @@
 			u.useAt = now
 		}
 		u.Member, u.order = m, i
+		u.warmUp.Rate = m.WarmUpRate
 		next = append(next, u)
 		byID[m.ID] = u
 	}
 	old := c.upstreams
 	c.upstreams, c.byID = next, byID
 	for _, u := range old {
-		if byID[u.ID] == u {
-			continue
-		}
-		for _, j := range u.queue {
-			j.upstream = nil
-			c.place(now, j)
+		if byID[u.ID] != u || u.warming(now) {
+			c.replaceQueue(now, u)
 		}
-		u.queue = nil
 	}
 	return c.take()
 }
 
+// replaceQueue places anew what waits for an upstream.
+func (c *Core) replaceQueue(now time.Duration, u *upstream) {
+	queue := u.queue
+	u.queue = nil
+	for _, j := range queue {
+		j.upstream = nil
+		c.place(now, j)
+	}
+}
+
 // warm believes the asker about where parts are cached if this core knows
 // nothing of them.
 func (c *Core) warm(r *Request) {
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -29,6 +29,10 @@
 
 // drain sends what waits for an upstream, as far as it has room.
 func (c *Core) drain(now time.Duration, u *upstream) {
+	if u.warming(now) {
+		c.replaceQueue(now, u)
+		return
+	}
 	for {
 		next := c.next(now, u)
 		if next < 0 {
@@ -76,7 +80,7 @@
 	failing := u.failingMore(now, usual)
 	var found *upstream
 	for _, o := range c.upstreams {
-		if o == u || len(o.queue) == 0 || failing > o.failingMore(now, usual)+worseBy || slices.Contains(o.queue[0].Avoid, u.ID) {
+		if o == u || len(o.queue) == 0 || failing > o.failingMore(now, usual)+worseBy || slices.Contains(o.queue[0].Avoid, u.ID) || !inRegions(o.queue[0].Regions, u.Region) {
 			continue
 		}
 		if found == nil || c.before(o.queue[0], found.queue[0], now) {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -29,6 +29,8 @@
 	Warm string
 	// Avoid are upstreams that this request has been to.
 	Avoid []string
+	// Regions are those whose upstreams may serve it; empty means all.
+	Regions []string
 }
 
 // Got is what a team got, in tokens.
@@ -73,6 +75,9 @@
 	Waited time.Duration
 	// Over is set if the team had more than its share.
 	Over bool
+	// Warming is set if the upstream is warming up. The request must then be sent within
+	// warmup.GrantTTL of the question, or not at all.
+	Warming bool
 	// Allowance is what the asking router may ask for the team, in tokens a second:
 	// 0 if nothing is told, Unlimited if there is no bound.
 	Allowance float64
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/aspenswitch/aspenswitch/warmup"
 )
 
 // Member describes an upstream of the group.
@@ -14,6 +16,14 @@
 	// CopyPerToken is how long the upstream takes to copy a cached token from
 	// another; 0 if it can't.
 	CopyPerToken time.Duration
+	// WarmUntil is when the upstream has warmed up, as far as is known.
+	WarmUntil time.Duration
+	// WarmUpFor is how long it warms up after a restart, and WarmUpRate the requests per
+	// second that this core may send it meanwhile. Without a WarmUpFor there is no bound.
+	WarmUpFor  time.Duration
+	WarmUpRate float64
+	// Region is where it runs.
+	Region string
 }
 
 // upstream is the core's model of one.
@@ -46,7 +56,11 @@
 	heardAt time.Duration
 	pace    pace
 	// yield is that of the group.
-	yield *yield
+	yield  *yield
+	warmUp warmup.Bucket
+	// presumedWarm is when the upstream has warmed up if it restarted while it couldn't be
+	// reached.
+	presumedWarm time.Duration
 }
 
 // plainTime is how long a plain service's request is taken to last before any has,
@@ -237,6 +251,7 @@
 		u.banned = max(u.banned, now+50*time.Millisecond)
 	case Unreachable:
 		u.leaveAlone(now)
+		u.presumedWarm = u.banned + u.WarmUpFor
 	case Silent:
 		if u.hangs(j, now, took) {
 			u.leaveAlone(now)
--- a/fleet/ask.go
+++ b/fleet/ask.go
@@ -117,7 +117,7 @@
 	a := &ask{
 		Seq: r.Ticket.Seq, ID: r.ID, Service: key.service, Group: n.numberOf(key), Team: r.Team, Rank: r.Rank,
 		Prompt: r.Prompt, Output: r.Output, TargetMs: millis(r.Target), LeftMs: millis(r.Left),
-		Warm: r.Warm, Avoid: r.Avoid,
+		Warm: r.Warm, Avoid: r.Avoid, Regions: r.Regions,
 	}
 	for _, p := range r.Parts {
 		a.Parts = append(a.Parts, part{ID: p.ID, Tokens: p.Tokens})
@@ -129,7 +129,7 @@
 	r := dispatch.Request{
 		Ticket: dispatch.Ticket{Router: router, Seq: a.Seq}, ID: a.ID, Team: a.Team, Rank: a.Rank,
 		Prompt: a.Prompt, Output: a.Output, Target: duration(a.TargetMs), Left: duration(a.LeftMs),
-		Warm: a.Warm, Avoid: a.Avoid,
+		Warm: a.Warm, Avoid: a.Avoid, Regions: a.Regions,
 	}
 	for _, p := range a.Parts {
 		r.Parts = append(r.Parts, dispatch.Part{ID: p.ID, Tokens: p.Tokens})
--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -151,6 +151,10 @@
 		n.deliver(now, key, g.core.Tick(time.Duration(now)))
 	}
 	n.checkHomes(now)
+	n.fleetSize.observe(now, len(n.members)+1)
+	for _, g := range n.groups {
+		n.updateWarmUpGrant(now, g)
+	}
 	n.pushState(now)
 	n.tickQuarantine(now)
 	if n.feed != nil {
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/quarantine"
+	"github.com/aspenswitch/aspenswitch/warmup"
 )
 
 // Config tunes a Node.
@@ -51,6 +52,10 @@
 	// Seed of the process's random numbers, among them its incarnation: two
 	// processes must not have the same.
 	Seed uint64
+	// Regions are the regions of failure domains.
+	Regions map[string]string
+	// WarmUp bounds what is sent to upstreams that are warming up.
+	WarmUp warmup.Policy
 	// Quarantine configures the detection of requests that crash upstreams.
 	Quarantine quarantine.Config
 	// Engine and Plain tune the decisions.
@@ -72,6 +77,7 @@
 		GroupSize: 32,
 		Seed:      rand.Uint64(),
 
+		WarmUp:     warmup.DefaultPolicy(),
 		Quarantine: quarantine.DefaultConfig(),
 		Engine:     dispatch.DefaultConfig(true),
 		Plain:      dispatch.DefaultConfig(false),
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -28,7 +28,9 @@
 	revision int64
 	version  int64
 	away     bool
-	calls    atomic.Int64
+	// edit, if set, changes what is published.
+	edit  func(*feed.Batch)
+	calls atomic.Int64
 	// changed is closed with the next change.
 	changed chan struct{}
 }
@@ -54,6 +56,9 @@
 			ID: fmt.Sprintf("u%d", i), Service: "llm", Address: "127.0.0.1:1", Slots: 64, Revision: 1,
 		}})
 	}
+	if s.edit != nil {
+		s.edit(b)
+	}
 	return b, s.changed
 }
 
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -26,8 +26,9 @@
 type group struct {
 	key  string
 	core *dispatch.Core
-	// home is the router that decided last, 0 if none has yet.
-	home uint64
+	// home is the router that decided last, 0 if none has yet; homeSince is when it began.
+	home      uint64
+	homeSince boottime.Time
 	// told and toldAt are the counts in the last line of the log.
 	told   dispatch.Counts
 	toldAt boottime.Time
@@ -84,7 +85,11 @@
 		if groupOfUpstream(u.ID, count) != key.index || n.availability.Leaving(time.Duration(now), incarnation(u)) {
 			continue
 		}
-		m := dispatch.Member{Incarnation: incarnation(u), Slots: slots(u)}
+		m := dispatch.Member{Incarnation: incarnation(u), Slots: slots(u), Region: n.cfg.Regions[u.FailureDomain]}
+		if svc != nil && svc.WarmUp.Limited() {
+			m.WarmUntil = time.Duration(warmUntil(s.View, u, svc.WarmUp))
+			m.WarmUpFor, m.WarmUpRate = svc.WarmUp.Duration, n.cfg.WarmUp.Rate(svc.WarmUp)
+		}
 		if svc != nil && svc.Engine != nil {
 			m.KVTokens = svc.Engine.KVTokens
 			m.CopyPerToken = copyTime(svc.Engine)
@@ -116,7 +121,7 @@
 	all := 0
 	for i := range s.Table.Config.Services {
 		if svc := &s.Table.Config.Services[i]; svc.Engine != nil {
-			all += len(s.View.Ready(svc.Name))
+			all += s.View.Count(svc.Name)
 		}
 	}
 	if all == 0 {
@@ -173,7 +178,7 @@
 			continue
 		}
 		first := g.home == 0
-		g.home = id
+		g.home, g.homeSince = id, now
 		n.log.Info().Str("event", "home").Str("group", g.key).Uint64("router", id).Bool("self", home == nil).Msg("home of a group")
 		if !first {
 			n.tellHeld(now, g, home)
--- a/fleet/home.go
+++ b/fleet/home.go
@@ -50,7 +50,7 @@
 		}
 		n.send(m.addr, &packet{Reply: &reply{
 			Seq: d.Ticket.Seq, Service: key.service, Group: n.numberOf(key), Verdict: d.Verdict, Upstream: d.Upstream, CopyFrom: d.CopyFrom,
-			RetryMs: millis(d.RetryAfter), WaitMs: millis(d.Wait), WaitedMs: millis(d.Waited), Over: d.Over,
+			RetryMs: millis(d.RetryAfter), WaitMs: millis(d.Wait), WaitedMs: millis(d.Waited), Over: d.Over, Warming: d.Warming,
 			Allowance: float32(d.Allowance),
 		}})
 	}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -91,6 +91,7 @@
 	LeftMs   int32
 	Warm     string
 	Avoid    []string
+	Regions  []string
 }
 
 type part struct {
@@ -112,6 +113,8 @@
 	WaitMs   int32
 	WaitedMs int32
 	Over     bool
+	// Warming is set if the upstream is warming up.
+	Warming bool
 	// Allowance is what the asker may ask for the team, in tokens a second: 0 if nothing
 	// is told, infinity if there is no bound.
 	Allowance float32
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -86,6 +86,8 @@
 	hub    bool
 	hubsAt boottime.Time
 	most   int
+	// fleetSize remembers how many routers there were of late.
+	fleetSize fleetSize
 }
 
 const (
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -156,7 +156,7 @@
 	}
 	n.decided(now, dispatch.Decision{
 		Ticket: dispatch.Ticket{Router: n.self, Seq: r.Seq}, Verdict: r.Verdict, Upstream: r.Upstream, CopyFrom: r.CopyFrom,
-		RetryAfter: duration(r.RetryMs), Wait: duration(r.WaitMs), Waited: duration(r.WaitedMs), Over: r.Over,
+		RetryAfter: duration(r.RetryMs), Wait: duration(r.WaitMs), Waited: duration(r.WaitedMs), Over: r.Over, Warming: r.Warming,
 		Allowance: allowance(r.Allowance),
 	})
 }
