gateway: serve requests in their regions only, heed evacuations and expired grants when sending

A route or team may be restricted to regions (allowedRegions); requests reached any upstream. Where both are restricted, both bind. A request without an upstream in an allowed region is refused at once with its own reason, no_region. At the moment of sending, a router also refuses an upstream in a domain that was evacuated after the decision, and one that is warming up if the decision is older than the grant.

--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -62,6 +62,7 @@
 	node.Attach(d.feed)
 	cfg := gateway.DefaultConfig()
 	cfg.Names = platform.Names()
+	cfg.Regions = s.Regions
 	cfg.Fit(int64(s.MemoryMB)<<20, s.Files)
 	cfg.Grace = s.Bounds.Grace()
 	cfg.OldView = s.Bounds.Apply() * 4 / 5
@@ -80,6 +81,7 @@
 	cfg.LeadAge = feed.DefaultConfig(s.Bounds.Revoke(), s.Bounds.Apply()).StaleAfter
 	// A view passes two routers on its way and must arrive well before that age.
 	cfg.Ping = cfg.LeadAge / 6
+	cfg.Regions, cfg.WarmUp = s.Regions, s.Bounds.WarmUp()
 	cfg.Engine.ShareWindow = time.Duration(s.Bounds.ShareWindowS * float64(time.Second))
 	return cfg
 }
--- a/gateway/allowed.go
+++ b/gateway/allowed.go
@@ -21,11 +21,21 @@
 		return false, notRun("router_busy", "this router is behind and its view too old to send on", retryLater)
 	}
 	u := state.View.Upstream(id)
+	if state.View.EvacuatedUpstream(id) {
+		r.tried = append(r.tried, id)
+		r.record.cause = "upstream " + id + " is in an evacuated failure domain"
+		return true, notRun("upstream_evacuated", "the upstream's failure domain is being evacuated; the request was not run", retryLater)
+	}
 	if u == nil || u.Service != r.service {
 		r.tried = append(r.tried, id)
 		r.record.cause = "upstream " + id + " has left"
 		return true, notRun("upstream_left", "the upstream left before the request was sent", retryLater)
 	}
+	if !s.inRegion(r, u) {
+		r.tried = append(r.tried, id)
+		r.record.cause = "upstream " + id + " is in a region that may not serve the request"
+		return true, notRun("no_region", "the upstream's region may not serve the request; the request was not run", retryLater)
+	}
 	if refused := s.refuseLeaving(r, u); refused != nil {
 		r.tried = append(r.tried, id)
 		return true, refused
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -18,6 +18,8 @@
 	Accept time.Duration
 	// Grace is how long running answers may go on after a stop.
 	Grace time.Duration
+	// Regions are the regions of failure domains.
+	Regions map[string]string
 	// Limits until a configuration is known.
 	HeaderTimeout, IdleTimeout time.Duration
 	MaxHeaderBytes             int
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -52,6 +52,8 @@
 	grantTrial atomic.Bool
 	// leaving are the upstreams that were reported as leaving.
 	leaving []dispatch.Incarnation
+	// warming is set if all upstreams are warming up.
+	warming bool
 	// group is the home that decides.
 	group int
 }
@@ -73,7 +75,7 @@
 			used = used || a == id
 		}
 		if !used {
-			return dispatch.Decision{Verdict: dispatch.Send, Upstream: id}, nil
+			return dispatch.Decision{Verdict: dispatch.Send, Upstream: id, Warming: p.warming}, nil
 		}
 	}
 	return dispatch.Decision{Verdict: dispatch.Refuse, RetryAfter: 300 * time.Millisecond}, nil
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -32,6 +32,8 @@
 	prompt   int
 	output   int
 	parts    []dispatch.Part
+	// regions are those whose upstreams may serve it, nil for all.
+	regions []string
 	// contentID is computed on first use and is valid if hasContentID is set.
 	contentID    quarantine.ContentID
 	hasContentID bool
@@ -81,6 +83,9 @@
 	s.readPrompt(r)
 	r.service = r.route.ServiceFor(r.session())
 	r.record.service = r.service
+	if refused := s.restrictRegions(r); refused != nil {
+		return r, refused
+	}
 	s.teams.asked(r)
 	if refused := s.shed(r); refused != nil {
 		return r, refused
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -5,9 +5,11 @@
 	"net/http"
 	"time"
 
+	"github.com/aspenswitch/aspenswitch/boottime"
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/obs"
 	"github.com/aspenswitch/aspenswitch/retry"
+	"github.com/aspenswitch/aspenswitch/warmup"
 )
 
 // maxPlaces bounds how often one request is placed: upstreams that can't be
@@ -73,7 +75,7 @@
 		return result{refused: refused}
 	}
 	ticket := s.placer.NewTicket()
-	at := time.Now()
+	at, asked := time.Now(), boottime.Now()
 	d, err := s.placer.Place(ctx, r.service, s.ask(r, ticket, avoid))
 	r.places++
 	r.record.placed += time.Since(at)
@@ -93,6 +95,11 @@
 		s.placer.Done(r.service, ticket, dispatch.Withdrawn, 0)
 		return result{refused: refused, again: u}
 	}
+	if d.Warming && boottime.Now().Sub(asked) > warmup.GrantTTL {
+		s.placer.Done(r.service, ticket, dispatch.Withdrawn, 0)
+		r.record.cause = "grant to send to warming upstream " + d.Upstream + " expired"
+		return result{refused: notRun("upstream_warming", "the upstream is warming up; the request was not run", retryLater), again: true}
+	}
 	return s.send(ctx, r, out, ticket, d)
 }
 
@@ -104,6 +111,6 @@
 	}
 	return dispatch.Request{
 		Ticket: t, ID: r.id, Team: r.teamName(), Rank: r.rank(), Prompt: r.prompt, Output: r.output, Parts: r.parts,
-		Target: target - time.Since(r.arrived), Left: time.Until(r.deadline), Avoid: avoid,
+		Target: target - time.Since(r.arrived), Left: time.Until(r.deadline), Avoid: avoid, Regions: r.regions,
 	}
 }
