Show warming upstreams and evacuated domains in dumps, log lines and metrics

An operator couldn't tell why an idle engine got little or a failure domain nothing. The dump lists the evacuated failure domains and counts warming upstreams by group; the line of a group's decisions and that of a refusal count them too; the counter withheld tells how many requests weren't sent to the upstream that their home had chosen, by reason. No decision changes.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -88,6 +88,11 @@
 	if !math.IsInf(c.teams.level, 1) {
 		b.Share = c.teams.level
 	}
+	for _, member := range c.upstreams {
+		if member.warming(now) {
+			b.Warming++
+		}
+	}
 	if u != nil {
 		b.Upstream, b.Unread = u.ID, u.remaining(now)
 		b.Waiting, b.Running = len(u.queue), u.running
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -101,6 +101,8 @@
 	Upstream         string
 	Unread           time.Duration
 	Waiting, Running int
+	// Warming is how many upstreams of the group were warming up.
+	Warming int
 }
 
 // Outcome is how a request ended at its upstream.
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -10,6 +10,8 @@
 	Upstreams int `json:"upstreams"`
 	// Banned upstreams get no work for a while.
 	Banned int `json:"banned"`
+	// Warming upstreams get requests at a bounded rate.
+	Warming int `json:"warming"`
 	// Use is the part of the time in which upstreams had unread work, Unread the
 	// work ahead; both are means over the upstreams.
 	Use    float64       `json:"use"`
@@ -50,6 +52,9 @@
 		if now < u.banned {
 			s.Banned++
 		}
+		if u.warming(now) {
+			s.Warming++
+		}
 	}
 	if n := len(c.upstreams); n > 0 {
 		s.Use /= float64(n)
--- a/fleet/dump.go
+++ b/fleet/dump.go
@@ -12,16 +12,18 @@
 
 // Dump is a node's state, for operators.
 type Dump struct {
-	Router   uint64       `json:"router"`
-	Domain   string       `json:"failureDomain"`
-	Hub      bool         `json:"hub"`
-	Reads    bool         `json:"readsPlatform"`
-	Revision int64        `json:"revision"`
-	AgeMs    int64        `json:"ageMs"`
-	Pending  int          `json:"pending"`
-	Held     int          `json:"held"`
-	Members  []MemberDump `json:"members"`
-	Groups   []GroupDump  `json:"groups"`
+	Router   uint64 `json:"router"`
+	Domain   string `json:"failureDomain"`
+	Hub      bool   `json:"hub"`
+	Reads    bool   `json:"readsPlatform"`
+	Revision int64  `json:"revision"`
+	AgeMs    int64  `json:"ageMs"`
+	Pending  int    `json:"pending"`
+	Held     int    `json:"held"`
+	// Evacuated are the failure domains that are being evacuated.
+	Evacuated []string     `json:"evacuated"`
+	Members   []MemberDump `json:"members"`
+	Groups    []GroupDump  `json:"groups"`
 	// Quarantine lists the contents that are suspect or in quarantine.
 	Quarantine []ContentDump `json:"quarantine"`
 }
@@ -70,7 +72,7 @@
 	if n.feed != nil {
 		d.AgeMs = n.feed.Age().Milliseconds()
 		if s := n.feed.Snapshot(); s != nil {
-			d.Revision = s.Revision
+			d.Revision, d.Evacuated = s.Revision, s.View.Evacuated()
 		}
 	}
 	for _, m := range n.members {
@@ -123,7 +125,7 @@
 			continue
 		}
 		n.log.Info().Str("event", "group").Str("group", g.key).Bool("home", g.home == n.self).
-			Int("upstreams", s.Upstreams).Int("banned", s.Banned).Float64("use", s.Use).Int64("unread_ms", s.Unread.Milliseconds()).
+			Int("upstreams", s.Upstreams).Int("banned", s.Banned).Int("warming", s.Warming).Float64("use", s.Use).Int64("unread_ms", s.Unread.Milliseconds()).
 			Int("waiting", s.Waiting).Int("running", s.Running).Int64("served_tokens", int64(s.Served)).
 			Int64("room_tokens", int64(s.Room)).Int64("share_tokens", int64(s.Level)).Float64("over_use", s.OverUse).
 			Int("asked", since.Asked).Int("sent", since.Sent).Int("refused", since.Refused).Int("refused_over", since.RefusedOver).
--- a/fleet/home.go
+++ b/fleet/home.go
@@ -29,7 +29,7 @@
 		e.Str("request", b.ID).Str("service", key.service).Str("team", b.Team).Bool("over_share", d.Over).
 			Int64("served_tokens", int64(b.Served)).Int64("share_tokens", int64(b.Share)).
 			Int64("predicted_ms", d.Wait.Milliseconds()).Str("upstream", b.Upstream).
-			Int64("unread_ms", b.Unread.Milliseconds()).Int("waiting", b.Waiting).Int("running", b.Running).
+			Int64("unread_ms", b.Unread.Milliseconds()).Int("waiting", b.Waiting).Int("running", b.Running).Int("warming", b.Warming).
 			Int64("retry_after_ms", d.RetryAfter.Milliseconds()).Msg("refused by the home")
 	})
 }
--- a/gateway/allowed.go
+++ b/gateway/allowed.go
@@ -22,6 +22,7 @@
 	}
 	u := state.View.Upstream(id)
 	if state.View.EvacuatedUpstream(id) {
+		s.stats.withheld[withheldEvacuated].Inc(1)
 		r.tried = append(r.tried, id)
 		r.record.cause = "upstream " + id + " is in an evacuated failure domain"
 		return true, notRun("upstream_evacuated", "the upstream's failure domain is being evacuated; the request was not run", retryLater)
@@ -32,6 +33,7 @@
 		return true, notRun("upstream_left", "the upstream left before the request was sent", retryLater)
 	}
 	if !s.inRegion(r, u) {
+		s.stats.withheld[withheldRegion].Inc(1)
 		r.tried = append(r.tried, id)
 		r.record.cause = "upstream " + id + " is in a region that may not serve the request"
 		return true, notRun("no_region", "the upstream's region may not serve the request; the request was not run", retryLater)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -96,8 +96,9 @@
 		return result{refused: refused, again: u}
 	}
 	if d.Warming && boottime.Now().Sub(asked) > warmup.GrantTTL {
+		s.stats.withheld[withheldWarming].Inc(1)
 		s.placer.Done(r.service, ticket, dispatch.Withdrawn, 0)
-		r.record.cause = "grant to send to warming upstream " + d.Upstream + " expired"
+		r.record.cause = "decision to send to warming upstream " + d.Upstream + " is too old"
 		return result{refused: notRun("upstream_warming", "the upstream is warming up; the request was not run", retryLater), again: true}
 	}
 	return s.send(ctx, r, out, ticket, d)
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -14,8 +14,10 @@
 	refused  tally.Counter
 	// quarantined counts requests that were rejected because their content is in quarantine.
 	quarantined tally.Counter
-	first       tally.Histogram
-	placing     tally.Histogram
+	// withheld counts requests that a home had placed and that were not sent, by reason.
+	withheld map[withheldReason]tally.Counter
+	first    tally.Histogram
+	placing  tally.Histogram
 }
 
 func newStats(scope tally.Scope) *stats {
@@ -25,15 +27,28 @@
 		other:       scope.Tagged(map[string]string{"outcome": "other"}).Counter("answers"),
 		refused:     scope.Counter("refusals"),
 		quarantined: scope.Counter("quarantined"),
+		withheld:    map[withheldReason]tally.Counter{},
 		first:       scope.Histogram("first_byte_seconds", latencies),
 		placing:     scope.Histogram("placing_seconds", latencies),
 	}
 	for _, name := range []string{"ran", "not-run", "unknown", "cancelled", "cut"} {
 		s.outcomes[name] = scope.Tagged(map[string]string{"outcome": name}).Counter("answers")
 	}
+	for _, reason := range []withheldReason{withheldEvacuated, withheldWarming, withheldRegion} {
+		s.withheld[reason] = scope.Tagged(map[string]string{"reason": string(reason)}).Counter("withheld")
+	}
 	return s
 }
 
+// withheldReason is why a request was not sent to the upstream that its home had chosen.
+type withheldReason string
+
+const (
+	withheldEvacuated withheldReason = "evacuated"
+	withheldWarming   withheldReason = "warming"
+	withheldRegion    withheldReason = "region"
+)
+
 // latencies are the histograms' buckets: 1 ms to 16 s, doubling.
 var latencies = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
 
