Count the last second's requests of an engine that turns cold

Callers lost requests at an engine that turned cold under the same start: its home granted at the warm-up rate at once, on top of the usual load of the second before. The bucket now counts the requests of a warm engine too, those of the last second at most, so that an engine under full load gets its first grant a second after it turned cold and an idle one at once.

Evidence: TestEngineThatTurnsColdHasItsLastSecondBehindIt; without the count the first grant came at once. Services without a warm-up limit are not concerned: their engines are never cold.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -131,9 +131,7 @@
 
 func (c *Core) send(now time.Duration, u *upstream, j *job, wait time.Duration) {
 	warming := u.warming(now)
-	if warming {
-		u.warmUp.Take(now)
-	}
+	u.warmUp.Take(now)
 	j.warming = warming
 	u.take(j, now)
 	c.counts.Sent++
--- /dev/null
+++ b/dispatch/warmup_test.go
@@ -0,0 +1,85 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/aspenswitch/aspenswitch/dispatch"
+)
+
+// warmingEngines are engines with a warm-up, of which the first is warming up until a moment.
+func warmingEngines(n int, until time.Duration) []dispatch.Member {
+	members := engines(n)
+	for i := range members {
+		members[i].WarmUpFor, members[i].WarmUpRate = 3*time.Second, 6
+	}
+	members[0].WarmUntil = until
+	return members
+}
+
+// sendsTo asks for short requests every few milliseconds and returns when the first engine got
+// one.
+func sendsTo(c *dispatch.Core, now *time.Duration, span time.Duration, seq *uint64) (sends []time.Duration) {
+	for end := *now + span; *now < end; *now += 5 * time.Millisecond {
+		*seq++
+		r := request(*seq, "a", 1000+*seq)
+		r.Prompt, r.Parts = 100, nil
+		for _, d := range c.Ask(*now, r) {
+			if d.Verdict == dispatch.Send && d.Upstream == "e0" {
+				sends = append(sends, *now)
+			}
+		}
+		c.Started(*now+time.Millisecond, ticket(*seq))
+		c.Done(*now+2*time.Millisecond, ticket(*seq), dispatch.Served, 2*time.Millisecond)
+	}
+	return sends
+}
+
+// Guards against a second of grants on top of a second of usual load when an engine turns cold.
+func TestEngineThatTurnsColdHasItsLastSecondBehindIt(t *testing.T) {
+	g := NewWithT(t)
+	c := dispatch.New(dispatch.DefaultConfig(true))
+	now, seq := 2*time.Second, uint64(0)
+	c.SetMembers(now, warmingEngines(1, 0))
+	c.GrantWarmUp(true)
+	g.Expect(sendsTo(c, &now, 2*time.Second, &seq)).NotTo(BeEmpty())
+	turned := now
+	c.SetMembers(now, warmingEngines(1, now+3*time.Second))
+	sends := sendsTo(c, &now, 2*time.Second, &seq)
+	g.Expect(sends).NotTo(BeEmpty())
+	g.Expect(sends[0] - turned).To(BeNumerically(">=", 900*time.Millisecond))
+}
+
+// Guards against requests to a warming engine from a router that is not its home, and against
+// callers that wait though no engine may take their requests.
+func TestWarmingEngineWithoutGrantIsRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	c := dispatch.New(dispatch.DefaultConfig(true))
+	now := 2 * time.Second
+	c.SetMembers(now, warmingEngines(1, now+2500*time.Millisecond))
+	d := c.Ask(now, request(1, "a", 5))
+	g.Expect(d).To(HaveLen(1))
+	g.Expect(d[0].Verdict).To(Equal(dispatch.Refuse))
+	g.Expect(d[0].RetryAfter).To(BeNumerically(">", 2*time.Second), "when the engine is warm")
+	g.Expect(d[0].Basis.Warming).To(Equal(1))
+	c.SetMembers(now, warmingEngines(2, now+2500*time.Millisecond))
+	g.Expect(c.Ask(now, request(2, "a", 5))[0].Upstream).To(Equal("e1"))
+}
+
+// Guards against a rush to an engine that restarted while it could not be reached.
+func TestUnreachableEngineIsPresumedCold(t *testing.T) {
+	g := NewWithT(t)
+	c := dispatch.New(dispatch.DefaultConfig(true))
+	now, seq := 2*time.Second, uint64(0)
+	c.SetMembers(now, warmingEngines(1, 0))
+	c.GrantWarmUp(true)
+	seq++
+	g.Expect(c.Ask(now, request(seq, "a", 5))[0].Verdict).To(Equal(dispatch.Send))
+	c.Done(now, ticket(seq), dispatch.Unreachable, 0)
+	now += time.Second
+	sends := sendsTo(c, &now, time.Second, &seq)
+	g.Expect(len(sends)).To(BeNumerically("<=", 7))
+	g.Expect(sends).NotTo(BeEmpty())
+}
--- a/warmup/bucket.go
+++ b/warmup/bucket.go
@@ -2,11 +2,12 @@
 
 import "time"
 
-// Bucket is the token bucket from which one home grants requests to one upstream.
+// Bucket is the token bucket from which one home grants requests to one upstream. It counts the
+// requests of a warm upstream too: one that turns cold has those of the last second behind it.
 type Bucket struct {
 	// Rate is in requests per second. A Bucket with Rate 0 grants nothing.
 	Rate float64
-	// spent is the part of the burst that has not been refilled at the time updated.
+	// spent is the number of requests that have not been refilled at the time updated.
 	spent   float64
 	updated time.Duration
 }
@@ -14,9 +15,10 @@
 // Available reports whether a request can be granted.
 func (b *Bucket) Available(now time.Duration) bool { return b.Rate > 0 && b.NextIn(now) == 0 }
 
-// Take grants one request. The caller has checked Available.
+// Take counts one request. While the upstream warms up, the caller has checked Available.
+// Requests that were sent more than a second ago don't delay the next grant.
 func (b *Bucket) Take(now time.Duration) {
-	b.spent = b.spentAt(now) + 1
+	b.spent = min(b.spentAt(now)+1, burst+b.Rate)
 	b.updated = now
 }
 
