--- a/soak/check.go
+++ b/soak/check.go
@@ -37,6 +37,8 @@
 	c.crashLimit()
 	c.leavingNotices()
 	c.retryAfter()
+	c.warmUps()
+	c.evacuations()
 	c.moved()
 	c.neverBack()
 	c.cancelled()
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -130,6 +130,19 @@
 				h.Rejections = append(h.Rejections, Rejection{Request: rejected.ID, Upstream: "u0-1", At: at + time.Duration(i)*600*time.Millisecond, Rest: 3 * second})
 			}
 		},
+		"warming upstreams get little": func(h *History) {
+			for range DefaultConfig().Bounds.WarmUp().Bound(warmUpLimit) + 1 {
+				h.Runs = append(h.Runs, Run{Request: "ok", Upstream: "u0-1", Service: services[0], Began: at, Ended: at})
+			}
+			h.WarmUps = []Span{{Name: "u0-1", From: at - second, To: at + second}}
+			// Nothing excuses it: the bound is over all routers, whatever happened to them.
+			h.Disturbances = []Disturbance{{Kind: HerdKill, From: 5 * second, To: 11 * second}}
+		},
+		"evacuated domains get nothing": func(h *History) {
+			h.Requests = append(h.Requests, booking(func(*Request) {}))
+			h.Runs = append(h.Runs, run("u1-1", services[0], at))
+			h.Evacuations = []Span{{Name: domainOf(1), From: 5 * second, To: 12 * second}}
+		},
 		"serves as before": func(h *History) { h.Requests[0].Status = http.StatusServiceUnavailable },
 		"processes end when told": func(h *History) {
 			h.Exits = []Exit{{Router: 1, At: at, How: "ended by itself"}}
--- a/soak/config.go
+++ b/soak/config.go
@@ -26,16 +26,19 @@
 	Faults float64
 	// UpstreamFaults adds faults drawn from upstreamMenu to the plan.
 	UpstreamFaults bool
-	Bounds         settings.Bounds
+	// WarmUpFaults adds faults drawn from warmUpMenu to the plan, and makes upstreams warm up.
+	WarmUpFaults bool
+	Bounds       settings.Bounds
 }
 
 // DefaultConfig returns a run of some twenty seconds with five routers.
 func DefaultConfig() Config {
 	return Config{
-		Duration: 15 * time.Second, Settle: 8 * time.Second, Routers: 5, Upstreams: 3, Callers: 24, Faults: 1.2, UpstreamFaults: true,
+		Duration: 15 * time.Second, Settle: 8 * time.Second, Routers: 5, Upstreams: 3, Callers: 24, Faults: 1.2, UpstreamFaults: true, WarmUpFaults: true,
 		Bounds: settings.Bounds{
 			RevokeMs: 5000, ApplyMs: 2000, LeaveMs: 2000, GraceS: 4,
 			RetryRatio: 0.2, RetryAllowance: 40, RetryWindowS: 10, ShareWindowS: 4,
+			WarmUpOverage: 1.5, WarmUpSlack: 5, EvacuateMs: 2500,
 		},
 	}
 }
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/standin"
+	"github.com/aspenswitch/aspenswitch/warmup"
 )
 
 // Result is a run's outcome.
@@ -86,7 +87,11 @@
 
 // open starts the stand-ins and the routers.
 func (d *deployment) open() error {
-	d.op = newOperator(d.store, d.rec)
+	var limit warmup.Limit
+	if d.cfg.WarmUpFaults {
+		limit = warmUpLimit
+	}
+	d.op = newOperator(d.store, d.rec, limit)
 	if _, err := d.op.publish(); err != nil {
 		return err
 	}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -55,6 +55,12 @@
 	// UpstreamRest makes an upstream, or all upstreams of a service, answer 503 with
 	// Retry-After.
 	UpstreamRest FaultKind = "upstream-rest"
+	// UpstreamCold makes an upstream warm up anew under the same start; UpstreamColdReturn
+	// crashes it, and the next incarnation warms up.
+	UpstreamCold       FaultKind = "upstream-cold"
+	UpstreamColdReturn FaultKind = "upstream-cold-return"
+	// DomainEvacuate evacuates a failure domain of upstreams, which may be cold afterwards.
+	DomainEvacuate FaultKind = "domain-evacuate"
 	// KeyChange takes a team's key away and gives it another; RouteMove sends a
 	// route to the other service; RouteAdd adds one.
 	KeyChange FaultKind = "key-change"
--- a/soak/history.go
+++ b/soak/history.go
@@ -20,6 +20,9 @@
 	Exits        []Exit        `json:"exits"`
 	Crashes      []Crash       `json:"crashes"`
 	Rejections   []Rejection   `json:"rejections"`
+	// WarmUps are by upstream, Evacuations by failure domain.
+	WarmUps     []Span `json:"warmUps"`
+	Evacuations []Span `json:"evacuations"`
 }
 
 // Request is one request of a caller.
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -9,6 +9,7 @@
 	"github.com/aspenswitch/aspenswitch/registry"
 	"github.com/aspenswitch/aspenswitch/routing"
 	"github.com/aspenswitch/aspenswitch/standin"
+	"github.com/aspenswitch/aspenswitch/warmup"
 )
 
 // services are the two groups of upstreams.
@@ -25,13 +26,15 @@
 	key, old string
 	keys     int
 	added    []string
+	// evacuated are the failure domains that are being evacuated.
+	evacuated map[string]bool
 }
 
 // fixedKey belongs to a team whose key stays.
 const fixedKey = "key-fixed"
 
-func newOperator(store *standin.Store, rec *Recorder) *operator {
-	o := &operator{store: store, rec: rec, key: "key-0"}
+func newOperator(store *standin.Store, rec *Recorder, limit warmup.Limit) *operator {
+	o := &operator{store: store, rec: rec, key: "key-0", evacuated: map[string]bool{}}
 	o.cfg = routing.Config{
 		Routes: []routing.Route{
 			route(Lookup, prefixes[Lookup], services[0]),
@@ -40,9 +43,12 @@
 			route(Feed, prefixes[Feed], services[1]),
 			route(Moving, prefixes[Moving], services[0]),
 		},
-		Services: []routing.Service{{Name: services[0], HealthPath: "/health", MaxConns: 500}, {Name: services[1], HealthPath: "/health", MaxConns: 500}},
-		Teams:    []routing.Team{{Name: "schools", Keys: []string{fixedKey}}, {Name: "homes", Keys: []string{o.key}}},
-		Limits:   routing.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second},
+		Services: []routing.Service{
+			{Name: services[0], HealthPath: "/health", MaxConns: 500, WarmUp: limit},
+			{Name: services[1], HealthPath: "/health", MaxConns: 500, WarmUp: limit},
+		},
+		Teams:  []routing.Team{{Name: "schools", Keys: []string{fixedKey}}, {Name: "homes", Keys: []string{o.key}}},
+		Limits: routing.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second},
 	}
 	return o
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -53,9 +53,21 @@
 	{UpstreamRest, 3, 2 * time.Second, 5 * time.Second},
 }
 
+// warmUpMenu has faults of warm-ups and failure domains, from a random stream of their own as
+// well.
+var warmUpMenu = []weighted{
+	{UpstreamCold, 4, 0, 0},
+	{UpstreamColdReturn, 3, 500 * time.Millisecond, 2 * time.Second},
+	{DomainEvacuate, 3, 3 * time.Second, 7 * time.Second},
+}
+
 const (
 	// upstreamFaultRate is the mean number of faults drawn from upstreamMenu a second.
 	upstreamFaultRate = 0.25
+	// warmUpFaultRate is the mean number of faults drawn from warmUpMenu a second.
+	warmUpFaultRate = 0.3
+	// warmUpRandomStream is the random stream for warmUpMenu.
+	warmUpRandomStream = 1 << 33
 	// upstreamRandomStream is the random stream for upstreamMenu, above the streams of menu (0) and
 	// the callers (from 1).
 	upstreamRandomStream = 1 << 32
@@ -71,6 +83,9 @@
 	if cfg.UpstreamFaults {
 		plan = append(plan, drawFaults(rand.New(rand.NewPCG(cfg.Seed, upstreamRandomStream)), cfg, upstreamMenu, upstreamFaultRate)...)
 	}
+	if cfg.WarmUpFaults {
+		plan = append(plan, drawFaults(rand.New(rand.NewPCG(cfg.Seed, warmUpRandomStream)), cfg, warmUpMenu, warmUpFaultRate)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
@@ -118,7 +133,7 @@
 // target draws the part that a kind of fault meets.
 func target(rnd *rand.Rand, cfg Config, kind FaultKind) int {
 	switch kind {
-	case UpstreamDelay, UpstreamReset, UpstreamHush, UpstreamCut, UpstreamLeave, UpstreamCrash, UpstreamGrey, UpstreamNotice, UpstreamRest:
+	case UpstreamDelay, UpstreamReset, UpstreamHush, UpstreamCut, UpstreamLeave, UpstreamCrash, UpstreamGrey, UpstreamNotice, UpstreamRest, UpstreamCold, UpstreamColdReturn, DomainEvacuate:
 		return rnd.IntN(2 * cfg.Upstreams)
 	default:
 		return rnd.IntN(cfg.Routers)
--- a/soak/play.go
+++ b/soak/play.go
@@ -75,6 +75,13 @@
 		return d.places[f.Target].leaveUnpublished(f.For)
 	case UpstreamRest:
 		d.rejectWithRetryAfter(f)
+	case UpstreamCold:
+		defer awaitWarm()
+		return d.turnCold(d.places[f.Target], entryDelay)
+	case UpstreamColdReturn:
+		return d.coldReturn(d.places[f.Target], f.For)
+	case DomainEvacuate:
+		return d.evacuate(f)
 	case KeyChange:
 		return d.op.changeKey()
 	case RouteMove:
--- a/soak/regression.go
+++ b/soak/regression.go
@@ -12,13 +12,15 @@
 	Faults float64 `json:"faults"`
 	// UpstreamFaults is Config.UpstreamFaults of the run that failed.
 	UpstreamFaults bool `json:"upstreamFaults"`
+	// WarmUpFaults is Config.WarmUpFaults of the run that failed.
+	WarmUpFaults bool `json:"warmUpFaults"`
 	// Cause is what broke it.
 	Cause string `json:"cause"`
 }
 
 // Config is a configuration that plays the seed again.
 func (r Regression) Config(base Config) Config {
-	base.Seed, base.Faults, base.UpstreamFaults = r.Seed, r.Faults, r.UpstreamFaults
+	base.Seed, base.Faults, base.UpstreamFaults, base.WarmUpFaults = r.Seed, r.Faults, r.UpstreamFaults, r.WarmUpFaults
 	return base
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -104,6 +104,35 @@
 	}
 }
 
+// Guards against overloaded warming upstreams and work for evacuated domains beside other faults.
+func TestFleetHandlesWarmUpsAndEvacuations(t *testing.T) {
+	daemon := buildDaemon(t)
+	for slot, plan := range [][]soak.Fault{
+		{
+			{At: time.Second, Kind: soak.UpstreamCold, Target: 1},
+			{At: 1500 * time.Millisecond, Kind: soak.RouterKill, For: 300 * time.Millisecond},
+			{At: 2 * time.Second, Kind: soak.UpstreamCold, Target: 4},
+			{At: 5 * time.Second, Kind: soak.UpstreamColdReturn, Target: 2, For: 500 * time.Millisecond},
+		},
+		{
+			{At: time.Second, Kind: soak.DomainEvacuate, For: 5 * time.Second},
+			{At: 2 * time.Second, Kind: soak.StoreDown, For: 2 * time.Second},
+		},
+		{
+			{At: time.Second, Kind: soak.DomainEvacuate, Target: 1, For: 2 * time.Second},
+			{At: 2500 * time.Millisecond, Kind: soak.StoreCut, Target: 2, For: 3 * time.Second},
+			{At: 6 * time.Second, Kind: soak.DomainEvacuate, Target: 1, For: time.Second},
+		},
+	} {
+		t.Run(fmt.Sprint(plan[0].Kind, slot), func(t *testing.T) {
+			t.Parallel()
+			cfg := soak.DefaultConfig()
+			cfg.Seed, cfg.Daemon, cfg.Slot, cfg.Duration = 1, daemon, slot+10, 10*time.Second
+			playPlan(t, cfg, plan)
+		})
+	}
+}
+
 // killedAt is when all routers were killed.
 func killedAt(h *soak.History) time.Duration {
 	for _, d := range h.Disturbances {
--- a/soak/touched.go
+++ b/soak/touched.go
@@ -64,7 +64,7 @@
 
 func (d Disturbance) onUpstream() bool {
 	switch d.Kind {
-	case UpstreamDelay, UpstreamReset, UpstreamHush, UpstreamCut, UpstreamLeave, UpstreamCrash, UpstreamGrey, UpstreamNotice, UpstreamRest:
+	case UpstreamDelay, UpstreamReset, UpstreamHush, UpstreamCut, UpstreamLeave, UpstreamCrash, UpstreamGrey, UpstreamNotice, UpstreamRest, UpstreamColdReturn:
 		return true
 	default:
 		return false
--- a/soak/upstreams.go
+++ b/soak/upstreams.go
@@ -78,7 +78,7 @@
 // open registers an incarnation.
 func (p *place) open(r *standin.Runner, service string) error {
 	p.runner = r
-	p.entry = registry.Upstream{ID: p.id(), Service: service, Address: p.link.Address(), FailureDomain: "d0", Slots: 32}
+	p.entry = registry.Upstream{ID: p.id(), Service: service, Address: p.link.Address(), FailureDomain: domainOf(p.number), Slots: 32}
 	return p.op.register(p.entry)
 }
 
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -90,6 +90,7 @@
 	ran      map[string]int
 	conns    map[net.Conn]struct{}
 	crashed  bool
+	warmUp   warmUp
 }
 
 // NewRunner listens.
@@ -210,6 +211,10 @@
 		_, err := io.WriteString(c, raw)
 		return err == nil
 	}
+	if r.warmUp.overloaded(time.Now()) {
+		r.Crash()
+		return false
+	}
 	r.mu.Lock()
 	r.ran[id]++
 	r.mu.Unlock()
