--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -30,7 +30,7 @@
 const around = 2 * time.Second
 
 // believed are the events that change what a router takes for true.
-var believed = []string{"platform", "config", "upstream", "peer_state", "member", "home", "home_silent", "start", "stop", "reload", "cached"}
+var believed = []string{"platform", "config", "upstream", "peer_state", "member", "home", "home_silent", "evacuation", "start", "stop", "reload", "cached"}
 
 // Explain prints the story of a request from the log lines of all routers: its
 // own lines, and what the routers that handled it learnt around them, by time.
--- a/ctl/fleet_test.go
+++ b/ctl/fleet_test.go
@@ -24,6 +24,9 @@
 	members []string
 	ageMs   int64
 	pending int
+	// evacuated are failure domains, warming the upstreams of a group whose home it is.
+	evacuated []string
+	warming   int
 }
 
 func (f *fakeRouter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
@@ -33,7 +36,11 @@
 	}
 	_ = json.NewEncoder(w).Encode(map[string]any{
 		"ready": f.ready, "configVersion": f.version,
-		"node": map[string]any{"failureDomain": "east", "hub": f.pending > 0, "ageMs": f.ageMs, "pending": f.pending, "members": members},
+		"node": map[string]any{"failureDomain": "east", "hub": f.pending > 0, "ageMs": f.ageMs, "pending": f.pending, "members": members,
+			"router": 1, "evacuated": f.evacuated, "groups": []any{
+				map[string]any{"home": 1, "state": map[string]any{"warming": f.warming}},
+				map[string]any{"home": 2, "state": map[string]any{"warming": 9}},
+			}},
 	})
 }
 
@@ -52,6 +59,29 @@
 	return &fakeRouter{ready: true, version: 7, members: []string{"127.0.0.1:1", "127.0.0.1:2"}}
 }
 
+// Guards against an evacuation that operators can't see, and a router that missed it.
+func TestStatusTellsEvacuationsAndWarmUps(t *testing.T) {
+	g := NewWithT(t)
+	knows := func(warming int) *fakeRouter {
+		r := sound()
+		r.evacuated, r.warming = []string{"east", "west"}, warming
+		return r
+	}
+	bases := fleetOf(t, knows(3), knows(2), knows(0), sound())
+	var out bytes.Buffer
+	g.Expect(ctl.NewClient(bases, "").Status(&out, true, ctl.JSON)).To(Succeed())
+	var o ctl.Overview
+	g.Expect(json.Unmarshal(out.Bytes(), &o)).To(Succeed())
+	g.Expect(o.Evacuated).To(Equal([]string{"east", "west"}))
+	g.Expect(o.Warming).To(Equal(5))
+	g.Expect(o.Outliers).To(HaveLen(1))
+	g.Expect(o.Outliers[0].Reasons).To(ConsistOf("takes [] for evacuated where most take [east west]"))
+	out.Reset()
+	g.Expect(ctl.NewClient(bases, "").Status(&out, true, ctl.Table)).To(Succeed())
+	g.Expect(out.String()).To(ContainSubstring("evacuated failure domains: east, west"))
+	g.Expect(out.String()).To(ContainSubstring("5 upstreams are warming up"))
+}
+
 func TestStatusTellsRoutersThatDiffer(t *testing.T) {
 	g := NewWithT(t)
 	late := sound()
--- a/ctl/overview.go
+++ b/ctl/overview.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -23,6 +24,10 @@
 	Running int `json:"running"`
 	// ViewAge is how long ago the configuration was confirmed.
 	ViewAge time.Duration `json:"viewAgeNanos"`
+	// Evacuated are the failure domains that it takes for evacuated; Warming is the number of
+	// upstreams that are warming up in the groups for which it decides.
+	Evacuated []string `json:"evacuated,omitempty"`
+	Warming   int      `json:"warming"`
 	// Error is why it didn't answer, empty if it did.
 	Error string `json:"error,omitempty"`
 }
@@ -42,9 +47,13 @@
 
 // Overview is the state of a fleet.
 type Overview struct {
-	Summary  []Summary      `json:"summary"`
-	Outliers []Outlier      `json:"outliers"`
-	Routers  []RouterStatus `json:"routers"`
+	// Evacuated are the failure domains that most routers take for evacuated, Warming the
+	// upstreams that are warming up.
+	Evacuated []string       `json:"evacuated"`
+	Warming   int            `json:"warming"`
+	Summary   []Summary      `json:"summary"`
+	Outliers  []Outlier      `json:"outliers"`
+	Routers   []RouterStatus `json:"routers"`
 }
 
 // Summary counts the routers of a failure domain that have the same role.
@@ -76,11 +85,16 @@
 
 // newOverview sums up routers' states.
 func newOverview(routers []RouterStatus) Overview {
-	o := Overview{Routers: routers}
+	o := Overview{Routers: routers, Evacuated: usualEvacuated(routers)}
 	version, peers, waiting := usual(routers)
 	sums := map[[2]string]*Summary{}
 	for _, r := range routers {
-		if reasons := r.differs(version, peers, waiting); len(reasons) > 0 {
+		o.Warming += r.Warming
+		reasons := r.differs(version, peers, waiting)
+		if r.Error == "" && !slices.Equal(r.Evacuated, o.Evacuated) {
+			reasons = append(reasons, fmt.Sprintf("takes [%s] for evacuated where most take [%s]", strings.Join(r.Evacuated, " "), strings.Join(o.Evacuated, " ")))
+		}
+		if len(reasons) > 0 {
 			o.Outliers = append(o.Outliers, Outlier{RouterStatus: r, Reasons: reasons})
 		}
 		if r.Error != "" {
@@ -138,6 +152,26 @@
 	return version, heard[len(heard)/2], waiting / float64(len(heard))
 }
 
+// usualEvacuated returns the failure domains that most routers take for evacuated.
+func usualEvacuated(routers []RouterStatus) []string {
+	votes := map[string]int{}
+	usual, answered := "", 0
+	for _, r := range routers {
+		if r.Error != "" {
+			continue
+		}
+		answered++
+		list := strings.Join(r.Evacuated, "\n")
+		if votes[list]++; votes[list] > votes[usual] {
+			usual = list
+		}
+	}
+	if answered == 0 || usual == "" {
+		return nil
+	}
+	return strings.Split(usual, "\n")
+}
+
 // differs tells in what a router differs from the others.
 func (r *RouterStatus) differs(version string, peers int, waiting float64) (reasons []string) {
 	note := func(is bool, format string, args ...any) {
--- a/ctl/platform.go
+++ b/ctl/platform.go
@@ -23,6 +23,14 @@
 		Members []struct {
 			Address string `json:"address"`
 		} `json:"members"`
+		Router    uint64   `json:"router"`
+		Evacuated []string `json:"evacuated"`
+		Groups    []struct {
+			Home  uint64 `json:"home"`
+			State struct {
+				Warming int `json:"warming"`
+			} `json:"state"`
+		} `json:"groups"`
 	} `json:"node"`
 }
 
@@ -31,9 +39,22 @@
 		Router: base, FailureDomain: d.Node.Domain, Role: d.role(), State: stateOf(d.Ready, d.Stopping),
 		Version: strconv.FormatInt(d.ConfigVersion, 10), Peers: len(d.Node.Members),
 		Waiting: d.Node.Pending, Running: d.Node.Held, ViewAge: time.Duration(d.Node.AgeMs) * time.Millisecond,
+		Evacuated: d.Node.Evacuated, Warming: d.warming(),
 	}
 }
 
+// warming is the number of upstreams that are warming up in the groups of which the router is
+// the home.
+func (d *platformDump) warming() int {
+	sum := 0
+	for _, g := range d.Node.Groups {
+		if g.Home == d.Node.Router {
+			sum += g.State.Warming
+		}
+	}
+	return sum
+}
+
 func (d *platformDump) role() Role {
 	switch {
 	case d.Node.Hub:
--- a/ctl/print.go
+++ b/ctl/print.go
@@ -33,6 +33,12 @@
 		return printJSON(out, o)
 	}
 	fmt.Fprintf(out, "%d routers, %d without an answer, %d differ\n", len(o.Routers), o.missing(), len(o.Outliers))
+	if len(o.Evacuated) > 0 {
+		fmt.Fprintf(out, "evacuated failure domains: %s\n", strings.Join(o.Evacuated, ", "))
+	}
+	if o.Warming > 0 {
+		fmt.Fprintf(out, "%d upstreams are warming up\n", o.Warming)
+	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	if len(o.Outliers) > 0 {
 		fmt.Fprintln(w, "\nrouter\tdomain\trole\tdiffers")
