Homes ask engines whether they warm up while the platform can't be read

Callers lost requests at an engine that turned cold under the same start during an outage of the platform: nobody can read its entry then, and its home went on with the usual load. Now the home of a group asks its engines' health path twice a second while its view is older than a second, if their service has a warm-up limit, and takes what they say. Services without a warm-up limit are not probed. Ruled out: a late peer's state (no router had read the entry).

--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/aspenswitch/aspenswitch/obs"
 	"github.com/aspenswitch/aspenswitch/platform"
 	"github.com/aspenswitch/aspenswitch/quarantine"
+	"github.com/aspenswitch/aspenswitch/registry"
 	"github.com/aspenswitch/aspenswitch/retry"
 	"github.com/aspenswitch/aspenswitch/settings"
 	"github.com/aspenswitch/aspenswitch/upstream"
@@ -51,6 +52,9 @@
 	nodeCfg.Cached = func(ctx context.Context, address string) (fleet.Kept, error) {
 		return platform.CachedParts(ctx, d.pool, address)
 	}
+	nodeCfg.WarmUpLeft = func(ctx context.Context, u *registry.Upstream, healthPath string) (time.Duration, error) {
+		return platform.WarmUpLeft(ctx, d.pool, u, healthPath)
+	}
 	transport, err := fleet.Listen(s.Peers.IP, s.Peers.Port)
 	if err != nil {
 		return nil, err
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -58,8 +58,8 @@
 	// yield is that of the group.
 	yield  *yield
 	warmUp warmup.Bucket
-	// presumedWarm is when the upstream has warmed up if it restarted while it couldn't be
-	// reached.
+	// presumedWarm is when the upstream has warmed up by what it said itself, or if it
+	// restarted while it couldn't be reached.
 	presumedWarm time.Duration
 }
 
@@ -251,7 +251,7 @@
 		u.banned = max(u.banned, now+50*time.Millisecond)
 	case Unreachable:
 		u.leaveAlone(now)
-		u.presumedWarm = u.banned + u.WarmUpFor
+		u.presumedWarm = max(u.presumedWarm, u.banned+u.WarmUpFor)
 	case Silent:
 		if u.hangs(j, now, took) {
 			u.leaveAlone(now)
--- a/dispatch/warmup.go
+++ b/dispatch/warmup.go
@@ -12,6 +12,17 @@
 	return u.WarmUpFor > 0 && now < max(u.WarmUntil, u.presumedWarm)
 }
 
+// WarmingUp takes in that an upstream said that it warms up for so much longer.
+func (c *Core) WarmingUp(now time.Duration, at Incarnation, left time.Duration) []Decision {
+	u := c.byID[at.ID]
+	if u == nil || !u.Same(at) {
+		return nil
+	}
+	u.presumedWarm = max(u.presumedWarm, now+left)
+	c.replaceQueue(now, u)
+	return c.take()
+}
+
 // maxGrantAge is how long ago a request may have been asked for when it is sent to an upstream
 // that is warming up. The rest of the time until the grant expires is left for the way back.
 const maxGrantAge = warmup.GrantTTL / 3
--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -152,8 +152,9 @@
 	}
 	n.checkHomes(now)
 	n.fleetSize.observe(now, len(n.members)+1)
-	for _, g := range n.groups {
+	for key, g := range n.groups {
 		n.updateWarmUpGrant(now, g)
+		n.probeWarmUps(now, key, g)
 	}
 	n.pushState(now)
 	n.tickQuarantine(now)
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/quarantine"
+	"github.com/aspenswitch/aspenswitch/registry"
 	"github.com/aspenswitch/aspenswitch/warmup"
 )
 
@@ -49,6 +50,9 @@
 	// Cached asks an engine at an address which prompt parts it keeps; nil if
 	// engines can't be asked.
 	Cached func(ctx context.Context, address string) (Kept, error)
+	// WarmUpLeft asks an upstream at its health path how much longer it warms up; nil if that
+	// can't be asked.
+	WarmUpLeft func(ctx context.Context, u *registry.Upstream, healthPath string) (time.Duration, error)
 	// Seed of the process's random numbers, among them its incarnation: two
 	// processes must not have the same.
 	Seed uint64
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -133,6 +133,8 @@
 		n.handleTrial(now, e)
 	case leavingEvent:
 		n.handleLeaving(now, e)
+	case warmUpEvent:
+		n.takeWarmUp(now, e)
 	case inspectEvent:
 		e.do(now)
 	}
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -29,6 +29,8 @@
 	// home is the router that decided last, 0 if none has yet; homeSince is when it began.
 	home      uint64
 	homeSince boottime.Time
+	// probedAt is when this router last asked the upstreams whether they warm up.
+	probedAt boottime.Time
 	// told and toldAt are the counts in the last line of the log.
 	told   dispatch.Counts
 	toldAt boottime.Time
--- a/fleet/warmup_test.go
+++ b/fleet/warmup_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/feed"
 	"github.com/aspenswitch/aspenswitch/fleet"
+	"github.com/aspenswitch/aspenswitch/registry"
 	"github.com/aspenswitch/aspenswitch/warmup"
 )
 
@@ -35,14 +37,26 @@
 	began  time.Time
 	// loads counts the calls of load, whose sessions differ.
 	loads uint64
+	// pause is the time between two requests at a router.
+	pause time.Duration
+	// silentlyCold is when u0 is warm again; only a probe tells.
+	silentlyCold atomic.Int64
 }
 
 // domainOf puts two engines in each of three failure domains.
 func domainOf(id string) string { return fmt.Sprint("z", (id[1]-'0')/2) }
 
 func newColdFleet(t *testing.T) *coldFleet {
-	f := &coldFleet{cluster: newCluster(t), source: &source{revision: 1, version: 1}, sends: map[string][]time.Duration{}, began: time.Now()}
-	f.shape = func(_ int, c *fleet.Config) { c.WarmUp = coldPolicy }
+	f := &coldFleet{cluster: newCluster(t), source: &source{revision: 1, version: 1}, sends: map[string][]time.Duration{}, began: time.Now(), pause: 25 * time.Millisecond}
+	f.shape = func(_ int, c *fleet.Config) {
+		c.WarmUp = coldPolicy
+		c.WarmUpLeft = func(_ context.Context, u *registry.Upstream, _ string) (time.Duration, error) {
+			if u.ID != "u0" {
+				return 0, nil
+			}
+			return time.Duration(f.silentlyCold.Load()) - time.Since(f.began), nil
+		}
+	}
 	f.source.edit = func(b *feed.Batch) { f.describe(b, nil) }
 	f.start(8, f.source)
 	time.Sleep(2 * warmup.TakeoverDelay)
@@ -101,12 +115,11 @@
 
 // load asks for short requests at all routers for a while and notes where they are sent.
 func (f *coldFleet) load(d time.Duration) {
-	const pause = 25 * time.Millisecond
 	f.loads++
 	var wg sync.WaitGroup
 	for i, m := range f.all {
 		rnd := rand.New(rand.NewPCG(uint64(i), f.loads))
-		for at := pause; at < d; at += pause {
+		for at := f.pause; at < d; at += f.pause {
 			session := rnd.Uint64() >> 8
 			wg.Go(func() {
 				time.Sleep(at)
@@ -224,6 +237,22 @@
 	})
 }
 
+// Guards against a rush to an engine that turns cold while no router can read the platform.
+func TestEngineThatTurnsColdInAnOutageGetsNoMoreThanItsBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newColdFleet(t)
+		f.pause = 60 * time.Millisecond
+		f.source.change(func() { f.source.away = true })
+		f.load(1500 * time.Millisecond)
+		from := time.Now()
+		f.silentlyCold.Store(int64(from.Sub(f.began) + coldLimit.Duration))
+		f.load(coldLimit.Duration)
+		g.Expect(f.most("u0", from)).To(BeNumerically("<=", coldPolicy.Bound(coldLimit)))
+		g.Expect(f.most("u3", from)).To(BeNumerically(">", coldPolicy.Bound(coldLimit)))
+	})
+}
+
 // Guards against work for an evacuated domain from routers that learn of it from peers only.
 func TestEvacuatedDomainGetsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -43,6 +43,13 @@
 // RunnerNames are the headers that a Runner reads and writes.
 type RunnerNames struct{ RequestID, Instance, Seal, NotRun, Leaving string }
 
+// Paths and headers of a runner's health answers.
+const (
+	runnerHealthPath     = "/health"
+	runnerHealthInstance = "X-Aspenswitch-Instance-Id"
+	runnerHealthWarmUp   = "X-Aspenswitch-Cold-Ms"
+)
+
 // RunnerOptions say how a Runner works. The zero value answers at once.
 type RunnerOptions struct {
 	// Work is what a request takes; nil is nothing.
@@ -211,6 +218,11 @@
 		_, err := io.WriteString(c, raw)
 		return err == nil
 	}
+	if req.URL.Path == runnerHealthPath {
+		left := strconv.FormatInt(r.WarmUpLeft().Milliseconds(), 10)
+		_, err := io.WriteString(c, r.head(http.StatusOK, id, runnerHealthInstance+": "+r.id, runnerHealthWarmUp+": "+left, "Content-Length: 0"))
+		return err == nil
+	}
 	if r.warmUp.overloaded(time.Now()) {
 		r.Crash()
 		return false
