--- a/dispatch/average.go
+++ b/dispatch/average.go
@@ -20,8 +20,7 @@
 	// answers upstreams that turn bad for some seconds.
 	averageSpan = 3 * time.Second
 	// averagePrior is how many observations at the usual value an average begins
-	// with. One answer in twelve is a failure where nothing is wrong; with twenty,
-	// luck moves the average by a tenth of what a bad upstream does.
+	// with, so that a few failures by chance move it little.
 	averagePrior = 20
 )
 
--- a/dispatch/cache.go
+++ b/dispatch/cache.go
@@ -41,8 +41,7 @@
 //
 // An engine looks a prompt up when it admits it, and a part counts as kept only
 // once it has been read. A second request of the same session that is sent
-// meanwhile reads the part again: up to half of what was read again on heavy
-// days (model 371,000 tokens, measured 850,000).
+// meanwhile would read the part again.
 //
 // A reader that is overdue isn't waited for: its engine may be hung, and all
 // requests of the session would wait for it until their targets have passed.
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -2,16 +2,15 @@
 
 import "time"
 
-// Config tunes a Core. The defaults come from the engines' data sheet and from
-// runs of whole days; each says which load it answers.
+// Config tunes a Core. The defaults of the engines' figures are those of one data sheet; what
+// an engine does differently is learnt as its speed.
 type Config struct {
 	// Engine is set for model engines, whose cost is in tokens.
 	Engine bool
-	// TokensPerMs is an engine's prefill rate before it has been measured: 38.7
-	// on the data sheet.
+	// TokensPerMs is an engine's prefill rate before its speed has been learnt.
 	TokensPerMs float64
-	// PairsPerMs is how many pairs of tokens attention takes in a millisecond:
-	// 0.737 ms for a million on the data sheet. It makes long prompts dearer.
+	// PairsPerMs is how many pairs of tokens attention takes in a millisecond. It makes
+	// long prompts dearer.
 	PairsPerMs float64
 	// ChunkTokens are prefilled in a step; StepMs is what a step costs besides.
 	ChunkTokens int
@@ -37,9 +36,8 @@
 	// new sessions to where there will be room for the sessions' next requests.
 	Spread time.Duration
 	// Crawl is added for each token that a request may generate, times the part of
-	// the time in which the upstream reads prompts. While an engine reads, each of
-	// its streams gets a token in some 58 ms instead of 6, and a long answer may
-	// not end before its deadline.
+	// the time in which the upstream reads prompts. While an engine reads, its
+	// streams are slow, and a long answer may not end before its deadline.
 	Crawl time.Duration
 	// TargetUse is the part of the target that may be predicted to pass before
 	// the first byte; the rest covers the error of the prediction.
@@ -50,8 +48,7 @@
 	// team within its share; OverRecovery is what comes back in a second.
 	OverDecrease, OverRecovery float64
 	// OverPause is the least time between two such losses. A burst in one moment is
-	// one sign of too much, not dozens: after all routers had restarted, it kept
-	// large teams out for four seconds though engines were idle.
+	// one sign of too much, not dozens.
 	OverPause time.Duration
 	// Spill is the most work that may be repeated to serve a request in time
 	// that would else be refused.
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -8,13 +8,11 @@
 
 // pace leaves an engine time to end the answers that it has begun.
 //
-// While an engine reads prompts, each of its streams gets a token only with each chunk:
-// every 80 ms instead of every 6 where chunks are large. An engine that is kept full of
-// prompts for long cuts every answer of more than 190 tokens at the end of its fifteen
-// seconds, after having worked on it all the while: 4 to 5 % of the answers of a heavy
-// day in the laboratory, one in seven of the longest kind on whole days. So each engine
-// rests from reading for the part of its time that its streams need, if what they are
-// worth is more than what it could read meanwhile (1.2 to 1.9 % are still cut).
+// While an engine reads prompts, each of its streams gets a token only with each chunk, which
+// takes many times longer than a step without reading. An engine that is kept full of prompts
+// for long would miss the deadlines of long answers after having worked on them all the while.
+// So each engine rests from reading for the part of its time that its streams need, if what
+// they are worth is more than what it could read meanwhile.
 type pace struct {
 	// given is how many tokens each stream has been given since the engine is known.
 	given float64
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -63,10 +63,8 @@
 
 // plan copies from the donor if that is faster than reading.
 //
-// A prompt whose parts are cached elsewhere costs the engine 160 ms to read
-// again (6,300 tokens at 38.7 a ms); copying them takes 30 ms and leaves the
-// engine free for others meanwhile. Without it a session is bound to one engine
-// or pays its whole prefix at each move.
+// Copying leaves the engine free for others meanwhile. Without it a session is bound to one
+// engine or pays for reading its whole prefix at each move.
 func (c *Core) plan(u *upstream, r *Request, kept, donor int, all []int) plan {
 	p := plan{cost: u.cost(r, kept, 0)}
 	if donor < 0 || u.CopyPerToken <= 0 {
--- a/dispatch/standing.go
+++ b/dispatch/standing.go
@@ -39,10 +39,8 @@
 
 // standing returns how a team stands.
 //
-// Users compare what teams got from the whole fleet. Divided alike in each group, a team
-// whose sessions belong to one group got a third of what others got from two (60
-// requests against 184 and 178 over six seconds), or 350,000 tokens a second against
-// 600,000 and more from four.
+// Users compare what teams got from the whole fleet. If each group divided its service alike, a
+// team whose sessions belong to one group would get a fraction of what others get from several.
 func (s *shares) standing(now time.Duration, team string) standing {
 	s.refresh(now)
 	a := s.account(now, team)
--- a/dispatch/warmup_test.go
+++ b/dispatch/warmup_test.go
@@ -52,8 +52,7 @@
 	g.Expect(sends[0] - turned).To(BeNumerically(">=", 900*time.Millisecond))
 }
 
-// Guards against requests to a warming engine from a router that is not its home, and against
-// callers that wait though no engine may take their requests.
+// Guards against requests to a warming engine from a router that is not its home.
 func TestWarmingEngineWithoutGrantIsRefusedAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	c := dispatch.New(dispatch.DefaultConfig(true))
--- a/feed/changelog.go
+++ b/feed/changelog.go
@@ -1,12 +1,8 @@
 package feed
 
 // changeLog remembers which upstreams changed at which revision, so that a peer that
-// is a little behind gets those alone.
-//
-// At 86 VMs and a hundred upstreams a whole state is some 20 KB, fetched by every
-// router at each change: 3,200 times on a day on which a quarter of the upstreams were
-// lost and came back, each with a millisecond or two of encoding and decoding, just
-// when the homes have most to do.
+// is a little behind gets those alone. Without it every router would fetch the whole state
+// at each change, just when many upstreams change and homes have most to do.
 type changeLog struct {
 	// complete is the revision after which no change is missing.
 	complete int64
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -11,10 +11,9 @@
 // Hubs are the routers that all others hear often. Homes of groups are chosen among
 // them, and so are the routers that read the platform or pass its state on.
 //
-// If all routers heard each other often, heartbeats would grow with the square of
-// the fleet: at 86 VMs they were half of all processor time (44 of 84 s on a heavy
-// day) and 5 % of what a VM with 0.19 of a core has. A router that is no hub hears
-// the others eight times more rarely, so that it knows who takes over.
+// If all routers heard each other often, heartbeats would grow with the square of the fleet and
+// take much of a small VM's processor. A router that is no hub hears the others farTimes more
+// rarely, so that it knows who takes over.
 const (
 	// farTimes is how many times more rarely routers beat that are no hubs to each
 	// other.
--- a/fleet/warmup_test.go
+++ b/fleet/warmup_test.go
@@ -22,7 +22,7 @@
 	"github.com/aspenswitch/aspenswitch/warmup"
 )
 
-// coldLimit and coldPolicy allow 19 requests in a second.
+// coldLimit and coldPolicy are those of the tests' engines.
 var (
 	coldLimit  = warmup.Limit{Duration: 4 * time.Second, PerSecond: 9.8}
 	coldPolicy = warmup.Policy{Overage: 1.5, Slack: 5}
@@ -89,26 +89,14 @@
 	})
 }
 
-// evacuate publishes that a failure domain is evacuated.
-func (f *coldFleet) evacuate(domain string) {
+// evacuate publishes that a failure domain is evacuated or, if ended is set, reopened.
+func (f *coldFleet) evacuate(domain string, ended bool) {
 	f.source.change(func() {
 		f.source.revision++
-		revision := f.source.revision
+		order := feed.Change{Revision: f.source.revision, Evacuation: &feed.Evacuation{Domain: domain, Ended: ended}}
 		f.source.edit = func(b *feed.Batch) {
 			f.describe(b, nil)
-			b.Changes = append(b.Changes, feed.Change{Revision: revision, Evacuation: &feed.Evacuation{Domain: domain}})
-		}
-	})
-}
-
-// reopen publishes that the evacuation of a failure domain was withdrawn.
-func (f *coldFleet) reopen(domain string) {
-	f.source.change(func() {
-		f.source.revision++
-		revision := f.source.revision
-		f.source.edit = func(b *feed.Batch) {
-			f.describe(b, nil)
-			b.Changes = append(b.Changes, feed.Change{Revision: revision, Evacuation: &feed.Evacuation{Domain: domain, Ended: true}})
+			b.Changes = append(b.Changes, order)
 		}
 	})
 }
@@ -260,7 +248,7 @@
 		f := newColdFleet(t)
 		f.load(time.Second)
 		g.Expect(f.sent("u0", f.began)).NotTo(BeZero())
-		f.evacuate("z0")
+		f.evacuate("z0", false)
 		time.Sleep(revoke)
 		from := time.Now()
 		f.source.change(func() { f.source.away = true })
@@ -275,9 +263,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := newColdFleet(t)
-		f.evacuate("z0")
+		f.evacuate("z0", false)
 		f.load(2 * time.Second)
-		f.reopen("z0")
+		f.evacuate("z0", true)
 		from := time.Now()
 		f.load(coldLimit.Duration)
 		for _, id := range []string{"u0", "u1"} {
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -58,7 +58,7 @@
 	// the body of a long prompt.
 	UnreadBytes = 16 << 10
 	// RequestBytes is what a waiting request may take beside that: its body, its
-	// upstream connection and their buffers (2,000 held requests of 18 KB took 118 MB).
+	// upstream connection and their buffers.
 	RequestBytes = 64 << 10
 )
 
--- a/soak/warmup.go
+++ b/soak/warmup.go
@@ -8,7 +8,7 @@
 	"github.com/aspenswitch/aspenswitch/warmup"
 )
 
-// warmUpLimit is how upstreams warm up in a run with warm-up faults.
+// warmUpLimit is how upstreams warm up in runs with warm-up faults.
 var warmUpLimit = warmup.Limit{Duration: 3 * time.Second, PerSecond: 4}
 
 const (
