--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -12,7 +12,9 @@
 	Teams     []Team     `json:"teams"`
 	Pools     []Pool     `json:"pools"`
 	Upstreams []Upstream `json:"upstreams"`
-	Limits    Limits     `json:"limits"`
+	// Evacuated are failure domains whose upstreams get no new work.
+	Evacuated []string `json:"evacuated,omitempty"`
+	Limits    Limits   `json:"limits"`
 }
 
 // Team is who the fleet serves.
@@ -83,6 +85,11 @@
 	QueuePerTeam int `json:"queuePerTeam"`
 }
 
+// TakesWork reports whether an upstream of the bundle gets new work.
+func (b *Bundle) TakesWork(u Upstream) bool {
+	return !u.Leaving && !slices.Contains(b.Evacuated, u.FailureDomain)
+}
+
 // PoolNamed returns the pool with the name.
 func (b *Bundle) PoolNamed(name string) (Pool, bool) {
 	i := slices.IndexFunc(b.Pools, func(p Pool) bool { return p.Name == name })
--- a/bundle/check.go
+++ b/bundle/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/aspenswitch/aspenswitch/jsonc"
@@ -64,9 +65,24 @@
 	c.teams()
 	c.pools()
 	c.upstreams()
+	c.evacuated()
 	c.limits()
 }
 
+// evacuated finds failure domains that no upstream is in: an order for a misspelt one would do
+// nothing.
+func (c *checker) evacuated() {
+	seen := unique[string]{}
+	for i, domain := range c.b.Evacuated {
+		at := fmt.Sprintf("/evacuated/%d", i)
+		if !slices.ContainsFunc(c.b.Upstreams, func(u Upstream) bool { return u.FailureDomain == domain }) {
+			c.doc.Add(at, "no upstream is in the failure domain %q", domain)
+			continue
+		}
+		c.once(seen, at, domain, "failure domain")
+	}
+}
+
 func (c *checker) teams() {
 	ids, names, keys := unique[int]{}, unique[string]{}, unique[string]{}
 	for i, t := range c.b.Teams {
--- a/bundle/check_test.go
+++ b/bundle/check_test.go
@@ -62,6 +62,25 @@
 		Expect(findings[1].String()).To(HavePrefix("b.json:4:51: /teams/0/share: "))
 	})
 
+	It("evacuates failure domains, and finds those that no upstream is in", func() {
+		in := func(evacuated string) string {
+			text := strings.Replace(goodText(), `"slots": 4`, `"slots": 4, "failureDomain": "north"`, 1)
+			return strings.Replace(text, `"version": 3,`, `"version": 3, "evacuated": [`+evacuated+`],`, 1)
+		}
+		b, findings := bundle.Parse("b.json", []byte(in(`"north"`)))
+		Expect(findings).To(BeEmpty())
+		Expect(b.TakesWork(b.Upstreams[0])).To(BeFalse())
+		open, findings := bundle.Parse("b.json", []byte(in("")))
+		Expect(findings).To(BeEmpty())
+		Expect(open.TakesWork(open.Upstreams[0])).To(BeTrue())
+		open.Version++
+		Expect(bundle.Diff(b, open)).To(ContainElement("evacuated: [north] to []"))
+		_, findings = bundle.Parse("b.json", []byte(in(`"nroth", "north", "north"`)))
+		Expect(findings).To(HaveLen(2))
+		Expect(findings[0].String()).To(HavePrefix("b.json:3:31: /evacuated/0: no upstream is in the failure domain"))
+		Expect(findings[1].Path).To(Equal("/evacuated/2"))
+	})
+
 	It("places what is no JSON", func() {
 		_, findings := bundle.Parse("b.json", []byte("{\n  \"version\": ,\n}"))
 		Expect(findings).To(HaveLen(1))
--- a/bundle/diff.go
+++ b/bundle/diff.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 )
 
 // Diff tells in one line each what changes from a to b.
@@ -18,6 +19,9 @@
 	out = append(out, diffItems("team", named(a.Teams, Team.key), named(b.Teams, Team.key))...)
 	out = append(out, diffItems("pool", named(a.Pools, Pool.key), named(b.Pools, Pool.key))...)
 	out = append(out, diffItems("upstream", named(a.Upstreams, Upstream.key), named(b.Upstreams, Upstream.key))...)
+	if !slices.Equal(a.Evacuated, b.Evacuated) {
+		out = append(out, fmt.Sprintf("evacuated: [%s] to [%s]", strings.Join(a.Evacuated, " "), strings.Join(b.Evacuated, " ")))
+	}
 	if a.Limits != b.Limits {
 		out = append(out, "limits: changed")
 	}
--- a/router/control.go
+++ b/router/control.go
@@ -165,7 +165,7 @@
 	}
 	for _, u := range b.Upstreams {
 		s.Upstreams = append(s.Upstreams, sched.Upstream{
-			ID: u.ID, Pool: poolID[u.Pool], Slots: u.Slots, Leaving: u.Leaving,
+			ID: u.ID, Pool: poolID[u.Pool], Slots: u.Slots, Leaving: !b.TakesWork(u),
 		})
 	}
 	return s
--- /dev/null
+++ b/router/control_internal_test.go
@@ -0,0 +1,21 @@
+package router
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/aspenswitch/aspenswitch/bundle"
+)
+
+// Guards against new work for the upstreams of a failure domain that the bundle evacuates.
+func TestEvacuatedUpstreamsTakeNoWork(t *testing.T) {
+	g := NewWithT(t)
+	s := coreSettings(&bundle.Bundle{
+		Pools:     []bundle.Pool{{ID: 1, Name: "planning"}},
+		Upstreams: []bundle.Upstream{{ID: 1, Pool: "planning", FailureDomain: "north"}, {ID: 2, Pool: "planning", FailureDomain: "south"}},
+		Evacuated: []string{"north"},
+	})
+	g.Expect(s.Upstreams[0].Leaving).To(BeTrue())
+	g.Expect(s.Upstreams[1].Leaving).To(BeFalse())
+}
--- a/soak/warmup.go
+++ b/soak/warmup.go
@@ -23,11 +23,14 @@
 // domainOf is the failure domain of a place.
 func domainOf(place int) string { return fmt.Sprint("d", place%domains) }
 
-// turnCold makes an upstream warm up anew under the same start. Its entry tells so after a
-// delay.
+// turnCold makes an upstream warm up anew under the same start, unless it is ending. Its entry
+// tells so after a delay.
 func (d *deployment) turnCold(p *place, delay time.Duration) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.busy {
+		return nil
+	}
 	bound := d.cfg.Bounds.WarmUp().Bound(warmUpLimit)
 	now := d.rec.Now()
 	p.runner.WarmUp(time.Now().Add(warmUpLimit.Duration), int(crashFactor*float64(bound)))
