--- a/soak/play.go
+++ b/soak/play.go
@@ -77,7 +77,7 @@
 		d.rejectWithRetryAfter(f)
 	case UpstreamCold:
 		defer awaitWarm()
-		return d.turnCold(d.places[f.Target], entryDelay)
+		return d.turnCold(d.places[f.Target], learnTime)
 	case UpstreamColdReturn:
 		return d.coldReturn(d.places[f.Target], f.For)
 	case DomainEvacuate:
--- a/soak/warmup.go
+++ b/soak/warmup.go
@@ -16,32 +16,36 @@
 	domains = 2
 	// crashFactor is the multiple of the bound above which a warming upstream crashes.
 	crashFactor = 1.5
-	// entryDelay is how long after it turned cold an upstream writes its entry.
-	entryDelay = 200 * time.Millisecond
+	// learnTime is how long routers may take to learn that an upstream under load has turned
+	// cold. What they send until then can't be less than its load.
+	learnTime = 500 * time.Millisecond
 )
 
 // domainOf is the failure domain of a place.
 func domainOf(place int) string { return fmt.Sprint("d", place%domains) }
 
-// turnCold makes an upstream warm up anew under the same start, unless it is ending. Its entry
-// tells so after a delay.
-func (d *deployment) turnCold(p *place, delay time.Duration) error {
+// turnCold makes an upstream warm up anew under the same start, unless it is ending, and publishes
+// that. The bound holds after a while.
+func (d *deployment) turnCold(p *place, after time.Duration) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.busy {
 		return nil
 	}
+	entry := p.entry
+	entry.WarmUpLeft = warmUpLimit.Duration
+	if err := d.op.register(entry); err != nil {
+		return err
+	}
+	published := d.rec.Now()
+	until := time.Now().Add(warmUpLimit.Duration)
+	time.Sleep(after)
 	bound := d.cfg.Bounds.WarmUp().Bound(warmUpLimit)
-	now := d.rec.Now()
-	p.runner.WarmUp(time.Now().Add(warmUpLimit.Duration), int(crashFactor*float64(bound)))
-	id := p.entry.ID
+	p.runner.WarmUp(until, int(crashFactor*float64(bound)))
 	d.rec.Add(func(h *History) {
-		h.WarmUps = append(h.WarmUps, Span{Name: id, From: now + delay, To: now + warmUpLimit.Duration})
+		h.WarmUps = append(h.WarmUps, Span{Name: entry.ID, From: published + after, To: published + warmUpLimit.Duration})
 	})
-	time.Sleep(delay)
-	entry := p.entry
-	entry.WarmUpLeft = p.runner.WarmUpLeft()
-	return d.op.register(entry)
+	return nil
 }
 
 // awaitWarm waits as long as a warm-up takes.
