--- a/lab/engine.go
+++ b/lab/engine.go
@@ -44,9 +44,12 @@
 	generated    int
 	lastEventAt  time.Duration
 	longestPause time.Duration
-	cancelled    bool
-	firstToken   func()
-	done         func()
+	// begun is set once the first chunk of the prompt has been prefilled.
+	begun     bool
+	cancelled bool
+	// prefilled is called when the prompt is prefilled, firstToken and done when the first and
+	// the last token arrive.
+	prefilled, firstToken, done func()
 }
 
 func newEngine(id string, c *clock, model *EngineModel, speed float64) *engine {
@@ -168,6 +171,10 @@
 		n := min(s.unprefilled, budget)
 		budget -= n
 		chunks[i] = n
+		if !s.begun {
+			s.begun = true
+			ms += e.model.PromptWorkMs
+		}
 		ms += float64(n)/e.model.TokensPerMs + float64(n)*(float64(s.context)+float64(n)/2)*e.model.PairsMsPerM/1e6
 	}
 	e.clock.after(time.Duration(ms*e.speed*float64(time.Millisecond)), func() { e.finishStep(chunks) })
@@ -198,19 +205,21 @@
 	e.step()
 }
 
-// generateToken generates one token. Every Stride tokens form an event of the stream.
+// generateToken generates one token, which leaves the engine after its fixed delay. Every
+// Stride tokens form an event of the stream.
 func (e *engine) generateToken(s *sequence) {
 	s.generated++
 	s.context++
 	now := e.clock.now
 	if s.generated == 1 {
 		s.lastEventAt = now
-		s.firstToken()
+		s.prefilled()
+		e.clock.after(milliseconds(e.model.FirstTokenDelayMs), s.firstToken)
 	} else if s.generated%e.model.Stride == 0 {
 		s.longestPause = max(s.longestPause, now-s.lastEventAt)
 		s.lastEventAt = now
 	}
 	if s.generated >= s.outputTokens {
-		s.done()
+		e.clock.after(milliseconds(e.model.FirstTokenDelayMs), s.done)
 	}
 }
--- a/lab/policy.go
+++ b/lab/policy.go
@@ -27,7 +27,8 @@
 const (
 	// Home is the policy of the fleet: a core at a home, with network delay both ways.
 	Home Policy = "home"
-	// Omniscient is the same core without delay, notified of starts immediately.
+	// Omniscient is the same core without delay, configured with the performance of the engines
+	// and notified immediately when a prompt is prefilled.
 	Omniscient Policy = "omniscient"
 	// Random picks a random engine and refuses nothing.
 	Random Policy = "random"
@@ -49,9 +50,9 @@
 		if s.fleet.Homes > 1 {
 			return s.newMultiHomePolicy(oneWayDelay)
 		}
-		return s.newCorePolicy(oneWayDelay)
+		return s.newCorePolicy(dispatch.DefaultConfig(true), oneWayDelay)
 	case Omniscient:
-		return s.newCorePolicy(0)
+		return s.newCorePolicy(s.load.Sheet.Engine.config(), 0)
 	case Random:
 		return &statelessPolicy{sim: s, pickEngine: func(*request) int { return s.rng.IntN(len(s.engines)) }}
 	case SessionHash:
@@ -73,13 +74,21 @@
 	replaced bool
 }
 
-func (s *simulation) newCorePolicy(delay time.Duration) *corePolicy {
-	return s.newHomePolicy(delay, 0, 1)
+func (s *simulation) newCorePolicy(cfg dispatch.Config, delay time.Duration) *corePolicy {
+	return s.newHomePolicy(cfg, delay, 0, 1)
+}
+
+// config returns the configuration that matches the engine.
+func (e *EngineModel) config() dispatch.Config {
+	c := dispatch.DefaultConfig(true)
+	c.PrefillTokensPerMs, c.AttentionPairsPerMs = e.TokensPerMs, 1e6/e.PairsMsPerM
+	c.ChunkTokens, c.PrefillStepMs, c.DecodeStepMs = e.ChunkTokens, e.StepMs, e.StepMs
+	return c
 }
 
 // newHomePolicy returns the policy of one of several homes that divide the engines.
-func (s *simulation) newHomePolicy(delay time.Duration, homeIndex, homeCount int) *corePolicy {
-	c := &corePolicy{sim: s, core: dispatch.New(dispatch.DefaultConfig(true)), delay: delay, homeIndex: homeIndex, homeCount: homeCount}
+func (s *simulation) newHomePolicy(cfg dispatch.Config, delay time.Duration, homeIndex, homeCount int) *corePolicy {
+	c := &corePolicy{sim: s, core: dispatch.New(cfg), delay: delay, homeIndex: homeIndex, homeCount: homeCount}
 	c.setEngines(0)
 	c.scheduleOutages(s.fleet.EngineOutages)
 	c.tick()
@@ -145,6 +154,9 @@
 // dispatchRequest returns the request that is submitted to the core.
 func (c *corePolicy) dispatchRequest(r *request) dispatch.Request {
 	target := c.sim.class(r).target()
+	if c.sim.result.Policy == Omniscient {
+		target -= milliseconds(c.sim.load.Sheet.Engine.FirstTokenDelayMs)
+	}
 	if len(c.sim.routers) > 0 {
 		target -= c.sim.clock.now - r.attemptAt
 	}
--- a/lab/sheet.go
+++ b/lab/sheet.go
@@ -40,6 +40,10 @@
 	TokensPerMs float64 `json:"tokensPerMs"`
 	PairsMsPerM float64 `json:"pairsMsPerM"`
 	ChunkTokens int     `json:"chunkTokens"`
+	// Tokens arrive FirstTokenDelayMs after they are generated; the engine serves others
+	// meanwhile. PromptWorkMs is the fixed part of a prompt's prefill time.
+	FirstTokenDelayMs float64 `json:"firstTokenDelayMs"`
+	PromptWorkMs      float64 `json:"promptWorkMs"`
 	// CopyNsPerToken is the time to copy a cached token from another engine, in nanoseconds.
 	CopyNsPerToken int64 `json:"copyNsPerToken"`
 	// Stride is the number of tokens per stream event. An answer is late if the pause between
--- a/lab/simulation.go
+++ b/lab/simulation.go
@@ -247,12 +247,20 @@
 	}
 	r.sentAt = s.clock.now
 	r.engineSequence = &sequence{parts: r.parts, prompt: r.prompt(), outputTokens: r.outputTokens}
+	informed := s.result.Policy == Omniscient
+	r.engineSequence.prefilled = func() {
+		if informed {
+			s.policy.started(r)
+		}
+	}
 	r.engineSequence.firstToken = func() {
 		r.firstToken = s.clock.now
 		cell := s.fairness.at(s.clock.now, r.team)
 		cell.startedTokens += r.charge()
 		cell.underserved = cell.underserved || r.firstToken-r.at > s.class(r).target()
-		s.policy.started(r)
+		if !informed {
+			s.policy.started(r)
+		}
 	}
 	r.engineSequence.done = func() { s.answered(r) }
 	r.upstream = d.Upstream
