dispatch: allowances are tested against engines with a bounded rate

The tests ended all requests of a router at once every 100 to 200 ms, whatever their number, and dropped the decisions that those ends returned: requests sent from the queue never ended, and both engines were jammed after 0.3 s. A model that learns an engine's rate finds this one unbounded and refuses nothing. The tests now use the simulation of the other tests, whose engines serve one prompt after another at the published capacity, and read the last allowance of every decision, also of those that came after a wait. Assertions and bounds are the same; the first test has ten engines instead of two, because with 6 requests a second the rate of the last second varies by half.

--- a/dispatch/allowance_test.go
+++ b/dispatch/allowance_test.go
@@ -11,36 +11,28 @@
 	"github.com/aspenswitch/aspenswitch/dispatch"
 )
 
-// testRouter submits requests for a team and stores the last allowance it received.
+// testRouter submits requests for a team.
 type testRouter struct {
-	c         *dispatch.Core
-	router    uint64
-	seq       uint64
-	allowance float64
-	sent      []dispatch.Ticket
+	s      *simulation
+	router uint64
+	seq    uint64
 }
 
-func (a *testRouter) submit(now time.Duration, team string) {
+func (a *testRouter) submit(team string) {
 	a.seq++
-	r := request(a.seq, team, a.seq%20)
-	r.Ticket.Router = a.router
-	for _, d := range a.c.Submit(now, r) {
-		if d.Ticket == r.Ticket && d.Allowance != 0 {
-			a.allowance = d.Allowance
-		}
-		if d.Verdict == dispatch.Send {
-			a.sent = append(a.sent, d.Ticket)
-		}
-	}
+	a.s.submitFrom(a.router, team, a.seq%20)
 }
 
-// finish completes the requests that were sent.
-func (a *testRouter) finish(now time.Duration) {
-	for _, t := range a.sent {
-		a.c.Started(now, t)
-		a.c.Done(now, t, dispatch.Served, time.Second)
-	}
-	a.sent = nil
+// allowance returns the last allowance that the router received.
+func (a *testRouter) allowance() float64 { return a.s.allowances[a.router] }
+
+// newBusySimulation returns a simulation of engines that serve a capacity in tokens per second.
+func newBusySimulation(engines int, capacity float64) *simulation {
+	s := newSimulation(newCore(engines))
+	s.c.SetCapacity(capacity)
+	r := request(1, "", 1)
+	s.prefillTime = time.Duration(float64(engines) * dispatch.ChargedTokens(&r) / capacity * float64(time.Second))
+	return s
 }
 
 // Guards against allowances that ignore how a team's demand is spread over routers. Two
@@ -49,91 +41,70 @@
 // has no bound.
 func TestRoutersGetTheirPartsOfATeamsRate(t *testing.T) {
 	g := NewWithT(t)
-	const capacity = 60000
-	c := newCore(2)
-	c.SetCapacity(capacity)
-	heavy, light := &testRouter{c: c, router: 1}, &testRouter{c: c, router: 2}
-	other, small := &testRouter{c: c, router: 3}, &testRouter{c: c, router: 4}
-	now := 2 * time.Second
+	const capacity = 300000
+	sim := newBusySimulation(10, capacity)
+	heavy, light := &testRouter{s: sim, router: 1}, &testRouter{s: sim, router: 2}
+	other, small := &testRouter{s: sim, router: 3}, &testRouter{s: sim, router: 4}
 	for i := range 600 {
-		now += 10 * time.Millisecond
+		sim.step(10 * time.Millisecond)
 		if i%10 == 0 {
-			light.submit(now, "flood")
+			light.submit("flood")
 		} else {
-			heavy.submit(now, "flood")
+			heavy.submit("flood")
 		}
-		other.submit(now, "other")
+		other.submit("other")
 		if i%100 == 0 {
-			small.submit(now, "small")
-		}
-		if i%20 == 0 {
-			for _, a := range []*testRouter{heavy, light, other, small} {
-				a.finish(now)
-			}
+			small.submit("small")
 		}
 	}
-	g.Expect(math.IsInf(small.allowance, 1)).To(BeTrue())
-	g.Expect(heavy.allowance/light.allowance).To(BeNumerically("~", 9, 3), fmt.Sprint(heavy.allowance, light.allowance))
-	g.Expect(heavy.allowance + light.allowance).To(BeNumerically(">", 0.6*other.allowance))
-	g.Expect(heavy.allowance + light.allowance).To(BeNumerically("<", 1.6*other.allowance))
+	g.Expect(math.IsInf(small.allowance(), 1)).To(BeTrue())
+	g.Expect(heavy.allowance()/light.allowance()).To(BeNumerically("~", 9, 3), fmt.Sprint(heavy.allowance(), light.allowance()))
+	g.Expect(heavy.allowance() + light.allowance()).To(BeNumerically(">", 0.6*other.allowance()))
+	g.Expect(heavy.allowance() + light.allowance()).To(BeNumerically("<", 1.6*other.allowance()))
 	// At least 0.6 of the published throughput is assumed. The small team gets all it
 	// requests. The other team's router may request twice its fair rate, which is half of
 	// the rest.
 	const smallRate = 9100
-	g.Expect(other.allowance).To(BeNumerically(">", 0.8*(0.6*capacity-smallRate)))
+	g.Expect(other.allowance()).To(BeNumerically(">", 0.8*(0.6*capacity-smallRate)))
 }
 
 // Guards against hundreds of routers that together may request several times a team's
 // rate.
 func TestManyRoutersMayAskForNoMoreThanOne(t *testing.T) {
 	g := NewWithT(t)
-	c := newCore(2)
-	c.SetCapacity(60000)
+	sim := newBusySimulation(2, 60000)
 	wide := make([]*testRouter, 280)
 	for i := range wide {
-		wide[i] = &testRouter{c: c, router: uint64(i + 10)}
+		wide[i] = &testRouter{s: sim, router: uint64(i + 10)}
 	}
-	narrow := &testRouter{c: c, router: 1}
-	now := 2 * time.Second
+	narrow := &testRouter{s: sim, router: 1}
 	for i := range 1200 {
-		now += 5 * time.Millisecond
+		sim.step(5 * time.Millisecond)
 		a := wide[i%len(wide)]
-		a.submit(now, "wide")
-		narrow.submit(now, "narrow")
-		if i%20 == 0 {
-			narrow.finish(now)
-			for _, a := range wide {
-				a.finish(now)
-			}
-		}
+		a.submit("wide")
+		narrow.submit("narrow")
 	}
 	total := 0.0
 	for _, a := range wide {
-		total += a.allowance
+		total += a.allowance()
 	}
-	g.Expect(total).To(BeNumerically("<", 1.6*narrow.allowance))
-	g.Expect(total).To(BeNumerically(">", 0.6*narrow.allowance))
+	g.Expect(total).To(BeNumerically("<", 1.6*narrow.allowance()))
+	g.Expect(total).To(BeNumerically(">", 0.6*narrow.allowance()))
 }
 
 // Guards against an allowance that shrinks with each refusal: requests that a router sheds
 // must count towards its part of the team's demand.
 func TestShedRequestsCountForTheRoutersPart(t *testing.T) {
 	g := NewWithT(t)
-	c := newCore(2)
-	c.SetCapacity(60000)
-	a, b := &testRouter{c: c, router: 1}, &testRouter{c: c, router: 2}
-	now := 2 * time.Second
-	for i := range 300 {
-		now += 10 * time.Millisecond
-		a.submit(now, "flood")
-		b.submit(now, "flood")
-		c.RecordShed(now, 2, "flood", 3*9000, nil)
-		if i%20 == 0 {
-			a.finish(now)
-			b.finish(now)
-		}
+	sim := newBusySimulation(2, 60000)
+	a, b := &testRouter{s: sim, router: 1}, &testRouter{s: sim, router: 2}
+	for range 300 {
+		sim.step(10 * time.Millisecond)
+		a.submit("flood")
+		b.submit("flood")
+		sim.c.RecordShed(sim.now, 2, "flood", 3*9000, nil)
 	}
-	g.Expect(b.allowance / a.allowance).To(BeNumerically("~", 4, 0.8))
+	g.Expect(b.allowance() / a.allowance()).To(BeNumerically("~", 4, 0.8))
 }
 
 // Guards against a slow recovery of a team that got nothing for two seconds because its
@@ -142,21 +113,15 @@
 func TestTeamThatGotNothingMayAskForItsShareAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	const capacity = 400000
-	c := newCore(10)
-	c.SetCapacity(capacity)
-	a, b := &testRouter{c: c, router: 1}, &testRouter{c: c, router: 2}
-	now := 2 * time.Second
+	sim := newBusySimulation(10, capacity)
+	a, b := &testRouter{s: sim, router: 1}, &testRouter{s: sim, router: 2}
 	for i := range 1500 {
-		now += 4 * time.Millisecond
+		sim.step(4 * time.Millisecond)
 		if i < 1000 || i == 1499 {
-			a.submit(now, "held up")
-		}
-		b.submit(now, "other")
-		if i%50 == 0 {
-			a.finish(now)
-			b.finish(now)
+			a.submit("held up")
 		}
+		b.submit("other")
 	}
 	// Twice the fair rate, which is half of 0.6 of the published throughput.
-	g.Expect(a.allowance).To(BeNumerically(">", 0.8*0.6*capacity))
+	g.Expect(a.allowance()).To(BeNumerically(">", 0.8*0.6*capacity))
 }
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -15,11 +15,16 @@
 	submitted, served map[string]int
 	engines           map[string]*fifoEngine
 	team              map[uint64]string
-	steps, idleSteps  int
+	tickets           map[uint64]dispatch.Ticket
+	// allowances holds the last allowance of each router.
+	allowances       map[uint64]float64
+	steps, idleSteps int
 	// onSend, if set, is called for each request that is sent.
 	onSend func(team string)
 	// remoteUsage, if set, returns what a team got from other groups.
 	remoteUsage func(team string) dispatch.Usage
+	// prefillTime is the time that an engine takes for each prompt.
+	prefillTime time.Duration
 }
 
 // fifoEngine is the backlog of an engine.
@@ -31,21 +36,32 @@
 }
 
 func newSimulation(c *dispatch.Core) *simulation {
-	return &simulation{c: c, now: 2 * time.Second, submitted: map[string]int{}, served: map[string]int{}, engines: map[string]*fifoEngine{}, team: map[uint64]string{}}
+	return &simulation{c: c, now: 2 * time.Second, submitted: map[string]int{}, served: map[string]int{}, engines: map[string]*fifoEngine{}, team: map[uint64]string{}, tickets: map[uint64]dispatch.Ticket{}, allowances: map[uint64]float64{},
+		// About half of the sessions are cached: 3,000 to 9,000 tokens to prefill.
+		prefillTime: 150 * time.Millisecond}
 }
 
-func (s *simulation) submit(team string, session uint64) {
+func (s *simulation) submit(team string, session uint64) { s.submitFrom(router, team, session) }
+
+// submitFrom submits a request of a router.
+func (s *simulation) submitFrom(router uint64, team string, session uint64) {
 	s.seq++
 	s.submitted[team]++
 	s.team[s.seq] = team
 	if s.remoteUsage != nil {
 		s.c.SetRemoteUsage(s.now, team, s.remoteUsage(team))
 	}
-	s.handle(s.c.Submit(s.now, request(s.seq, team, session)))
+	r := request(s.seq, team, session)
+	r.Ticket.Router = router
+	s.tickets[s.seq] = r.Ticket
+	s.handle(s.c.Submit(s.now, r))
 }
 
 func (s *simulation) handle(ds []dispatch.Decision) {
 	for _, d := range ds {
+		if d.Allowance != 0 {
+			s.allowances[d.Ticket.Router] = d.Allowance
+		}
 		if d.Verdict != dispatch.Send {
 			continue
 		}
@@ -57,8 +73,7 @@
 			e = &fifoEngine{}
 			s.engines[d.Upstream] = e
 		}
-		// About half of the sessions are cached: 3,000 to 9,000 tokens to prefill.
-		e.jobs = append(e.jobs, fifoJob{seq: d.Ticket.Seq, remaining: 150 * time.Millisecond})
+		e.jobs = append(e.jobs, fifoJob{seq: d.Ticket.Seq, remaining: s.prefillTime})
 	}
 }
 
@@ -79,8 +94,8 @@
 			seq := e.jobs[0].seq
 			e.jobs = e.jobs[1:]
 			s.served[s.team[seq]]++
-			s.handle(s.c.Started(s.now, ticket(seq)))
-			s.handle(s.c.Done(s.now, ticket(seq), dispatch.Served, time.Second))
+			s.handle(s.c.Started(s.now, s.tickets[seq]))
+			s.handle(s.c.Done(s.now, s.tickets[seq], dispatch.Served, time.Second))
 		}
 	}
 	s.handle(s.c.Tick(s.now))
