fleet: few routers list the platform when all start

Cause: each router without a state listed the platform at once. The amount grows with routers times upstreams.

Change: a starting router waits half a second, in which it learns its peers; then the readers list, and the others wait 3 to 6 s for the state of a peer before they list for themselves. A router without a state no longer counts itself as the only one whose state is recent, contacts its seeds at its first tick and not after half a second on average, and chooses the hubs once in 50 ms while peers join, not with each of them.

--- a/feed/config.go
+++ b/feed/config.go
@@ -20,6 +20,13 @@
 	// MaxServingAge is the age up to which a confirmed state may be used to serve
 	// requests. Until then a revoked key may still be accepted.
 	MaxServingAge time.Duration
+	// JoinTime is how long a starting router waits before it reads the platform, so that it
+	// knows its peers and whether it is one of the readers.
+	JoinTime time.Duration
+	// FirstStateWait is the minimum time for which it then waits for the state of a peer if it
+	// isn't a reader, and half of the maximum. Within it the readers list the platform, and the
+	// state passes through the fleet.
+	FirstStateWait time.Duration
 	// BackoffMin and BackoffMax bound the delay after a failed read.
 	BackoffMin, BackoffMax time.Duration
 }
@@ -44,8 +51,10 @@
 		// the propagation over two routers.
 		MaxFollowerAge: min(apply*3/4, revoke*6/10),
 		// The last tenth is reserved for requests waiting in an upstream's queue.
-		MaxServingAge: revoke * 9 / 10,
-		BackoffMin:    50 * time.Millisecond,
-		BackoffMax:    800 * time.Millisecond,
+		MaxServingAge:  revoke * 9 / 10,
+		JoinTime:       500 * time.Millisecond,
+		FirstStateWait: 3 * time.Second,
+		BackoffMin:     50 * time.Millisecond,
+		BackoffMax:     800 * time.Millisecond,
 	}
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -236,6 +236,7 @@
 // Run keeps the state up to date until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
 	go f.runExpiry(ctx)
+	f.awaitFirstState(ctx)
 	backoff, failures := f.cfg.BackoffMin, 0
 	for ctx.Err() == nil {
 		if f.Snapshot() != nil && !f.isReader() && f.Age() < f.cfg.MaxFollowerAge {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -74,11 +74,18 @@
 	}
 }
 
+// testConfig returns the configuration of a router that doesn't wait for peers when it starts.
+func testConfig() feed.Config {
+	cfg := feed.DefaultConfig(revoke, apply)
+	cfg.JoinTime, cfg.FirstStateWait = 0, 0
+	return cfg
+}
+
 // start runs a feed in the synctest bubble and returns it.
 func start(t *testing.T, source feed.Source) *feed.Feed {
 	begin := time.Now()
 	clock := func() boottime.Time { return boottime.Time(time.Since(begin) + time.Hour) }
-	f := feed.New(feed.DefaultConfig(revoke, apply), source, clock, zerolog.Nop(), func() bool { return true }, func() {})
+	f := feed.New(testConfig(), source, clock, zerolog.Nop(), func() bool { return true }, func() {})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go f.Run(ctx)
@@ -167,7 +174,7 @@
 func TestPeerStateIsDatedFromRequestTime(t *testing.T) {
 	g := NewWithT(t)
 	now := boottime.Time(time.Hour)
-	f := feed.New(feed.DefaultConfig(revoke, apply), &fakeSource{}, func() boottime.Time { return now }, zerolog.Nop(), func() bool { return false }, func() {})
+	f := feed.New(testConfig(), &fakeSource{}, func() boottime.Time { return now }, zerolog.Nop(), func() bool { return false }, func() {})
 	requestedAt := now.Add(-2 * time.Second)
 	f.Import(&feed.PeerState{Revision: 4, AgeNanos: int64(time.Second), Config: &routing.Config{Version: 1}}, requestedAt)
 	g.Expect(f.Age()).To(Equal(3 * time.Second))
@@ -186,7 +193,7 @@
 func TestNonContiguousChangesAreRejected(t *testing.T) {
 	g := NewWithT(t)
 	now := boottime.Time(time.Hour)
-	f := feed.New(feed.DefaultConfig(revoke, apply), &fakeSource{}, func() boottime.Time { return now }, zerolog.Nop(), func() bool { return false }, func() {})
+	f := feed.New(testConfig(), &fakeSource{}, func() boottime.Time { return now }, zerolog.Nop(), func() bool { return false }, func() {})
 	requestedAt := now.Add(-time.Second)
 	f.Import(&feed.PeerState{Revision: 4, Config: &routing.Config{Version: 1}, Upstreams: []registry.Upstream{{ID: "leaves", Revision: 2}}}, requestedAt)
 	f.Import(&feed.PeerState{Revision: 9, Since: 7, Upstreams: []registry.Upstream{{ID: "comes", Revision: 8}}}, now)
@@ -200,7 +207,7 @@
 func TestPeerCannotDateStateInTheFuture(t *testing.T) {
 	g := NewWithT(t)
 	now := boottime.Time(time.Hour)
-	f := feed.New(feed.DefaultConfig(revoke, apply), &fakeSource{}, func() boottime.Time { return now }, zerolog.Nop(), func() bool { return false }, func() {})
+	f := feed.New(testConfig(), &fakeSource{}, func() boottime.Time { return now }, zerolog.Nop(), func() bool { return false }, func() {})
 	f.Import(&feed.PeerState{Revision: 4, AgeNanos: int64(time.Second), Config: &routing.Config{Version: 1}}, now)
 	g.Expect(f.Age()).To(Equal(time.Second))
 	f.ConfirmRevision(4, now.Add(time.Hour))
@@ -215,7 +222,7 @@
 func TestStateAgeIncludesVMSuspension(t *testing.T) {
 	g := NewWithT(t)
 	now := boottime.Time(time.Hour)
-	f := feed.New(feed.DefaultConfig(revoke, apply), &fakeSource{}, func() boottime.Time { return now }, zerolog.Nop(), func() bool { return false }, func() {})
+	f := feed.New(testConfig(), &fakeSource{}, func() boottime.Time { return now }, zerolog.Nop(), func() bool { return false }, func() {})
 	f.Import(&feed.PeerState{Revision: 4, Config: &routing.Config{Version: 1}}, now)
 	g.Expect(f.Fresh()).To(BeTrue())
 	now = now.Add(revoke) // the boot clock advanced while the process was suspended
@@ -243,7 +250,7 @@
 				return watchUnchanged(ctx, after, wait)
 			},
 		}
-		f := feed.New(feed.DefaultConfig(revoke, apply), source, clock, zerolog.Nop(), func() bool { return false }, func() {})
+		f := feed.New(testConfig(), source, clock, zerolog.Nop(), func() bool { return false }, func() {})
 		ctx, cancel := context.WithCancel(context.Background())
 		t.Cleanup(cancel)
 		go f.Run(ctx)
--- a/feed/lapse_test.go
+++ b/feed/lapse_test.go
@@ -55,7 +55,7 @@
 		begin := time.Now()
 		clock := func() boottime.Time { return boottime.Time(time.Since(begin) + time.Hour) }
 		var unreachable atomic.Bool
-		f := feed.New(feed.DefaultConfig(revoke, apply), &fakeSource{
+		f := feed.New(testConfig(), &fakeSource{
 			list: listOf(3, configChange(3), upstreamChange("leaves", 2)),
 			watch: func(ctx context.Context, after int64, wait time.Duration) (feed.Batch, error) {
 				if unreachable.Load() {
@@ -151,7 +151,7 @@
 		g.Expect(f.Snapshot().View.Upstream("leaves")).NotTo(BeNil(), "lapsed, still in use")
 
 		clock := func() boottime.Time { return boottime.Time(time.Since(begin) + time.Hour) }
-		peer := feed.New(feed.DefaultConfig(revoke, apply), &fakeSource{list: func(ctx context.Context) (feed.Batch, error) { return watchUnanswered(ctx, 0, 0) }, watch: watchUnanswered},
+		peer := feed.New(testConfig(), &fakeSource{list: func(ctx context.Context) (feed.Batch, error) { return watchUnanswered(ctx, 0, 0) }, watch: watchUnanswered},
 			clock, zerolog.Nop(), func() bool { return false }, func() {})
 		peer.Import(f.Export(feed.StateVersion{}), clock())
 		ctx, cancel := context.WithCancel(context.Background())
@@ -173,7 +173,7 @@
 		t.Cleanup(cancel)
 		follower := func() *feed.Feed {
 			unreachable := func(context.Context) (feed.Batch, error) { return feed.Batch{}, errors.New("platform unreachable") }
-			f := feed.New(feed.DefaultConfig(revoke, apply), &fakeSource{list: unreachable, watch: watchUnchanged}, clock, zerolog.Nop(), func() bool { return false }, func() {})
+			f := feed.New(testConfig(), &fakeSource{list: unreachable, watch: watchUnchanged}, clock, zerolog.Nop(), func() bool { return false }, func() {})
 			f.Import(&feed.PeerState{
 				Revision: 16, Config: configChange(3).Config, Upstreams: []registry.Upstream{*upstreamChange("leaves", 14).Upstream, *upstreamChange("stays", 2).Upstream},
 			}, clock())
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -21,7 +21,7 @@
 		n.log.Info().Str("event", "member").Uint64("router", id).Str("ip", hb.IP).Str("domain", hb.Domain).
 			Int("members", len(n.members)).Msg("router joined")
 		hb.ReplyRequested = true
-		n.hubsChosenAt = 0
+		n.hubsChosenAt = min(n.hubsChosenAt, now.Add(hubChoiceDelay-hubChoiceInterval))
 	}
 	m.leaving = hb.Leaving
 	if hb.ReceiverIsHub != m.usesUsAsHub {
@@ -175,6 +175,10 @@
 
 func (n *Node) contactSeeds(now boottime.Time) {
 	probability := float64(slowTick) / float64(seedContactInterval)
+	if len(n.members) == 0 {
+		// A starting router must know its peers before it decides whether to read the platform.
+		probability = 1
+	}
 	for _, ip := range n.cfg.Seeds {
 		if ip == n.cfg.IP || n.isMember(ip) || n.random.Float64() > probability {
 			continue
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -21,6 +21,9 @@
 	infrequentFactor = 8
 	// hubChoiceInterval is the time between two choices of the hubs.
 	hubChoiceInterval = 500 * time.Millisecond
+	// hubChoiceDelay is the time from the first join to the next choice. When all routers start,
+	// hundreds join within a second.
+	hubChoiceDelay = 50 * time.Millisecond
 )
 
 // candidate is a router that may be a hub.
--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -107,8 +107,9 @@
 	return leaders
 }
 
+// stateStale reports whether this router's state is missing or too old to be distributed.
 func (n *Node) stateStale() bool {
-	return n.feed != nil && n.feed.Snapshot() != nil && n.feed.Age() > n.cfg.MaxLeaderStateAge
+	return n.feed != nil && n.feed.Age() > n.cfg.MaxLeaderStateAge
 }
 
 // pushState announces a new revision immediately: a reader sends a heartbeat to the leaders, a
