fleet: the state is sent to peers in CBOR, encoded once, to a bounded number at a time

Cause: each router that fetched the state had it encoded in JSON for itself, within 0.6 s. 6,000 upstreams are 1.1 MB, 3 ms of a core to encode and 32 ms to decode, and more for the message around it: on a VM of 0.19 cores a fetch hardly ends in time, and a leader with 95 followers held a copy for each; the busiest router took 425 MB of its 536.

Change: a client that says so gets the state in CBOR within the JSON message (0.88 MB, 2 ms and 5 ms); the encoding is kept for all peers that have the same version, its age is sent beside it. A leader serves 8 peers at a time and rejects the others, who turn to another peer with its next heartbeat. A first state may take 2 s. At most 16 MB are read. Earlier versions are still answered, and understood, in JSON.

--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"math"
 	"net"
 	"net/netip"
@@ -74,3 +75,12 @@
 	}})
 	return <-answers
 }
+
+// Pull fetches the state of a peer.
+func (n *Node) Pull(ctx context.Context, addr netip.AddrPort) error { return n.pull(ctx, addr) }
+
+// MaxPullsServed is the number of peers that are served at the same time.
+const MaxPullsServed = maxPullsServed
+
+// MaxStateBytes is the maximum size of a peer's state.
+const MaxStateBytes = maxStateBytes
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -55,8 +55,9 @@
 	// unreadSince is when the oldest lag probe that hasn't been read was sent, 0 if none.
 	unreadSince atomic.Int64
 
-	shed       shedList
-	quarantine quarantineState
+	encodedStates stateCache
+	shed          shedList
+	quarantine    quarantineState
 	// availability has the upstreams that are shutting down, as reported by any router.
 	availability *availability.Table
 	// groupCounts has the number of groups of each service.
--- a/fleet/pull.go
+++ b/fleet/pull.go
@@ -6,32 +6,58 @@
 	"net/netip"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/aspenswitch/aspenswitch/feed"
+	"github.com/aspenswitch/aspenswitch/obs"
 )
 
 // methodState is the JSON-RPC method that returns a peer's published state.
 const methodState = "state"
 
-// stateParams are the versions that the client has.
+// stateParams are the versions that the client has. Compact is set if it can decode
+// stateReply.Compact.
 type stateParams struct {
 	ConfigVersion int64 `json:"configVersion"`
 	Revision      int64 `json:"revision"`
+	Compact       bool  `json:"compact,omitempty"`
 }
 
-// pullTimeout limits the transfer of a state. A megabyte takes a few milliseconds, and
-// another peer or the platform may provide the state as well.
-const pullTimeout = 600 * time.Millisecond
+// stateReply is the state in one of two encodings: a plain feed.PeerState in JSON, or the same in
+// CBOR in Compact and only AgeNanos in JSON. Decoding 6,000 upstreams takes 32 ms of a core in
+// JSON and 5 ms in CBOR.
+type stateReply struct {
+	feed.PeerState
+	Compact []byte `json:"compact,omitempty"`
+}
+
+const (
+	// pullTimeout limits the transfer of changes. Another peer or the platform may provide them
+	// as well.
+	pullTimeout = 600 * time.Millisecond
+	// firstPullTimeout limits the transfer of the first state. It is long enough for a small VM
+	// whose processor is busy with the start, and short enough to leave a slow peer for another.
+	firstPullTimeout = 2 * time.Second
+	// maxPullsServed is the number of peers that are served at the same time, each of which
+	// takes a few megabytes. Others are rejected and turn to another peer.
+	maxPullsServed = 8
+	// maxStateBytes limits what is read from a peer. 12,000 upstreams take 2.4 MB.
+	maxStateBytes = 16 << 20
+)
 
 // pullFrom starts to fetch a peer's state, unless a fetch is in progress.
 func (n *Node) pullFrom(addr netip.AddrPort) {
 	if !n.pulling.CompareAndSwap(false, true) {
 		return
 	}
+	timeout := pullTimeout
+	if n.feed.Snapshot() == nil {
+		timeout = firstPullTimeout
+	}
 	go func() {
 		defer n.pulling.Store(false)
-		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		if err := n.pull(ctx, addr); err != nil {
 			n.log.Warn().Str("event", "peer").Stringer("from", addr).Err(err).Msg("failed to fetch the state of a peer")
@@ -49,15 +75,22 @@
 			return Error.Wrap(err)
 		}
 	}
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(&limitedConn{Conn: conn, left: maxStateBytes}, jsonrpc2.VSCodeObjectCodec{})
 	rpc := jsonrpc2.NewConn(ctx, stream, noopHandler{})
 	defer func() { _ = rpc.Close() }()
 	requestedAt := n.now()
-	var state feed.PeerState
-	params := stateParams(n.feed.StateVersion())
-	if err := rpc.Call(ctx, methodState, params, &state); err != nil {
+	var reply stateReply
+	known := n.feed.StateVersion()
+	if err := rpc.Call(ctx, methodState, stateParams{ConfigVersion: known.ConfigVersion, Revision: known.Revision, Compact: true}, &reply); err != nil {
 		return Error.Wrap(err)
 	}
+	state := reply.PeerState
+	if len(reply.Compact) > 0 {
+		if err := cbor.Unmarshal(reply.Compact, &state); err != nil {
+			return Error.New("undecodable state: %w", err)
+		}
+		state.AgeNanos = reply.AgeNanos
+	}
 	n.feed.Import(&state, requestedAt)
 	return nil
 }
@@ -69,20 +102,30 @@
 
 // servePulls serves peers that fetch the state until the transport is closed.
 func (n *Node) servePulls() {
+	slots := make(chan struct{}, maxPullsServed)
 	for {
 		conn, err := n.net.Accept()
 		if err != nil {
 			return // closed
 		}
-		go n.servePull(conn)
+		select {
+		case slots <- struct{}{}:
+			go func() {
+				defer func() { <-slots }()
+				n.servePull(conn)
+			}()
+		default:
+			n.limited.Warn("pull_rejected", func(e *obs.Event) { e.Msg("too many peers fetch the state at the same time") })
+			_ = conn.Close()
+		}
 	}
 }
 
 func (n *Node) servePull(conn net.Conn) {
-	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), firstPullTimeout)
 	defer cancel()
 	// If the deadline can't be set, the connection is broken and the RPC fails below.
-	_ = conn.SetDeadline(time.Now().Add(pullTimeout))
+	_ = conn.SetDeadline(time.Now().Add(firstPullTimeout))
 	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
 	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(n.serveState))
 	select {
@@ -100,9 +143,21 @@
 	if err := decodeParams(req, &params); err != nil {
 		return nil, err
 	}
-	state := n.feed.Export(feed.StateVersion(params))
-	if state == nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "no state yet"}
+	known := feed.StateVersion{ConfigVersion: params.ConfigVersion, Revision: params.Revision}
+	if !params.Compact {
+		if state := n.feed.Export(known); state != nil {
+			return state, nil
+		}
+		return nil, errNoState
 	}
-	return state, nil
+	encoded, age, err := n.encodedStates.encode(n.feed, known)
+	if err != nil {
+		return nil, err
+	}
+	if encoded == nil {
+		return nil, errNoState
+	}
+	return stateReply{PeerState: feed.PeerState{AgeNanos: age}, Compact: encoded}, nil
 }
+
+var errNoState = &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "no state yet"}
