fleet: a source of the published state that doesn't answer is left after a second

Cause: a router counts as silent after four heartbeat intervals, which are 23 s with 584 routers. Until then the routers of its failure domain, or the other leaders, went on to poll it in vain, and each read the platform for itself every 3 s.

Change: a source whose polls stay unanswered for a second, without any other datagram from it, counts as unresponsive, as a home that doesn't answer does; its next datagram clears that. A router that hears nothing from anybody is cut off itself and changes nothing.

--- a/fleet/events.go
+++ b/fleet/events.go
@@ -150,7 +150,7 @@
 		n.handleHeartbeat(now, p.From, p.Heartbeat)
 	}
 	if m := n.members[p.From]; m != nil {
-		m.lastContact, m.unresponsive, m.silent = now, false, false
+		m.lastContact, m.unresponsive, m.silent, m.polledInVainSince = now, false, false, 0
 		n.lastPeerContact = now
 	}
 	if p.Ask != nil {
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -22,8 +22,8 @@
 	lastSent int64
 	// stateAge is the age of the peer's view of the platform as of its last heartbeat.
 	stateAge time.Duration
-	// unresponsive is set when the peer leaves a placement request unanswered, until the
-	// next datagram from it.
+	// unresponsive is set when the peer leaves a placement request or polls unanswered, until
+	// the next datagram from it.
 	unresponsive bool
 	// silent is set when the peer's heartbeats are missing, until the next datagram from
 	// it. Without it, a lost hub would be chosen again: once it is no hub, its
@@ -34,7 +34,9 @@
 	isHub, usesUsAsHub bool
 	hubChangedAt       boottime.Time
 	heartbeatSentAt    boottime.Time
-	polledAt           boottime.Time
+	// polledAt is when the peer was last asked for the age of its state, polledInVainSince when
+	// it was first asked after its last datagram, 0 if it wasn't.
+	polledAt, polledInVainSince boottime.Time
 	// repairedAt is when this router last resent notices because the member's quarantine
 	// digest differed.
 	repairedAt boottime.Time
--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -72,12 +72,35 @@
 	if source == nil && !reads {
 		source = readers[0].peer
 	}
-	if source != nil && now.Sub(source.polledAt) >= n.cfg.StatePollInterval {
-		source.polledAt = now
-		n.sendHeartbeat(now, source, true)
+	if source != nil {
+		n.pollState(now, source)
 	}
 }
 
+// pollTimeout is the time after which a router that leaves polls unanswered is no longer used.
+// Four heartbeat intervals would be 23 s with 584 routers.
+const pollTimeout = time.Second
+
+// pollState asks the router from which this one receives the published state for the state's age.
+func (n *Node) pollState(now boottime.Time, source *member) {
+	// A router that hears nothing from any peer is cut off itself, whoever its source is.
+	cutOff := now.Sub(n.lastPeerContact) >= pollTimeout
+	if source.polledInVainSince != 0 && now.Sub(source.polledInVainSince) >= pollTimeout && !cutOff {
+		source.unresponsive = true
+		n.log.Warn().Str("event", "reader").Uint64("router", source.id).Dur("after", now.Sub(source.polledInVainSince)).
+			Msg("source of the published state does not answer")
+		return
+	}
+	if now.Sub(source.polledAt) < n.cfg.StatePollInterval {
+		return
+	}
+	source.polledAt = now
+	if source.polledInVainSince == 0 {
+		source.polledInVainSince = now
+	}
+	n.sendHeartbeat(now, source, true)
+}
+
 // chooseLeaders chooses the leader of each failure domain by weighted rendezvous hashing. It
 // also counts the live routers and updates peakRouters.
 func (n *Node) chooseLeaders(now boottime.Time) map[string]*domainLeader {
