--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -31,7 +31,7 @@
 	cfg *Config
 	// queue holds the jobs that wait here for the upstream, unordered.
 	queue []*job
-	// prefills holds the jobs sent and not started.
+	// prefills holds the jobs sent and not started, also those of a plain service.
 	prefills   prefillQueue
 	running    int
 	reservedKV int
--- a/lab/engine_kinds_test.go
+++ b/lab/engine_kinds_test.go
@@ -39,12 +39,14 @@
 	for _, x := range m.Speeds {
 		speed += float64(s.Engines) / x / float64(len(m.Speeds))
 	}
+	// hit is the fraction of the shared parts that are cached.
 	hit := min(1, cacheFraction*float64(m.KVTokens)*float64(s.Engines)/shared)
 	scale := 1.0
 	// The time of a step depends on the number of streams, and that on the scale.
 	for range 20 {
 		prefill, streams, contextK := 0.0, 0.0, 0.0
 		stepMs := m.StepMs
+		// The step takes longer with more streams, and the streams last longer with it.
 		for range 20 {
 			streams, contextK = 0, 0
 			for _, c := range s.Classes {
@@ -94,7 +96,7 @@
 				onTime += r.OnTime / draws
 				possible += lab.Simulate(l, l.Sheet.Fleet(), lab.Omniscient).Worth / draws
 			}
-			t.Logf("scale %.2f: served %.3f, possible %.3f ontime %.3f", l.Scale, served, possible, onTime)
+			t.Logf("scale %.2f: served %.3f of %.3f possible, %.3f in time", l.Scale, served, possible, onTime)
 			g.Expect(served).To(BeNumerically(">", 0.95*possible))
 		})
 	}
