--- a/feed/feed.go
+++ b/feed/feed.go
@@ -43,7 +43,10 @@
 	revision  int64
 	// recoveredAt is when the platform first responded after the last outage.
 	recoveredAt boottime.Time
-	failing     bool
+
+	// failedAt is when the platform last failed to answer, as a boottime.Time; 0 if it answered
+	// the last call.
+	failedAt atomic.Int64
 }
 
 // New returns a feed. Run starts it.
--- a/feed/read.go
+++ b/feed/read.go
@@ -12,7 +12,6 @@
 func (f *Feed) read(ctx context.Context) bool {
 	f.mu.Lock()
 	after := f.revision
-	failing := f.failing
 	lapsed := len(f.upstreams.Lapsed())
 	f.mu.Unlock()
 	if after == 0 {
@@ -20,7 +19,7 @@
 	}
 	wait := f.cfg.WatchWait
 	// After a failure the state may be old: fetch the pending changes without waiting.
-	if failing {
+	if f.failedAt.Load() != 0 {
 		wait = time.Millisecond
 	}
 	if lapsed > 0 {
@@ -30,17 +29,17 @@
 }
 
 func (f *Feed) watch(ctx context.Context, after int64, wait time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, wait+f.cfg.CallMargin)
+	callCtx, cancel := context.WithTimeout(ctx, wait+f.cfg.CallMargin)
 	defer cancel()
 	f.calls.Add(1)
 	sentAt := f.now()
-	b, err := f.source.Watch(ctx, after, wait)
+	b, err := f.source.Watch(callCtx, after, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.log.Warn().Str("event", "platform").Int64("after", after).Msg("history no longer available; listing again")
 		return f.list(ctx)
 	}
 	if err != nil {
-		f.recordFailure(err, sentAt)
+		f.recordFailure(ctx, err, sentAt)
 		return false
 	}
 	f.recordSuccess()
@@ -57,7 +56,7 @@
 		sentAt := f.now()
 		page, err := f.listPage(ctx)
 		if err != nil {
-			f.recordFailure(err, sentAt)
+			f.recordFailure(ctx, err, sentAt)
 			return false
 		}
 		f.recordSuccess()
@@ -109,12 +108,24 @@
 	f.apply(b, l.begunAt)
 }
 
-// recordFailure marks the platform as failing.
-func (f *Feed) recordFailure(err error, sentAt boottime.Time) {
-	f.mu.Lock()
-	firstFailure := !f.failing
-	f.failing = true
-	f.mu.Unlock()
+// unreachableFor is how long a failed call counts. A router that doesn't read has no other way to
+// learn that the platform answers it again.
+const unreachableFor = 30 * time.Second
+
+// PlatformUnreachable reports whether this router's last call to the platform failed, less than
+// unreachableFor ago.
+func (f *Feed) PlatformUnreachable() bool {
+	at := f.failedAt.Load()
+	return at != 0 && f.now().Sub(boottime.Time(at)) < unreachableFor
+}
+
+// recordFailure marks the platform as failing, unless the call failed because this router is
+// stopping.
+func (f *Feed) recordFailure(ctx context.Context, err error, sentAt boottime.Time) {
+	if ctx.Err() != nil {
+		return
+	}
+	firstFailure := f.failedAt.Swap(int64(f.now())) == 0
 	if firstFailure {
 		f.log.Warn().Str("event", "platform").Err(err).Dur("after", f.now().Sub(sentAt)).
 			Dur("age", f.Age()).Msg("platform unreachable")
@@ -124,15 +135,14 @@
 // recordSuccess marks the platform as reachable. After an outage it starts the window
 // in which deletions are treated as lapses.
 func (f *Feed) recordSuccess() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.failing {
+	if f.failedAt.Swap(0) == 0 {
 		return
 	}
-	f.failing = false
 	age := f.Age()
 	if age >= minOutage {
+		f.mu.Lock()
 		f.recoveredAt = f.now()
+		f.mu.Unlock()
 	}
 	f.log.Info().Str("event", "platform").Dur("age", age).Msg("platform reachable again")
 }
--- a/fleet/dump.go
+++ b/fleet/dump.go
@@ -16,10 +16,12 @@
 	Domain        string `json:"failureDomain"`
 	Hub           bool   `json:"hub"`
 	ReadsPlatform bool   `json:"readsPlatform"`
-	Revision      int64  `json:"revision"`
-	AgeMs         int64  `json:"ageMs"`
-	Pending       int    `json:"pending"`
-	InFlight      int    `json:"held"`
+	// PlatformUnreachable is set if the platform has recently not answered this router.
+	PlatformUnreachable bool  `json:"platformUnreachable"`
+	Revision            int64 `json:"revision"`
+	AgeMs               int64 `json:"ageMs"`
+	Pending             int   `json:"pending"`
+	InFlight            int   `json:"held"`
 	// Evacuated are the failure domains that are being evacuated.
 	Evacuated []string     `json:"evacuated"`
 	Members   []MemberDump `json:"members"`
@@ -70,6 +72,7 @@
 func (n *Node) dump(now boottime.Time) Dump {
 	d := Dump{Router: n.self, Domain: n.cfg.Domain, Hub: n.isHub, ReadsPlatform: n.readsPlatform.Load(), Pending: len(n.pending), InFlight: len(n.inFlight)}
 	if n.feed != nil {
+		d.PlatformUnreachable = n.feed.PlatformUnreachable()
 		d.AgeMs = n.feed.Age().Milliseconds()
 		if s := n.feed.Snapshot(); s != nil {
 			d.Revision, d.Evacuated = s.Revision, s.View.Evacuated()
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -27,7 +27,7 @@
 	if hb.ReceiverIsHub != m.usesUsAsHub {
 		m.usesUsAsHub, m.hubChangedAt = hb.ReceiverIsHub, now
 	}
-	m.stateAge = time.Duration(hb.AgeNanos)
+	m.stateAge, m.platformUnreachable = time.Duration(hb.AgeNanos), hb.PlatformUnreachable
 	m.lastSent = max(m.lastSent, hb.Sent)
 	m.lastContact, m.silent = now, false
 	n.updateHubs(now)
@@ -96,14 +96,15 @@
 const maxPeersInHeartbeat = 4
 
 func (n *Node) newHeartbeat(now boottime.Time, echo int64, requestReply bool) *heartbeat {
-	hb := &heartbeat{
+	hb := &heartbeat{heartbeatFields: heartbeatFields{
 		Sent: int64(now), Echo: echo, IP: n.cfg.IP, Domain: n.cfg.Domain, Weight: n.cfg.Weight,
 		Leaving: n.leaving, ReplyRequested: requestReply, QuarantineDigest: n.quarantine.table.Digest(),
-	}
+	}}
 	if n.feed != nil {
 		// The age is read before the revision: if the state is replaced in between, it only
 		// looks older than it is.
 		hb.AgeNanos = int64(n.feed.Age())
+		hb.PlatformUnreachable = n.feed.PlatformUnreachable()
 		if s := n.feed.Snapshot(); s != nil {
 			hb.Revision = s.Revision
 		}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -22,6 +22,9 @@
 	lastSent int64
 	// stateAge is the age of the peer's view of the platform as of its last heartbeat.
 	stateAge time.Duration
+	// platformUnreachable is set if the peer's last call to the platform failed, as of its last
+	// heartbeat.
+	platformUnreachable bool
 	// unresponsive is set when the peer leaves a placement request or polls unanswered, until
 	// the next datagram from it.
 	unresponsive bool
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -47,6 +47,13 @@
 
 // heartbeat reports that the sender is alive, and the age of its state.
 type heartbeat struct {
+	heartbeatFields
+	// PlatformUnreachable is set if the sender's last call to the platform failed.
+	PlatformUnreachable bool
+}
+
+// heartbeatFields are the fields that routers of all versions send.
+type heartbeatFields struct {
 	_ struct{} `cbor:",toarray"`
 	// Sent is the sender's boot clock in nanoseconds.
 	Sent int64
--- a/fleet/read_lag.go
+++ b/fleet/read_lag.go
@@ -29,7 +29,7 @@
 	}
 	n.lagProbe.sentAt = now
 	n.unreadSince.CompareAndSwap(0, int64(now))
-	n.send(addr, &packet{Heartbeat: &heartbeat{Sent: int64(now)}})
+	n.send(addr, &packet{Heartbeat: &heartbeat{heartbeatFields: heartbeatFields{Sent: int64(now)}}})
 }
 
 // handleLagProbe records that a probe of this router has been read.
--- a/fleet/size_test.go
+++ b/fleet/size_test.go
@@ -19,10 +19,10 @@
 		p    packet
 		most int
 	}{
-		"heartbeat": {packet{From: 1 << 63, Heartbeat: &heartbeat{
+		"heartbeat": {packet{From: 1 << 63, Heartbeat: &heartbeat{heartbeatFields: heartbeatFields{
 			Sent: 1 << 50, Echo: 1 << 50, IP: "10.1.0.33", Domain: "derby-hall", Weight: 0.4, Revision: 100000, AgeNanos: 1 << 30,
 			Peers: []string{"10.1.0.33", "10.2.0.33", "10.3.0.33", "10.4.0.33"},
-		}}, 125},
+		}}}, 125},
 		"question": {packet{From: 1 << 63, Ask: &placeRequest{
 			Seq: 1 << 20, ID: id, Service: "huvo11a", Team: "hule930", Priority: 1, Prompt: 9190, Output: 52,
 			Parts:    []part{{ID: 1 << 47, Tokens: 2520}, {ID: 1 << 47, Tokens: 3780}, {ID: 1 << 47, Tokens: 2890}},
