feed: an old state is confirmed without waiting for changes

A router whose state nobody has renewed, because its source is lost or can't read, stays behind for the whole wait of a watch on top: a fifth of the bound for changes, within which its callers may be refused.

Cause: it reads with the same wait as a reader, and a watch without changes answers at its end. Found in the trace of TestRouterWithoutThePlatformLearnsFromPeers: three routers with states of 1.2 to 1.35 s were confirmed 0.33 s later.

Change: a state older than two waits is read with a wait of a millisecond, as after a failure. A reader's own reads leave it younger, so the calls of a quiet fleet are the same.

--- a/feed/read.go
+++ b/feed/read.go
@@ -18,8 +18,9 @@
 		return f.list(ctx)
 	}
 	wait := f.cfg.WatchWait
-	// After a failure the state may be old: fetch the pending changes without waiting.
-	if f.failedAt.Load() != 0 {
+	// After a failure, or if nobody has renewed the state, it may be old: fetch the pending changes
+	// without waiting. A reader's own watches leave it younger.
+	if f.failedAt.Load() != 0 || f.Age() > 2*f.cfg.WatchWait {
 		wait = time.Millisecond
 	}
 	if lapsed > 0 {
