warmup: probes of upstreams follow the requests sent to them

Above its bound an upstream crashes with all requests that it runs.

Cause: while the platform can't be read, the home asks its upstreams' health paths every half second whatever their load. In the trace the upstream turned cold at 8.45 s, was probed at 8.29 and 8.80, and got 35 requests a second. Nothing bounded what it gets before a probe tells. A shorter interval would hold at this load only, and probe idle upstreams as often.

Change: a home sends an upstream at most half of its bound between two probes, so that two homes stay within it (warmup.Probing, pure). The probe goes out when half of that is left; requests wait for its answer. An upstream that doesn't answer within 0.25 s is used as if it were warming up.

Ruled out: routers that decide by themselves (the requests end with the home's probe), grants after the home knows (none follow).

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -22,6 +22,8 @@
 	groupFit              prefillFit
 	// warmUpGranted is set while this core may send to upstreams that are warming up.
 	warmUpGranted bool
+	// probesRequired is set while only probes tell whether upstreams are warming up.
+	probesRequired bool
 }
 
 // New returns a core without upstreams.
@@ -138,6 +140,7 @@
 func (c *Core) send(now time.Duration, u *upstream, j *job, predictedFirstByte time.Duration) {
 	warming := u.warming(now)
 	u.warmUp.Take(now)
+	u.probing.Count()
 	j.warming = warming
 	u.assign(j, now)
 	c.counts.Sent++
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -22,7 +22,7 @@
 			u = newUpstream(now, m, &c.cfg, &c.prefillYield, &c.groupFit)
 		}
 		u.Member, u.order = m, i
-		u.warmUp.Rate = m.WarmUpRate
+		u.warmUp.Rate, u.probing.Limit = m.WarmUpRate, m.RequestsPerProbe
 		next = append(next, u)
 		byID[m.ID] = u
 	}
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -7,6 +7,9 @@
 
 // ready reports whether the job can be sent to the upstream now.
 func (c *Core) ready(u *upstream, j *job, now time.Duration) bool {
+	if c.awaitsProbe(now, u) {
+		return false
+	}
 	if u.full(j.reservedKV) || u.cache.prefillInProgress(now, j.Parts, c.cfg.MinAwaitTokens) {
 		return false
 	}
@@ -56,7 +59,7 @@
 	if c.cfg.Engine || now < u.bannedUntil {
 		return
 	}
-	for !u.full(0) {
+	for !u.full(0) && !c.awaitsProbe(now, u) {
 		victim := c.stealVictim(now, u)
 		if victim == nil {
 			return
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -22,7 +22,10 @@
 	// is no bound.
 	WarmUpDuration time.Duration
 	WarmUpRate     float64
-	Region         string
+	// RequestsPerProbe is the number of requests that this core may send between two probes
+	// while probes are required, or 0 if the upstream can't be probed.
+	RequestsPerProbe int
+	Region           string
 }
 
 // upstream is the core's model of an upstream.
@@ -60,6 +63,7 @@
 	// presumedWarmAt is the end of the warm-up according to the upstream itself, or of the
 	// one it would need if it restarted while it was unreachable.
 	presumedWarmAt time.Duration
+	probing        warmup.Probing
 }
 
 // defaultServiceMs is the assumed service time of a plain service, in milliseconds, before
--- a/dispatch/warmup.go
+++ b/dispatch/warmup.go
@@ -12,17 +12,62 @@
 	return u.WarmUpDuration > 0 && now < max(u.WarmUntil, u.presumedWarmAt)
 }
 
-// SetWarmingUp records that an upstream reported a remaining warm-up time.
+// SetWarmingUp records that an upstream answered a probe with a remaining warm-up time.
 func (c *Core) SetWarmingUp(now time.Duration, at Incarnation, left time.Duration) []Decision {
 	u := c.byID[at.ID]
 	if u == nil || !u.Same(at) {
 		return nil
 	}
+	u.probing.Failed()
 	u.presumedWarmAt = max(u.presumedWarmAt, now+left)
 	c.requeue(now, u)
 	return c.takeDecisions()
 }
 
+// RequireProbes sets whether upstreams are used only as far as probes tell that they need no
+// warm-up. The home requires them while the published state is too old to tell.
+func (c *Core) RequireProbes(required bool) { c.probesRequired = required }
+
+// awaitsProbe reports whether no request may be sent to the upstream before a probe is answered.
+func (c *Core) awaitsProbe(now time.Duration, u *upstream) bool {
+	return c.probesRequired && !u.warming(now) && !u.probing.Available()
+}
+
+// ProbesDue returns the upstreams to which a probe must be sent now. Each of them must be
+// followed by SetWarm, SetWarmingUp or ProbeFailed.
+func (c *Core) ProbesDue(now time.Duration) (due []Incarnation) {
+	if !c.probesRequired {
+		return nil
+	}
+	for _, u := range c.upstreams {
+		if u.probing.Due() && !u.warming(now) {
+			u.probing.Sent()
+			due = append(due, u.Incarnation)
+		}
+	}
+	return due
+}
+
+// SetWarm records that an upstream answered a probe that it needs no warm-up.
+func (c *Core) SetWarm(now time.Duration, at Incarnation) []Decision {
+	u := c.byID[at.ID]
+	if u == nil || !u.Same(at) {
+		return nil
+	}
+	u.probing.Answered()
+	c.sendQueued(now, u)
+	return c.takeDecisions()
+}
+
+// probeRetryInterval is how long an upstream that didn't answer a probe is used as if it were
+// warming up, before the next probe.
+const probeRetryInterval = 100 * time.Millisecond
+
+// ProbeFailed records that a probe of an upstream has no answer.
+func (c *Core) ProbeFailed(now time.Duration, at Incarnation) []Decision {
+	return c.SetWarmingUp(now, at, probeRetryInterval)
+}
+
 // maxGrantAge is the maximum time between the submission of a request and the decision to
 // send it to an upstream that is warming up. The rest of warmup.GrantTTL is left for the
 // reply to reach the router.
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -133,8 +133,8 @@
 		n.handleTrial(now, e)
 	case leavingEvent:
 		n.handleLeaving(now, e)
-	case warmUpEvent:
-		n.handleWarmUp(now, e)
+	case probeEvent:
+		n.handleProbe(now, e)
 	case callEvent:
 		e.do(now)
 	}
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -31,8 +31,6 @@
 	// when it became the home.
 	home      uint64
 	homeSince boottime.Time
-	// probedAt is when this router last probed the upstreams for their warm-up.
-	probedAt boottime.Time
 	// loggedCounts are the counts in the last log line, which was written at loggedAt.
 	loggedCounts dispatch.Counts
 	loggedAt     boottime.Time
@@ -95,6 +93,9 @@
 		if svc != nil && svc.WarmUp.Limited() {
 			m.WarmUntil = time.Duration(warmUntil(s.View, u, svc.WarmUp))
 			m.WarmUpDuration, m.WarmUpRate = svc.WarmUp.Duration, n.cfg.WarmUp.Rate(svc.WarmUp)
+			if n.cfg.WarmUpLeft != nil {
+				m.RequestsPerProbe = n.cfg.WarmUp.RequestsPerProbe(svc.WarmUp)
+			}
 		}
 		if svc != nil && svc.Engine != nil {
 			m.KVTokens = svc.Engine.KVTokens
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -157,9 +157,9 @@
 	}
 	n.updateHomes(now)
 	n.recentPeakMembers.observe(now, len(n.members)+1)
-	for key, g := range n.groups {
+	for _, g := range n.groups {
 		n.updateWarmUpGrant(now, g)
-		n.probeWarmUps(now, key, g)
+		n.updateProbing(g)
 	}
 	n.pushState(now)
 	n.tickQuarantine(now)
--- a/fleet/home.go
+++ b/fleet/home.go
@@ -35,26 +35,31 @@
 }
 
 // deliver passes decisions to the requests of this router and sends the others to the
-// routers that asked.
+// routers that asked. It also sends the probes that became due with them.
 func (n *Node) deliver(now boottime.Time, key groupKey, decisions []dispatch.Decision) {
 	for _, d := range decisions {
-		if d.Verdict == dispatch.Refuse {
-			n.logRefusal(key, d)
-		}
-		if d.Ticket.Router == n.self {
-			n.applyDecision(now, d)
-			continue
-		}
-		m := n.members[d.Ticket.Router]
-		if m == nil {
-			continue
-		}
-		n.send(m.addr, &packet{Reply: &placeReply{
-			Seq: d.Ticket.Seq, Service: key.service, Group: n.groupNumberOf(key), Verdict: d.Verdict, Upstream: d.Upstream, CopyFrom: d.CopyFrom,
-			RetryAfterMs: millis(d.RetryAfter), PredictedFirstByteMs: millis(d.PredictedFirstByte), SinceFirstAttemptMs: millis(d.SinceFirstAttempt), OverShare: d.OverShare, Warming: d.Warming,
-			Allowance: float32(d.Allowance),
-		}})
+		n.deliverDecision(now, key, d)
+	}
+	n.sendProbes(now, key)
+}
+
+func (n *Node) deliverDecision(now boottime.Time, key groupKey, d dispatch.Decision) {
+	if d.Verdict == dispatch.Refuse {
+		n.logRefusal(key, d)
+	}
+	if d.Ticket.Router == n.self {
+		n.applyDecision(now, d)
+		return
+	}
+	m := n.members[d.Ticket.Router]
+	if m == nil {
+		return
 	}
+	n.send(m.addr, &packet{Reply: &placeReply{
+		Seq: d.Ticket.Seq, Service: key.service, Group: n.groupNumberOf(key), Verdict: d.Verdict, Upstream: d.Upstream, CopyFrom: d.CopyFrom,
+		RetryAfterMs: millis(d.RetryAfter), PredictedFirstByteMs: millis(d.PredictedFirstByte), SinceFirstAttemptMs: millis(d.SinceFirstAttempt), OverShare: d.OverShare, Warming: d.Warming,
+		Allowance: float32(d.Allowance),
+	}})
 }
 
 // handleReport applies a report as the home of the group.
--- a/fleet/warmup_test.go
+++ b/fleet/warmup_test.go
@@ -247,6 +247,27 @@
 	})
 }
 
+// Guards against overloading an engine that turns cold in an outage and gets so many requests that
+// it exceeds its bound within half a second.
+func TestLoadedEngineThatTurnsColdInAnOutageGetsNoMoreThanItsBound(t *testing.T) {
+	for _, untilCold := range []time.Duration{1400 * time.Millisecond, 1550 * time.Millisecond, 1700 * time.Millisecond, 1850 * time.Millisecond} {
+		t.Run(untilCold.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f := newColdFleet(t)
+				f.source.change(func() { f.source.unavailable = true })
+				f.load(untilCold)
+				from := time.Now()
+				f.unpublishedWarmUpEnd.Store(int64(from.Sub(f.startedAt) + coldLimit.Duration))
+				f.load(coldLimit.Duration)
+				g.Expect(f.maxPerSecond("u0", from)).To(BeNumerically("<=", coldPolicy.Bound(coldLimit)))
+				g.Expect(f.sent("u0", from)).NotTo(BeZero())
+				g.Expect(f.maxPerSecond("u3", from)).To(BeNumerically(">", 2*coldPolicy.Bound(coldLimit)))
+			})
+		})
+	}
+}
+
 // Guards against requests to an evacuated domain by routers that receive the state only from
 // peers.
 func TestEvacuatedDomainGetsNothing(t *testing.T) {
--- a/warmup/policy.go
+++ b/warmup/policy.go
@@ -33,6 +33,12 @@
 	return int(math.Floor(l.PerSecond*p.Overage + p.Slack))
 }
 
+// RequestsPerProbe returns the number of requests that one home may send to an upstream between
+// two probes. It is at least 1, so that an upstream with a small bound isn't unused.
+func (p Policy) RequestsPerProbe(l Limit) int {
+	return max(p.Bound(l)/maxConcurrentHomes, 1)
+}
+
 // Rate returns the rate at which one home grants, in requests per second. It is 0 if a home's part
 // of the bound doesn't exceed its burst.
 func (p Policy) Rate(l Limit) float64 {
