gateway: an Accept that waited for the processor is no empty queue

At a router on a busy host, callers in a flood of connections have neither an answer nor a connection.

Cause: an Accept of 12.5 ms or more was taken for one that had blocked, so the queue counted as empty until then. A process that waits for the processor takes as long with a full queue, and the time after which queued callers are refused begins anew with each Accept.

Change: whether a connection is waiting is asked before Accept; only an Accept on an empty queue can have blocked.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -96,6 +96,7 @@
 		return nil, err
 	}
 	l.checkQueue()
+	waiting := l.queue.pending()
 	start := l.clock.now()
 	c, err := l.Listener.Accept()
 	if err != nil {
@@ -103,8 +104,9 @@
 		return nil, err
 	}
 	now := l.clock.now()
-	if now-start >= queueCheckInterval {
-		// Accept blocked, so the queue was empty until now.
+	// An Accept that takes long has blocked only if no connection was waiting. Otherwise the
+	// process waited for the processor, and the queue with it.
+	if !waiting && now-start >= queueCheckInterval {
 		l.lastEmpty = now
 		l.pacer.startSlice(now)
 		return c, nil
