--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -54,7 +54,8 @@
 	}
 	wg.Wait()
 	close(openConns)
-	t.Logf("%d open, %d answered, %d not connected", len(openConns), answered.Load(), unconnected.Load())
+	t.Logf("%d open, %d answered, %d not connected, %d closed without an answer", len(openConns), answered.Load(), unconnected.Load(),
+		floodConns-int64(len(openConns))-answered.Load()-unconnected.Load())
 	half := smallMemory / 2 / (gateway.ConnBytes + gateway.UnreadBytes)
 	g.Expect(len(openConns)).To(BeNumerically("<=", half))
 	g.Expect(r.server.Load().OpenConnections).To(BeNumerically("<=", half))
@@ -70,6 +71,44 @@
 	g.Expect(body).To(Equal("done"))
 }
 
+// Guards against more connections than the memory bears, from callers that send only a part of a
+// request, so that the limit on requests doesn't apply.
+func TestConnectionsWithoutARequestStayWithinTheMemory(t *testing.T) {
+	g := NewWithT(t)
+	const memory, callers = 8 << 20, 400
+	r := newHarnessWith(t, map[string]script{"u1": ok("done")}, func(cfg *gateway.Config) { cfg.Fit(memory, smallFiles) })
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			c, err := net.DialTimeout("tcp", r.addr, dialTimeout)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "POST /unsafe/ HTTP/1.1\r\n") // it may have been refused already
+			_ = c.SetReadDeadline(time.Now().Add(dialTimeout))
+			_, _ = io.Copy(io.Discard, c)
+			_ = c.Close()
+		})
+	}
+	ended := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(ended)
+	}()
+	most := int64(0)
+	for running := true; running; {
+		select {
+		case <-ended:
+			running = false
+		case <-time.After(time.Millisecond):
+			most = max(most, r.server.Load().OpenConnections)
+		}
+	}
+	t.Logf("%d connections at most", most)
+	g.Expect(most).To(BeNumerically(">", 0))
+	g.Expect(most).To(BeNumerically("<=", memory/2/(gateway.ConnBytes+gateway.UnreadBytes)))
+}
+
 // Guards against refusing callers after an idle period, because the queue was not checked
 // while it was empty.
 func TestCallersAfterAnIdlePeriodAreServed(t *testing.T) {
