--- a/warmup/warmup_test.go
+++ b/warmup/warmup_test.go
@@ -61,6 +61,17 @@
 	})
 }
 
+// Guards against two homes that each grant the whole bound.
+func TestTwoHomesThatGrantAllStayWithinTheBound(t *testing.T) {
+	g := NewWithT(t)
+	for _, perHome := range []int{2, 7, 50} {
+		limit := warmup.Limit{Duration: 5 * time.Second, PerSecond: float64(2 * perHome)}
+		rate := warmup.DefaultPolicy().Rate(limit)
+		grants := append(grantAll(rate, 0, limit.Duration), grantAll(rate, 0, limit.Duration)...)
+		g.Expect(maxArrivalsPerSecond(grants)).To(BeNumerically("<=", warmup.DefaultPolicy().Bound(limit)))
+	}
+}
+
 // Guards against exceeding the bound when a home changes, because the new home has no record of
 // the requests that its predecessor granted.
 func TestSuccessorsStayWithinTheBound(t *testing.T) {
