gateway: memory is divided among the runtime, the program and the kernel's buffers

Cause: the Go runtime had three quarters of the memory on every VM. The program takes 17.5 MB on each of them, and the unread bytes of 995 connections and 448 waiting callers up to 22.5 MB: more than the 28 MB that were left.

Change: Config.Fit subtracts the program and the unread bytes first; the runtime gets the rest, three quarters at most, and the number of held requests follows from it. 69 instead of 84 MB at 112 MB; the same as before from 284 MB on.

--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -43,9 +43,10 @@
 // NewFleetDaemon creates a FleetDaemon and opens its listeners; Run serves them. It sets the
 // memory limit of the Go runtime.
 func NewFleetDaemon(s settings.Fleet, log zerolog.Logger) (*FleetDaemon, error) {
+	cfg := gatewayConfig(s)
 	// Near the limit the garbage collector runs more often, before the process is killed for
-	// exceeding its memory. A quarter is left for memory that the Go runtime doesn't count.
-	debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * 3 / 4)
+	// exceeding its memory.
+	debug.SetMemoryLimit(cfg.RuntimeMemory)
 	d := &FleetDaemon{settings: s, log: log, metrics: obs.NewMetrics("aspenswitch"), pool: upstream.NewPool(upstream.DefaultPoolConfig())}
 	if err := d.openListeners(); err != nil {
 		return nil, err
@@ -66,6 +67,12 @@
 	source := platform.NewSource(s.Platform, platformClient(), log)
 	d.feed = feed.New(feed.DefaultConfig(s.Bounds.MaxRevocationDelay(), s.Bounds.MaxApplyDelay()), source, boottime.Now, log, node.ReadsPlatform, node.NotifyStateChange)
 	node.Attach(d.feed)
+	budget := retry.Budget{Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance, Window: s.Bounds.RetryWindow()}
+	d.gateway = gateway.New(cfg, d.feed, node, d.pool, budget, obs.NewLimitedLogger(log, s.LogLines), d.metrics)
+	return d, nil
+}
+
+func gatewayConfig(s settings.Fleet) gateway.Config {
 	cfg := gateway.DefaultConfig()
 	cfg.Headers = platform.HTTPHeaders()
 	cfg.Regions = s.Regions
@@ -74,9 +81,7 @@
 	cfg.MaxStateAge = s.Bounds.MaxApplyDelay() * 4 / 5
 	cfg.ShutdownDelay = min(cfg.ShutdownDelay, cfg.GracePeriod/2)
 	cfg.ForwardPeriod = min(cfg.ForwardPeriod, cfg.GracePeriod/3)
-	budget := retry.Budget{Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance, Window: s.Bounds.RetryWindow()}
-	d.gateway = gateway.New(cfg, d.feed, node, d.pool, budget, obs.NewLimitedLogger(log, s.LogLines), d.metrics)
-	return d, nil
+	return cfg
 }
 
 func nodeConfig(s settings.Fleet) fleet.Config {
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -38,6 +38,8 @@
 	// ends; if they exceeded the memory limit, the process would be killed and all of
 	// them lost.
 	MaxRequests int
+	// RuntimeMemory is the memory in bytes that is left to the Go runtime, 0 if there is no limit.
+	RuntimeMemory int64
 	// Shed configures which requests are refused without asking a home.
 	Shed limits.ShedConfig
 	// MaxStateAge is the maximum age of the state with which an overloaded router still
@@ -51,27 +53,6 @@
 	DeadlineMargin time.Duration
 }
 
-const (
-	// ConnBytes is the maximum memory of a caller's connection: two buffers of net/http
-	// and a goroutine stack.
-	ConnBytes = 24 << 10
-	// UnreadBytes is the additional kernel memory for the unread part of a request: the
-	// body of a long prompt.
-	UnreadBytes = 16 << 10
-	// RequestBytes is the additional memory of a pending request: its body, its upstream
-	// connection and their buffers.
-	RequestBytes = 64 << 10
-)
-
-// Fit sets the connection and request limits so that the process stays within the given
-// memory, in bytes, and number of file descriptors.
-func (c *Config) Fit(memory int64, files int) {
-	c.MaxKeepAliveConns = max(min(files/4, int(memory/6/ConnBytes)), 1)
-	c.MaxConns = max(min(files/2, int(memory/4/(ConnBytes+UnreadBytes))), c.MaxKeepAliveConns*5/4)
-	c.ListenBacklog = max(int(memory/16/UnreadBytes), 1)
-	c.MaxRequests = max(min(files/3, int(memory/2/RequestBytes)), 1)
-}
-
 // DefaultConfig returns the default settings, which a deployment may override.
 func DefaultConfig() Config {
 	return Config{
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -96,6 +96,25 @@
 	g.Expect(perRequest).To(BeNumerically("<", gateway.RequestBytes))
 }
 
+// Guards against limits that together exceed the memory of the VM, so that its process is killed in
+// a flood of connections.
+func TestMemoryOfAllPartsFitsTheVM(t *testing.T) {
+	g := NewWithT(t)
+	for _, vm := range []struct {
+		megabytes int64
+		files     int
+	}{{88, 4100}, {112, 4100}, {134, 4100}, {144, 4100}, {284, 4100}, {536, 8192}} {
+		memory := vm.megabytes << 20
+		cfg := gateway.DefaultConfig()
+		cfg.Fit(memory, vm.files)
+		unread := int64(cfg.MaxConns+cfg.ListenBacklog) * gateway.UnreadBytes
+		g.Expect(cfg.RuntimeMemory+unread+gateway.ProgramBytes).To(BeNumerically("<=", memory), "%d MB", vm.megabytes)
+		held := int64(cfg.MaxConns)*gateway.ConnBytes + int64(cfg.MaxRequests)*gateway.RequestBytes
+		g.Expect(held).To(BeNumerically("<=", cfg.RuntimeMemory), "%d MB", vm.megabytes)
+		t.Logf("%d MB: %d for the Go runtime, %d connections, %d requests, %d waiting", vm.megabytes, cfg.RuntimeMemory>>20, cfg.MaxConns, cfg.MaxRequests, cfg.ListenBacklog)
+	}
+}
+
 // requestOnce opens a connection, reads a response to one request, and leaves it open.
 func requestOnce(t *testing.T, addr, raw string) net.Conn {
 	t.Helper()
