gateway, feed: logs tell software versions and which stream a request continues

An entry's version is decoded, kept in the registry and logged when it is published; a request's line has the version of the last upstream, the attempt that the caller names and the last event; the line of a further attempt tells whether the answer had begun.

An entry passed on by a router of an earlier release has no version; it doesn't erase a known one of the same revision. No decision uses the version yet.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -136,7 +136,7 @@
 		}
 		f.changes.add(c.Revision, c.Upstream.ID)
 		f.log.Info().Str("event", "upstream").Str("upstream", c.Upstream.ID).Str("service", c.Upstream.Service).
-			Str("address", c.Upstream.Address).Int64("started", c.Upstream.Started).Bool("draining", c.Upstream.Draining).Int64("warm_up_ms", c.Upstream.WarmUpLeft.Milliseconds()).Int64("revision", c.Revision).Msg("upstream published")
+			Str("address", c.Upstream.Address).Str("version", c.Upstream.Version).Int64("started", c.Upstream.Started).Bool("draining", c.Upstream.Draining).Int64("warm_up_ms", c.Upstream.WarmUpLeft.Milliseconds()).Int64("revision", c.Revision).Msg("upstream published")
 	default:
 		f.removeUpstream(c)
 	}
--- a/gateway/header_names.go
+++ b/gateway/header_names.go
@@ -30,6 +30,9 @@
 	// CopyFrom is the address of an engine from which the receiving engine copies cached
 	// parts of the prompt.
 	CopyFrom string
+	// Resumes is set on an attempt that continues a broken stream. It names the caller's attempt
+	// that brought the stream's first event.
+	Resumes string
 	// Private headers are reserved for the system and removed from callers' requests.
 	Private []string
 }
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -15,6 +15,11 @@
 	// remaining is the time until the request's deadline at its arrival.
 	remaining time.Duration
 	upstream  string
+	// version is the software version of upstream.
+	version string
+	// resumes is the attempt that the caller says it continues, resumedAfter the last event
+	// that it or this router has of the stream.
+	resumes, resumedAfter string
 	// copyFrom is the engine from which parts of the prompt were copied.
 	copyFrom string
 	// prompt and output are the token counts used for placement.
@@ -48,6 +53,15 @@
 		Int("prompt", r.prompt).Int("output", r.output).Str("upstream", r.upstream).Int("attempts", r.attempts).
 		Int64("predicted_ms", r.predictedFirstByte.Milliseconds()).Int64("placed_ms", r.placementTime.Milliseconds()).
 		Int64("first_ms", r.firstByte.Milliseconds()).Int("status", r.status).Str("outcome", r.outcome)
+	if r.version != "" {
+		e.Str("version", r.version)
+	}
+	if r.resumes != "" {
+		e.Str("resumes", r.resumes)
+	}
+	if r.resumedAfter != "" {
+		e.Str("resumed_after", r.resumedAfter)
+	}
 	if r.copyFrom != "" {
 		e.Str("copy_from", r.copyFrom)
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -127,7 +127,7 @@
 		return nil
 	}
 	ready := l.skipDelivered(l.partial[:complete])
-	if id := lastEventID(ready); id != "" {
+	if id := lastIDIn(ready); id != "" {
 		l.lastID = id
 	}
 	l.writeHeader(a)
@@ -164,8 +164,8 @@
 
 var idField = []byte("id:")
 
-// lastEventID returns the ID of the last event in b that has one, or "".
-func lastEventID(b []byte) string {
+// lastIDIn returns the ID of the last event in b that has one, or "".
+func lastIDIn(b []byte) string {
 	id := ""
 	for line := range bytes.SplitSeq(b, []byte("\n")) {
 		if value, found := bytes.CutPrefix(line, idField); found {
@@ -184,7 +184,7 @@
 	}
 	for len(events) > 0 {
 		end := bytes.Index(events, eventEnd) + len(eventEnd)
-		id, err := strconv.ParseInt(lastEventID(events[:end]), 10, 64)
+		id, err := strconv.ParseInt(lastIDIn(events[:end]), 10, 64)
 		if err != nil || id > last {
 			return events
 		}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -58,7 +58,7 @@
 // set if the router has reached its request limit.
 func (s *Server) accept(in *http.Request, full bool) (*request, *refusal) {
 	r := &request{ctx: in.Context(), in: in, id: in.Header.Get(s.cfg.Headers.RequestID), arrived: time.Now()}
-	r.record.id = r.id
+	r.record.id, r.record.resumes = r.id, in.Header.Get(s.cfg.Headers.Resumes)
 	r.state = s.state.Snapshot()
 	if r.state == nil {
 		return r, notRun("no_configuration", "this router knows no configuration yet", time.Second)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -24,7 +24,7 @@
 		return result{refused: notRun("upstream_left", "the upstream left before the request was sent", defaultRetryAfter), retryable: true}
 	}
 	s.countFirstAttempt(r)
-	r.record.upstream = id
+	r.record.upstream, r.record.version = id, u.Version
 	r.record.upstreamLeaving, r.record.upstreamRetryAfter = false, 0
 	sentAt := time.Now()
 	r.sentTo, r.sentAt = incarnation(u), sentAt
@@ -161,8 +161,9 @@
 	h.Set(n.Upstream, u.ID)
 	h.Set(n.Deadline, formatMillis(time.Until(r.deadline)))
 	if out.lastID != "" {
-		h.Set("Last-Event-Id", out.lastID)
+		h.Set(lastEventID, out.lastID)
 	}
+	r.record.resumedAfter = h.Get(lastEventID)
 	return &upstream.Request{
 		Address: u.Address, Started: u.Started, Method: r.in.Method, URI: r.in.RequestURI, Host: r.in.Host, Header: h, Body: r.body,
 		IDHeader: n.RequestID, ID: r.id, Repeatable: r.route.Kind == routing.Safe || r.route.Repeatable(),
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -29,7 +29,7 @@
 	for {
 		res := s.attempt(ctx, r, out)
 		if res.retryable && r.placements < maxPlacements {
-			s.logRetry(r)
+			s.logRetry(r, out.started)
 			continue
 		}
 		if res.refused == nil {
@@ -53,10 +53,11 @@
 	return unknownOutcome(http.StatusBadGateway, "upstream_failed", "an upstream failed and no other could take the request; it may have run")
 }
 
-// logRetry logs why a request is retried at another upstream.
-func (s *Server) logRetry(r *request) {
+// logRetry logs why a request is retried at another upstream. began is set if the caller already has
+// a part of the response.
+func (s *Server) logRetry(r *request, began bool) {
 	s.log.Warn("attempt", func(e *obs.Event) {
-		e.Str("request", r.id).Str("route", r.record.route).Str("upstream", r.record.upstream).Int("attempts", r.record.attempts).
+		e.Str("request", r.id).Str("route", r.record.route).Str("upstream", r.record.upstream).Str("version", r.record.version).Bool("stream_began", began).Int("attempts", r.record.attempts).
 			Int64("left_ms", time.Until(r.deadline).Milliseconds()).Str("cause", r.record.cause).
 			Bool("upstream_leaving", r.record.upstreamLeaving).Int64("upstream_rest_ms", r.record.upstreamRetryAfter.Milliseconds()).Msg("retrying at another upstream")
 	})
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -58,6 +58,9 @@
 	if u.Started == 0 {
 		u.Started = current.Started
 	}
+	if u.Version == "" && u.Revision == current.Revision {
+		u.Version = current.Version
+	}
 	u.WarmUpEnd = now.Add(u.WarmUpLeft)
 	if current.Revision == u.Revision && current.WarmUpEnd != 0 {
 		u.WarmUpEnd = current.WarmUpEnd
--- a/registry/upstream.go
+++ b/registry/upstream.go
@@ -16,6 +16,9 @@
 	// Address is IP:port. It may later be reused by another upstream.
 	Address       string
 	FailureDomain string
+	// Version is the version of the upstream's software, or "" if it is unknown, for example
+	// because a router of an earlier release has passed on the entry.
+	Version string
 	// Slots is the number of requests that it processes concurrently.
 	Slots int
 	// Draining is set if the upstream must receive no new requests.
