--- a/standin/runner.go
+++ b/standin/runner.go
@@ -62,6 +62,9 @@
 	// ShouldCrash reports whether the runner crashes at the end of a request's processing time;
 	// nil means never.
 	ShouldCrash func(*http.Request) bool
+	// BreakStreamAfter returns the number of events of this run after which the connection of a
+	// request's stream is reset, 0 for never; nil means never.
+	BreakStreamAfter func(*http.Request) int
 	// OnReject is called for each request rejected with a Retry-After delay of rest. It may be
 	// nil.
 	OnReject func(id string, rest time.Duration)
--- a/standin/runner_answer.go
+++ b/standin/runner_answer.go
@@ -53,7 +53,15 @@
 	if err != nil {
 		from = 0 // no Last-Event-Id: the stream starts at the first event
 	}
+	breakAfter := 0
+	if r.opts.BreakStreamAfter != nil {
+		breakAfter = r.opts.BreakStreamAfter(req)
+	}
 	for n := from + 1; n <= work.Events; n++ {
+		if breakAfter > 0 && n-from > breakAfter {
+			abort(c)
+			return false
+		}
 		event := StreamEvent(id, n)
 		if fault == RunnerTruncatedResponse && n-from > work.Events/2 {
 			_, _ = io.WriteString(out, event[:len(event)/2]) // the connection ends either way
