gateway, dispatch: a stream that is resumed within its answer goes on at its version

Callers saw a whole answer put together from two software versions of a service (ORDER). Cause: a resumed stream was placed like a new request; no part of placing knew versions. Class: a property of the run that began is lost when the work moves.

A request remembers the version of the incarnation that brought its first event, as published when it was sent. Cores place it only at that version, before requests that may run anywhere; the group that is asked is one that has it; the router that sends checks once more, since a home may have an older or newer state. An unknown version is never continued. If no upstream has the version, the stream is cut at once. Without an event a request may still go anywhere.

Placing requests with a version have an encoding of their own, as the homes of the earlier release can't decode a new field; all others are sent as before.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -49,8 +49,12 @@
 	started
 )
 
+// continuesStream reports whether the job is a broken stream that must go on at one version.
+func (j *job) continuesStream() bool { return j.Version != "" }
+
 // before reports whether a goes to an upstream before b. The order is by priority, then by
-// share status, then requests that can still meet their target before late ones. Teams
+// share status, then broken streams before requests that may go to any version, which may be
+// many more upstreams, then requests that can still meet their target before late ones. Teams
 // above their share are ordered by recent usage, the lowest first. The rest is ordered by
 // the latest possible start (earliest deadline first).
 func (c *Core) before(a, b *job, now time.Duration) bool {
@@ -60,6 +64,9 @@
 	if a.shareStatus != b.shareStatus {
 		return a.shareStatus < b.shareStatus
 	}
+	if a.continuesStream() != b.continuesStream() {
+		return a.continuesStream()
+	}
 	if aLate, bLate := a.late(now), b.late(now); aLate != bLate {
 		return bLate
 	}
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -82,7 +82,7 @@
 	excess := u.excessFailureRate(now, averages)
 	var found *upstream
 	for _, other := range c.upstreams {
-		if other == u || len(other.queue) == 0 || excess > other.excessFailureRate(now, averages)+maxExcessFailureRate || slices.Contains(other.queue[0].Avoid, u.ID) || !regionAllowed(other.queue[0].Regions, u.Region) {
+		if other == u || len(other.queue) == 0 || excess > other.excessFailureRate(now, averages)+maxExcessFailureRate || !u.accepts(&other.queue[0].Request) {
 			continue
 		}
 		if found == nil || c.before(other.queue[0], found.queue[0], now) {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -33,6 +33,9 @@
 	Avoid []string
 	// Regions lists the regions whose upstreams may serve the request. Empty means all.
 	Regions []string
+	// Version is the software version at which a broken stream must go on, "" if the request may
+	// run at any.
+	Version string
 }
 
 // Usage is what a team got, in tokens.
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -26,6 +26,8 @@
 	// while probes are required, or 0 if the upstream can't be probed.
 	RequestsPerProbe int
 	Region           string
+	// Version is the version of the upstream's software, "" if unknown.
+	Version string
 }
 
 // upstream is the core's model of an upstream.
--- a/dispatch/warmup.go
+++ b/dispatch/warmup.go
@@ -75,7 +75,7 @@
 
 // eligible reports whether an upstream may be chosen for a job.
 func (c *Core) eligible(now time.Duration, u *upstream, j *job) bool {
-	if now < u.bannedUntil || slices.Contains(j.Avoid, u.ID) || !regionAllowed(j.Regions, u.Region) {
+	if now < u.bannedUntil || !u.accepts(&j.Request) {
 		return false
 	}
 	if !u.warming(now) {
@@ -86,6 +86,15 @@
 	return c.warmUpGranted && u.warmUp.Available(now) && now-j.submittedAt <= maxGrantAge && c.ready(u, j, now)
 }
 
+// accepts reports whether the upstream is one that may serve a request at all.
+func (u *upstream) accepts(r *Request) bool {
+	return !slices.Contains(r.Avoid, u.ID) && regionAllowed(r.Regions, u.Region) && u.continues(r)
+}
+
+// continues reports whether the upstream's version is the one that the request must run at. What
+// two software versions write doesn't fit into one stream.
+func (u *upstream) continues(r *Request) bool { return r.Version == "" || r.Version == u.Version }
+
 // regionAllowed reports whether a region is allowed. An empty list allows all.
 func regionAllowed(allowed []string, region string) bool {
 	return len(allowed) == 0 || slices.Contains(allowed, region)
@@ -96,7 +105,7 @@
 func (c *Core) timeUntilWarm(now time.Duration, j *job) time.Duration {
 	var shortest time.Duration
 	for _, u := range c.upstreams {
-		if !u.warming(now) || !regionAllowed(j.Regions, u.Region) {
+		if !u.warming(now) || !regionAllowed(j.Regions, u.Region) || !u.continues(&j.Request) {
 			continue
 		}
 		if left := max(u.WarmUntil, u.presumedWarmAt) - now; shortest == 0 || left < shortest {
--- a/fleet/ask.go
+++ b/fleet/ask.go
@@ -118,11 +118,11 @@
 }
 
 func (n *Node) newPlaceRequest(key groupKey, r dispatch.Request) *placeRequest {
-	req := &placeRequest{
+	req := &placeRequest{Version: r.Version, placeRequestFields: placeRequestFields{
 		Seq: r.Ticket.Seq, ID: r.ID, Service: key.service, Group: n.groupNumberOf(key), Team: r.Team, Priority: r.Priority,
 		Prompt: r.Prompt, Output: r.Output, TargetMs: millis(r.Target), TimeoutMs: millis(r.Timeout),
 		CacheHint: r.CacheHint, Avoid: r.Avoid, Regions: r.Regions,
-	}
+	}}
 	for _, p := range r.Parts {
 		req.Parts = append(req.Parts, part{ID: p.ID, Tokens: p.Tokens})
 	}
@@ -133,7 +133,7 @@
 	r := dispatch.Request{
 		Ticket: dispatch.Ticket{Router: router, Seq: req.Seq}, ID: req.ID, Team: req.Team, Priority: req.Priority,
 		Prompt: req.Prompt, Output: req.Output, Target: duration(req.TargetMs), Timeout: duration(req.TimeoutMs),
-		CacheHint: req.CacheHint, Avoid: req.Avoid, Regions: req.Regions,
+		CacheHint: req.CacheHint, Avoid: req.Avoid, Regions: req.Regions, Version: req.Version,
 	}
 	for _, p := range req.Parts {
 		r.Parts = append(r.Parts, dispatch.Part{ID: p.ID, Tokens: p.Tokens})
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -34,7 +34,7 @@
 func FuzzDatagrams(f *testing.F) {
 	for _, p := range []packet{
 		{From: 2, Heartbeat: &heartbeat{heartbeatFields: heartbeatFields{IP: "127.0.0.1", Domain: "d", Weight: 1, Peers: []string{"x"}}}},
-		{From: 2, Ask: &placeRequest{Seq: 1, Service: "llm", Group: -1, Prompt: -5, Parts: []part{{ID: 1, Tokens: -1}}, TargetMs: -1}},
+		{From: 2, Ask: &placeRequest{Version: "v2", placeRequestFields: placeRequestFields{Seq: 1, Service: "llm", Group: -1, Prompt: -5, Parts: []part{{ID: 1, Tokens: -1}}, TargetMs: -1}}},
 		{From: 2, Reply: &placeReply{Seq: 1, Verdict: 9}},
 		{From: 2, Infrequent: &infrequent{Quarantine: &quarantineUpdate{
 			Crashes: []crashReport{{Team: "t", Hash: 1, RanMs: -1}},
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -85,6 +85,13 @@
 
 // placeRequest asks the home of a group to place a request.
 type placeRequest struct {
+	placeRequestFields
+	// Version is the software version at which the request must run, "" for any.
+	Version string
+}
+
+// placeRequestFields are the fields that routers of all releases send.
+type placeRequestFields struct {
 	_         struct{} `cbor:",toarray"`
 	Seq       uint64
 	ID        string
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/boottime"
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/feed"
+	"github.com/aspenswitch/aspenswitch/registry"
 )
 
 // pending is a request of this router that is waiting for a decision.
@@ -77,8 +79,28 @@
 
 // groupOfRequest returns the index of the group that decides on a request.
 func (n *Node) groupOfRequest(s *feed.Snapshot, service string, r *dispatch.Request) int {
-	count := n.groupCounts.update(service, len(s.View.Ready(service)))
-	return n.groupIndex(service, count, r.Parts, r.Ticket.Seq)
+	ready := s.View.Ready(service)
+	count := n.groupCounts.update(service, len(ready))
+	index := n.groupIndex(service, count, r.Parts, r.Ticket.Seq)
+	if r.Version == "" {
+		return index
+	}
+	return groupWithVersion(ready, r, count, index)
+}
+
+// groupWithVersion returns the first group from index on that has an upstream at which a broken
+// stream can go on, or index if none has. Groups are made regardless of versions, so a group may
+// have none of the one that began the stream.
+func groupWithVersion(ready []*registry.Upstream, r *dispatch.Request, count, index int) int {
+	nearest := count
+	for _, u := range ready {
+		if u.Version != r.Version || slices.Contains(r.Avoid, u.ID) {
+			continue
+		}
+		distance := (groupOfUpstream(u.ID, count) - index + count) % count
+		nearest = min(nearest, distance)
+	}
+	return (index + nearest) % count
 }
 
 // maxSessions limits the sessions whose upstreams are recorded. All are dropped once the
--- a/fleet/size_test.go
+++ b/fleet/size_test.go
@@ -23,11 +23,11 @@
 			Sent: 1 << 50, Echo: 1 << 50, IP: "10.1.0.33", Domain: "derby-hall", Weight: 0.4, Revision: 100000, AgeNanos: 1 << 30,
 			Peers: []string{"10.1.0.33", "10.2.0.33", "10.3.0.33", "10.4.0.33"},
 		}}}, 125},
-		"question": {packet{From: 1 << 63, Ask: &placeRequest{
+		"question": {packet{From: 1 << 63, Ask: &placeRequest{placeRequestFields: placeRequestFields{
 			Seq: 1 << 20, ID: id, Service: "huvo11a", Team: "hule930", Priority: 1, Prompt: 9190, Output: 52,
 			Parts:    []part{{ID: 1 << 47, Tokens: 2520}, {ID: 1 << 47, Tokens: 3780}, {ID: 1 << 47, Tokens: 2890}},
 			TargetMs: 800, TimeoutMs: 6000, CacheHint: "i-7f3a91c2d0",
-		}}, 130},
+		}}}, 130},
 		"decision": {packet{From: 1 << 63, Reply: &placeReply{Seq: 1 << 20, Service: "huvo11a", Verdict: dispatch.Send, Upstream: "i-7f3a91c2d0", PredictedFirstByteMs: 120}}, 55},
 		"tally": {packet{From: 1 << 63, Infrequent: &infrequent{Usage: &usageReport{Teams: slices.Repeat([]teamUsage{{Team: "hule930", Window: 2.5e6, Recent: 1e6}}, maxTeamsPerReport)}}},
 			20 + 20*maxTeamsPerReport},
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -41,6 +41,15 @@
 	mu       sync.Mutex
 	received []receivedRequest
 	logs     logBuffer
+	registry *registry.Registry
+}
+
+// setVersion publishes another software version of an upstream.
+func (r *harness) setVersion(id, version string) {
+	u, _ := r.registry.Get(id)
+	u.Version, u.Revision = version, u.Revision+1
+	r.registry.Put(0, u)
+	r.publish(r.registry.View(), "k1")
 }
 
 // logBuffer is a log writer that is safe for concurrent use.
@@ -82,9 +91,10 @@
 	r := &harness{t: t, state: &fakeState{}, placer: &fakePlacer{}}
 	r.state.fresh.Store(true)
 	reg := registry.New()
+	r.registry = reg
 	for _, id := range []string{"u1", "u2", "u3"} {
 		if s := scripts[id]; s != nil {
-			reg.Put(0, registry.Upstream{ID: id, Service: "llm", Address: r.startUpstream(id, s), Revision: 1})
+			reg.Put(0, registry.Upstream{ID: id, Service: "llm", Address: r.startUpstream(id, s), Version: "v1", Revision: 1})
 			r.placer.upstreams = append(r.placer.upstreams, id)
 		}
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -18,6 +18,8 @@
 	resumable bool
 	// started is set once the status and headers have been written.
 	started bool
+	// onStart, if not nil, is called before the status and headers are written.
+	onStart func()
 	// callerDisconnected is set if writing to the caller failed.
 	callerDisconnected bool
 	// lastID is the ID of the last complete event that was forwarded; the stream is
@@ -38,6 +40,9 @@
 		return
 	}
 	l.started = true
+	if l.onStart != nil {
+		l.onStart()
+	}
 	headers.RemoveHopByHop(a.Header)
 	h := l.w.Header()
 	for name, values := range a.Header {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -41,6 +41,12 @@
 	// sentTo is the upstream of the latest attempt, which was sent at sentAt.
 	sentTo dispatch.Incarnation
 	sentAt time.Time
+	// sentVersion is the software version of that upstream, "" if unknown.
+	sentVersion string
+	// began is set once the caller has a part of a stream that may be resumed. version is the
+	// software version that began it, "" if unknown: a stream goes on at this version only.
+	began   bool
+	version string
 	// trial is set if the request may be sent although its content is in quarantine.
 	trial bool
 	// crashes is how many upstreams closed the connection while handling the request.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -23,7 +23,12 @@
 		s.placer.Done(r.service, t, dispatch.NotSent, 0)
 		return result{refused: notRun("upstream_left", "the upstream left before the request was sent", defaultRetryAfter), retryable: true}
 	}
+	if refused := s.refuseOtherVersion(r, u); refused != nil {
+		s.placer.Done(r.service, t, dispatch.NotSent, 0)
+		return result{refused: refused, retryable: true}
+	}
 	s.countFirstAttempt(r)
+	r.sentVersion = u.Version
 	r.record.upstream, r.record.version = id, u.Version
 	r.record.upstreamLeaving, r.record.upstreamRetryAfter = false, 0
 	sentAt := time.Now()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -26,6 +26,9 @@
 	ctx, cancel := context.WithDeadline(r.ctx, r.deadline)
 	defer cancel()
 	out := newRelay(w, r.route)
+	if out.resumable {
+		out.onStart = func() { s.streamBegan(r) }
+	}
 	for {
 		res := s.attempt(ctx, r, out)
 		if res.retryable && r.placements < maxPlacements {
@@ -72,6 +75,9 @@
 
 // attempt places the request, sends it once and relays the response.
 func (s *Server) attempt(ctx context.Context, r *request, out *relay) result {
+	if refused := s.refuseUnservableVersion(r); refused != nil {
+		return result{refused: refused}
+	}
 	avoid, refused := s.avoid(r)
 	if refused != nil {
 		return result{refused: refused}
@@ -114,6 +120,6 @@
 	}
 	return dispatch.Request{
 		Ticket: t, ID: r.id, Team: r.teamName(), Priority: r.priority(), Prompt: r.promptTokens, Output: r.outputTokens, Parts: r.parts,
-		Target: target - time.Since(r.arrived), Timeout: time.Until(r.deadline), Avoid: avoid, Regions: r.regions,
+		Target: target - time.Since(r.arrived), Timeout: time.Until(r.deadline), Avoid: avoid, Regions: r.regions, Version: r.version,
 	}
 }
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -34,7 +34,7 @@
 	for _, name := range []string{"ran", "not-run", "unknown", "cancelled", "cut"} {
 		s.outcomes[name] = scope.Tagged(map[string]string{"outcome": name}).Counter("answers")
 	}
-	for _, reason := range []withheldReason{withheldEvacuated, withheldWarming, withheldRegion} {
+	for _, reason := range []withheldReason{withheldEvacuated, withheldWarming, withheldRegion, withheldVersion} {
 		s.withheld[reason] = scope.Tagged(map[string]string{"reason": string(reason)}).Counter("withheld")
 	}
 	return s
@@ -47,6 +47,7 @@
 	withheldEvacuated withheldReason = "evacuated"
 	withheldWarming   withheldReason = "warming"
 	withheldRegion    withheldReason = "region"
+	withheldVersion   withheldReason = "version"
 )
 
 // latencyBuckets are exponential buckets with factor 2 from 1 ms to 16 s.
--- /dev/null
+++ b/gateway/version_test.go
@@ -0,0 +1,47 @@
+package gateway_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/aspenswitch/aspenswitch/dispatch"
+)
+
+// Guards against resuming a stream within its answer at another or an unknown software version.
+func TestStreamIsNotResumedAtAnotherVersion(t *testing.T) {
+	for name, versions := range map[string][2]string{"other": {"v1", "v2"}, "not known now": {"v1", ""}, "not known at the start": {"", "v1"}, "never known": {"", ""}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := newHarness(t, map[string]script{"u1": events(1, 3, "", false), "u2": events(4, 6, "", true)})
+			r.setVersion("u1", versions[0])
+			r.setVersion("u2", versions[1])
+			resp, _, err := r.call("/resume/", nil)
+			g.Expect(resp == nil || err != nil).To(BeTrue(), "the caller sees a broken connection")
+			g.Expect(r.requests()).To(HaveLen(1))
+		})
+	}
+}
+
+// Guards against a home with an older state than this router, which chooses another version.
+func TestVersionIsCheckedAtTheMomentOfSending(t *testing.T) {
+	g := NewWithT(t)
+	r := newHarness(t, map[string]script{"u1": events(1, 3, "", false), "u2": events(4, 6, "", true), "u3": events(4, 6, "", true)})
+	r.setVersion("u2", "v2")
+	_, body, err := r.call("/resume/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(ContainSubstring("id: 6"))
+	g.Expect(r.requests()).To(HaveLen(2))
+	g.Expect(r.requests()[1].upstream).To(Equal("u3"))
+	g.Eventually(r.placer.reportedOutcomes).Should(ContainElement(dispatch.NotSent))
+}
+
+// Guards against keeping a request that has brought no event at the version of its first attempt.
+func TestRequestWithoutAnEventMayGoToAnotherVersion(t *testing.T) {
+	g := NewWithT(t)
+	r := newHarness(t, map[string]script{"u1": closeConn, "u2": events(1, 3, "", true)})
+	r.setVersion("u2", "v2")
+	_, body, err := r.call("/resume/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(ContainSubstring("id: 3"))
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -140,16 +140,22 @@
 func (r *Registry) View() *View {
 	v := &View{
 		byID: make(map[string]*Upstream, len(r.entries)), ready: map[string][]*Upstream{}, counts: map[string]int{},
+		versions:  map[serviceVersion]VersionCount{},
 		evacuated: r.Evacuated(), withdrawnAt: maps.Clone(r.withdrawnAt),
 	}
 	for _, u := range r.entries {
 		v.byID[u.ID] = &u
+		key := serviceVersion{u.Service, u.Version}
+		count := v.versions[key]
+		count.Registered++
 		if !u.Draining {
 			v.counts[u.Service]++
 		}
 		if v.acceptsRequests(&u) {
 			v.ready[u.Service] = append(v.ready[u.Service], &u)
+			count.Ready++
 		}
+		v.versions[key] = count
 	}
 	for _, list := range v.ready {
 		slices.SortFunc(list, func(a, b *Upstream) int { return cmp.Compare(a.ID, b.ID) })
--- a/registry/view.go
+++ b/registry/view.go
@@ -14,10 +14,37 @@
 	// counts has the number of each service's upstreams that aren't draining, including those in
 	// evacuated failure domains.
 	counts      map[string]int
+	versions    map[serviceVersion]VersionCount
 	evacuated   map[string]int64
 	withdrawnAt map[string]boottime.Time
 }
 
+// serviceVersion is a software version of a service's upstreams.
+type serviceVersion struct{ service, version string }
+
+// VersionCount is the number of a service's upstreams with one software version.
+type VersionCount struct {
+	// Registered counts all entries, Ready those that accept new requests.
+	Registered, Ready int
+}
+
+// Versions returns the numbers of a service's upstreams by software version. Upstreams of an
+// unknown version are counted under "".
+func (v *View) Versions(service string) map[string]VersionCount {
+	versions := map[string]VersionCount{}
+	for key, count := range v.versions {
+		if key.service == service {
+			versions[key.version] = count
+		}
+	}
+	return versions
+}
+
+// ReadyAt returns how many upstreams of a service accept new requests at a software version.
+func (v *View) ReadyAt(service, version string) int {
+	return v.versions[serviceVersion{service, version}].Ready
+}
+
 // Ready returns the upstreams of a service that accept new requests, sorted by ID.
 func (v *View) Ready(service string) []*Upstream { return v.ready[service] }
 
