gateway: a broken stream isn't refused as late

Callers saw streams cut that broke after the time at which their first byte was due, although engines had room: the target sent to the home was that of the first byte less the time since the arrival, below 0, and homes refuse what will be late. Found while tracing why a continued stream was refused beside idle upstreams. The target of a stream that has begun counts from the moment at which it is placed again, as for a new one.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -42,9 +42,11 @@
 	outcomes    []dispatch.Outcome
 	beforePlace func()
 	refuse      *dispatch.Decision
-	lag         atomic.Int64
-	readLag     atomic.Int64
-	shed        []dispatch.Request
+	// placed are the requests to be placed.
+	placed  []dispatch.Request
+	lag     atomic.Int64
+	readLag atomic.Int64
+	shed    []dispatch.Request
 	// table is the quarantine table of the fleet; crashes is the number of reported crashes.
 	table   *quarantine.Table
 	crashes int
@@ -64,6 +66,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.placed = append(p.placed, r)
 	if p.refuse != nil {
 		d := *p.refuse
 		d.Group = p.group
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -112,14 +112,19 @@
 	return s.send(ctx, r, out, ticket, d)
 }
 
-// placementRequest returns the request's description for the placer.
+// placementRequest returns the request's description for the placer. The target of a broken stream
+// counts from now, like that of a new one: its first byte was due long ago, and a home refuses
+// requests that are late.
 func (s *Server) placementRequest(r *request, t dispatch.Ticket, avoid []string) dispatch.Request {
 	target := r.route.Target
 	if target <= 0 {
 		target = r.deadline.Sub(r.arrived)
 	}
+	if !r.began {
+		target -= time.Since(r.arrived)
+	}
 	return dispatch.Request{
 		Ticket: t, ID: r.id, Team: r.teamName(), Priority: r.priority(), Prompt: r.promptTokens, Output: r.outputTokens, Parts: r.parts,
-		Target: target - time.Since(r.arrived), Timeout: time.Until(r.deadline), Avoid: avoid, Regions: r.regions, Version: r.version,
+		Target: target, Timeout: time.Until(r.deadline), Avoid: avoid, Regions: r.regions, Version: r.version,
 	}
 }
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -1,7 +1,10 @@
 package gateway_test
 
 import (
+	"io"
+	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -36,6 +39,22 @@
 	g.Eventually(r.placer.reportedOutcomes).Should(ContainElement(dispatch.NotSent))
 }
 
+// Guards against refusing a stream as late that breaks after the time at which its first byte was due.
+func TestBrokenStreamIsNotPlacedAsLate(t *testing.T) {
+	g := NewWithT(t)
+	late := func(req *http.Request, w io.Writer) bool {
+		events(1, 3, "", false)(req, w)
+		time.Sleep(1100 * time.Millisecond) // the target is 1 s
+		return false
+	}
+	r := newHarness(t, map[string]script{"u1": late, "u2": events(4, 6, "", true)})
+	_, body, err := r.call("/resume/", func(req *http.Request) { req.Header.Set(names.Deadline, "3000") })
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(ContainSubstring("id: 6"))
+	g.Expect(r.placer.placed).To(HaveLen(2))
+	g.Expect(r.placer.placed[1].Target).To(BeNumerically(">", 500*time.Millisecond))
+}
+
 // Guards against keeping a request that has brought no event at the version of its first attempt.
 func TestRequestWithoutAnEventMayGoToAnotherVersion(t *testing.T) {
 	g := NewWithT(t)
