fleet, gateway, resumption: a stream that a caller continues goes on at its version

Cause: a router forgot the version with the request, and nothing was told to others. Class: state of a run that only the lost process had.

Before the first event of a resumable stream leaves, its router tells three others, in three failure domains, the hash of the attempt's ID, the service and the version: 35 bytes each, nothing is acknowledged or stored elsewhere. They keep it for one to two minutes, at most 65,536 records (3 MB). A router that gets a continuation asks six by the same hash, sends again after 60 ms and gives up after 250 ms; at most 256 at a time. If nobody knows, the stream goes on only where the state, confirmed after the request came, and the history of the last seconds show one version alone; a router that is cut off can't confirm that. Otherwise: 503 with Retry-After, not run.

--- a/fleet/events.go
+++ b/fleet/events.go
@@ -93,7 +93,7 @@
 }
 
 func (n *Node) nextTick() time.Duration {
-	if len(n.pending) > 0 {
+	if len(n.pending) > 0 || len(n.streams.pending) > 0 {
 		return fastTick
 	}
 	for _, g := range n.groups {
@@ -135,6 +135,10 @@
 		n.handleLeaving(now, e)
 	case probeEvent:
 		n.handleProbe(now, e)
+	case streamBeganEvent:
+		n.recordStream(now, e)
+	case streamVersionEvent:
+		n.findStreamVersion(now, e)
 	case callEvent:
 		e.do(now)
 	}
@@ -162,6 +166,9 @@
 	if p.Report != nil {
 		n.handleReport(now, p.From, p.Report)
 	}
+	if p.Stream != nil {
+		n.handleStreamMessage(now, p.From, p.Stream)
+	}
 	if p.Infrequent != nil {
 		n.handleInfrequent(now, p.From, p.Infrequent)
 	}
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/aspenswitch/aspenswitch/boottime"
@@ -43,9 +42,11 @@
 		{From: 2, Infrequent: &infrequent{Shed: &shedReport{Service: "llm", Group: 1 << 40, Requests: []shedRequest{{Fingerprint: 1, AgeMs: -1, TimeoutMs: -1}}}}},
 		{From: 2, Infrequent: &infrequent{Usage: &usageReport{Teams: []teamUsage{{Team: "t", Window: -1, Recent: float32(math.NaN())}}}}},
 		{From: 2, Infrequent: &infrequent{Usage: &usageReport{IsReply: true, Teams: []teamUsage{{Team: "t", Window: float32(math.Inf(1))}}}}},
+		{From: 2, Stream: &streamMessage{Kind: 200, Stream: 1}},
+		{From: 2, Stream: &streamMessage{Kind: streamQuery}},
 		{From: 2, Report: &report{Kind: reportInFlight, Seq: 1, Service: "llm", Request: &placeRequest{}, Upstream: "u"}},
 	} {
-		raw, err := cbor.Marshal(&p)
+		raw, err := encodePacket(&p)
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -64,8 +65,8 @@
 	published.Import(&feed.PeerState{Revision: 1, Config: &routing.Config{Version: 1, Services: []routing.Service{{Name: "llm"}}},
 		Upstreams: []registry.Upstream{{ID: "u", Service: "llm", Slots: 2, Revision: 1}}}, boottime.Now())
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		p := &packet{}
-		if cbor.Unmarshal(raw, p) != nil {
+		p, err := decodePacket(raw)
+		if err != nil {
 			return
 		}
 		n.handlePacket(boottime.Now(), packetEvent{packet: p, from: netip.MustParseAddrPort("127.0.0.1:9")})
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -146,6 +146,7 @@
 		return
 	}
 	n.appliedSnapshot = s
+	n.updateVersions(now, s)
 	for key, g := range n.groups {
 		n.updateGroup(now, key, g, s)
 	}
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -163,6 +163,7 @@
 	}
 	n.pushState(now)
 	n.tickQuarantine(now)
+	n.tickStreams(now)
 	if n.feed != nil {
 		n.reportShed(now)
 		n.reportUsage(now)
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -17,6 +17,31 @@
 	// Infrequent keeps frequent packets small: they encode one empty field instead of one
 	// for each rarely sent message.
 	Infrequent *infrequent
+	// Stream is encoded by streamPacket.
+	Stream *streamMessage `cbor:"-"`
+}
+
+// streamMessageKind is the purpose of a streamMessage.
+type streamMessageKind uint8
+
+const (
+	// streamBegan tells a router to remember where a stream began.
+	streamBegan streamMessageKind = iota
+	// streamQuery asks a router whether it remembers a stream.
+	streamQuery
+	// streamKnown and streamNotKnown answer a streamQuery.
+	streamKnown
+	streamNotKnown
+)
+
+// streamMessage tells where a stream began, so that it can go on at the same software version. The
+// origin is set with streamBegan and streamKnown.
+type streamMessage struct {
+	_               struct{} `cbor:",toarray"`
+	Kind            streamMessageKind
+	Stream          uint64
+	Service         string
+	SoftwareVersion string
 }
 
 // infrequent holds the messages that are rarely sent.
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 
@@ -64,6 +63,7 @@
 	groupCounts *groupCounts
 
 	// Owned by the control goroutine.
+	streams          streamState
 	members          map[uint64]*member
 	byIP             map[string]*member
 	groups           map[groupKey]*group
@@ -113,7 +113,7 @@
 		members: map[uint64]*member{}, byIP: map[string]*member{}, groups: map[groupKey]*group{},
 		pending: map[uint64]*pending{}, inFlight: map[uint64]*inFlightRequest{}, sessionUpstreams: map[uint64]dispatch.Incarnation{},
 		usageInterval: minUsageInterval, groupCounts: newGroupCounts(cfg.GroupSize),
-		availability: availability.NewTable(),
+		availability: availability.NewTable(), streams: newStreamState(),
 	}
 	for i := range n.ledgers {
 		n.ledgers[i] = dispatch.NewLedger(cfg.Engine.ShareWindow)
@@ -176,8 +176,8 @@
 		if err != nil {
 			return // closed
 		}
-		p := &packet{}
-		if err := cbor.Unmarshal(buf[:size], p); err != nil {
+		p, err := decodePacket(buf[:size])
+		if err != nil {
 			n.log.Warn().Str("event", "peer").Stringer("from", from).Err(err).Msg("ignored a malformed datagram")
 			continue
 		}
@@ -191,7 +191,7 @@
 // send sends one datagram. A failed send is treated as a lost datagram.
 func (n *Node) send(to netip.AddrPort, p *packet) {
 	p.From = n.self
-	raw, err := cbor.Marshal(p)
+	raw, err := encodePacket(p)
 	if err != nil {
 		n.log.Error().Str("event", "peer").Err(err).Msg("failed to encode a datagram")
 		return
--- a/fleet/size_test.go
+++ b/fleet/size_test.go
@@ -4,7 +4,6 @@
 	"slices"
 	"testing"
 
-	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
@@ -37,10 +36,11 @@
 		"notices": {packet{From: 1 << 63, Infrequent: &infrequent{Quarantine: &quarantineUpdate{Notices: slices.Repeat([]statusNotice{{
 			Team: "hule930", Hash: 1 << 63, Status: quarantine.Quarantined, Version: 3, LeftS: 7200,
 		}}, maxNoticesPerDatagram)}}}, 20 + 30*maxNoticesPerDatagram},
+		"stream": {packet{From: 1 << 63, Stream: &streamMessage{Kind: streamKnown, Stream: 1 << 63, Service: "huvo11a", SoftwareVersion: "v1.12"}}, 45},
 		"report": {packet{From: 1 << 63, Report: &report{Kind: reportEnded, Seq: 1 << 20, Service: "huvo11a", DurationMs: 2000}}, 45},
 	}
 	for name, c := range cases {
-		raw, err := cbor.Marshal(&c.p)
+		raw, err := encodePacket(&c.p)
 		g := NewWithT(t)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(len(raw)).To(BeNumerically("<=", c.most), name)
--- a/gateway/deps.go
+++ b/gateway/deps.go
@@ -7,6 +7,7 @@
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/feed"
 	"github.com/aspenswitch/aspenswitch/quarantine"
+	"github.com/aspenswitch/aspenswitch/resumption"
 )
 
 // StateReader provides the platform's published state.
@@ -41,6 +42,12 @@
 	ReadLag() time.Duration
 	// ReportLeaving reports that an upstream is shutting down.
 	ReportLeaving(service string, upstream dispatch.Incarnation)
+	// ReportStreamBegan reports where the stream of an attempt began, before its first event is
+	// sent to the caller.
+	ReportStreamBegan(attempt string, origin resumption.Origin)
+	// StreamVersion finds the software version at which a stream goes on that the named attempt
+	// began, within window before the request. attempt is "" if the caller names none.
+	StreamVersion(ctx context.Context, service, attempt string, window time.Duration) resumption.Decision
 	// ReportCrash reports that an upstream closed the connection after it had been handling
 	// a request for the time ran.
 	ReportCrash(id quarantine.ContentID, upstream dispatch.Incarnation, ran time.Duration)
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -9,6 +9,7 @@
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/feed"
 	"github.com/aspenswitch/aspenswitch/quarantine"
+	"github.com/aspenswitch/aspenswitch/resumption"
 )
 
 // fakeState implements gateway.StateReader.
@@ -56,6 +57,8 @@
 	leaving []dispatch.Incarnation
 	// warming is set if all upstreams are warming up.
 	warming bool
+	// streams has the origins of streams that the gateway has reported.
+	streams *resumption.Table
 	// group is the upstream group whose home decides.
 	group int
 }
@@ -148,6 +151,22 @@
 	}
 }
 
+func (p *fakePlacer) ReportStreamBegan(attempt string, origin resumption.Origin) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.streams.Record(0, resumption.NewStreamID(attempt), origin)
+}
+
+func (p *fakePlacer) StreamVersion(_ context.Context, service, attempt string, _ time.Duration) resumption.Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q := resumption.NewQuery(0, resumption.NewStreamID(attempt), service, nil, 0)
+	if origin, found := p.streams.Lookup(q.ID); found {
+		q.Known(origin, "the test")
+	}
+	return q.Decide(0, "", resumption.Several)
+}
+
 func (p *fakePlacer) Quarantine() *quarantine.View {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -18,6 +18,7 @@
 	"github.com/aspenswitch/aspenswitch/gateway"
 	"github.com/aspenswitch/aspenswitch/obs"
 	"github.com/aspenswitch/aspenswitch/registry"
+	"github.com/aspenswitch/aspenswitch/resumption"
 	"github.com/aspenswitch/aspenswitch/retry"
 	"github.com/aspenswitch/aspenswitch/routing"
 	"github.com/aspenswitch/aspenswitch/upstream"
@@ -27,7 +28,7 @@
 var names = gateway.HeaderNames{
 	RequestID: "X-Id", Deadline: "X-Left", Upstream: "X-Upstream", Team: "X-Team", APIKey: "X-Key",
 	Seal: "X-Seal", NotRun: "X-Not-Run", Leaving: "X-Leaving", Tokens: "X-Tokens", Parts: "X-Parts", LengthHint: "X-Hint",
-	Load: "X-Load", CopyFrom: "X-Copy", Private: []string{"X-Secret"},
+	Load: "X-Load", Resumes: "X-Resumes", CopyFrom: "X-Copy", Private: []string{"X-Secret"},
 }
 
 // harness runs a gateway on loopback in front of scripted upstreams.
@@ -88,7 +89,7 @@
 // newHarnessWith returns a harness whose configuration is changed by configure.
 func newHarnessWith(t testing.TB, scripts map[string]script, configure func(*gateway.Config)) *harness {
 	t.Helper()
-	r := &harness{t: t, state: &fakeState{}, placer: &fakePlacer{}}
+	r := &harness{t: t, state: &fakeState{}, placer: &fakePlacer{streams: resumption.NewTable()}}
 	r.state.fresh.Store(true)
 	reg := registry.New()
 	r.registry = reg
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -20,6 +20,8 @@
 	// resumes is the attempt that the caller says it continues, resumedAfter the last event
 	// that it or this router has of the stream.
 	resumes, resumedAfter string
+	// versionSource is who knew which software version began that stream, or why none is known.
+	versionSource string
 	// copyFrom is the engine from which parts of the prompt were copied.
 	copyFrom string
 	// prompt and output are the token counts used for placement.
@@ -59,6 +61,9 @@
 	if r.resumes != "" {
 		e.Str("resumes", r.resumes)
 	}
+	if r.versionSource != "" {
+		e.Str("version_from", r.versionSource)
+	}
 	if r.resumedAfter != "" {
 		e.Str("resumed_after", r.resumedAfter)
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -28,6 +28,11 @@
 	out := newRelay(w, r.route)
 	if out.resumable {
 		out.onStart = func() { s.streamBegan(r) }
+		if s.continuesStream(r) {
+			if refused := s.findVersion(ctx, r); refused != nil {
+				return refused, false
+			}
+		}
 	}
 	for {
 		res := s.attempt(ctx, r, out)
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -14,6 +14,9 @@
 	refused  tally.Counter
 	// quarantined counts requests that were rejected because their content is in quarantine.
 	quarantined tally.Counter
+	// unknownVersion counts continued streams that were refused since no router knew which software
+	// version had begun them.
+	unknownVersion tally.Counter
 	// withheld counts requests that were placed by a home and then not sent, by reason.
 	withheld  map[withheldReason]tally.Counter
 	firstByte tally.Histogram
@@ -22,14 +25,15 @@
 
 func newStats(scope tally.Scope) *stats {
 	s := &stats{
-		requests:    scope.Counter("requests"),
-		outcomes:    map[string]tally.Counter{},
-		other:       scope.Tagged(map[string]string{"outcome": "other"}).Counter("answers"),
-		refused:     scope.Counter("refusals"),
-		quarantined: scope.Counter("quarantined"),
-		withheld:    map[withheldReason]tally.Counter{},
-		firstByte:   scope.Histogram("first_byte_seconds", latencyBuckets),
-		placement:   scope.Histogram("placing_seconds", latencyBuckets),
+		requests:       scope.Counter("requests"),
+		outcomes:       map[string]tally.Counter{},
+		other:          scope.Tagged(map[string]string{"outcome": "other"}).Counter("answers"),
+		refused:        scope.Counter("refusals"),
+		quarantined:    scope.Counter("quarantined"),
+		unknownVersion: scope.Counter("unknown_version"),
+		withheld:       map[withheldReason]tally.Counter{},
+		firstByte:      scope.Histogram("first_byte_seconds", latencyBuckets),
+		placement:      scope.Histogram("placing_seconds", latencyBuckets),
 	}
 	for _, name := range []string{"ran", "not-run", "unknown", "cancelled", "cut"} {
 		s.outcomes[name] = scope.Tagged(map[string]string{"outcome": name}).Counter("answers")
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -1,14 +1,49 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/registry"
+	"github.com/aspenswitch/aspenswitch/resumption"
 )
 
 // streamBegan records the software version that began a stream, before its first event leaves.
 func (s *Server) streamBegan(r *request) {
 	r.began, r.version = true, r.sentVersion
+	s.placer.ReportStreamBegan(r.id, resumption.Origin{Service: r.service, Version: r.version})
+}
+
+// continuesStream reports whether the caller continues a stream that another attempt began.
+func (s *Server) continuesStream(r *request) bool {
+	h := r.in.Header
+	return h.Get(lastEventID) != "" || h.Get(s.cfg.Headers.Resumes) != ""
+}
+
+// continuationMargin is the time after its route's timeout within which a stream is continued: its
+// upstream may serve on for seconds after its entry was removed, and callers wait before they try
+// again.
+const continuationMargin = 5 * time.Second
+
+// findVersion finds the software version at which a stream goes on that another attempt began.
+func (s *Server) findVersion(ctx context.Context, r *request) *refusal {
+	timeout := r.route.Timeout
+	if timeout <= 0 {
+		timeout = s.cfg.DefaultDeadline
+	}
+	d := s.placer.StreamVersion(ctx, r.service, r.record.resumes, timeout+continuationMargin)
+	r.record.versionSource = d.Source
+	if d.Verdict != resumption.Continue {
+		r.record.cause = d.Source
+		s.stats.unknownVersion.Inc(1)
+		return versionUnknown()
+	}
+	r.began, r.version = true, d.Version
+	return nil
+}
+
+func versionUnknown() *refusal {
+	return notRun("version_unknown", "it isn't known which software version began the stream; the request was not run; it may be sent again, or from the start, without the last event's ID", versionRetryAfter)
 }
 
 // versionRetryAfter is the Retry-After delay for a broken stream that can't go on at present.
@@ -22,7 +57,7 @@
 		return nil
 	case r.version == "":
 		r.record.cause = "the version of upstream " + r.record.upstream + ", which began the stream, is unknown"
-		return notRun("version_unknown", "it isn't known which software version began the stream; the request was not run", versionRetryAfter)
+		return versionUnknown()
 	case s.state.Snapshot().View.ReadyAt(r.service, r.version) == 0:
 		r.record.cause = "no upstream has version " + r.version + ", which began the stream"
 		return notRun("version_gone", "no upstream has the software version that began the stream; the request was not run", versionRetryAfter)
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/resumption"
 )
 
 // Guards against resuming a stream within its answer at another or an unknown software version.
@@ -64,3 +65,38 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(body).To(ContainSubstring("id: 3"))
 }
+
+// Guards against a caller's continuation that runs at another version than the one that began the
+// stream, or that is refused although its version serves.
+func TestCallerContinuesAStreamAtItsVersion(t *testing.T) {
+	g := NewWithT(t)
+	r := newHarness(t, map[string]script{"u1": events(4, 6, "", true), "u2": events(4, 6, "", true)})
+	r.setVersion("u2", "v2")
+	r.placer.ReportStreamBegan("first", resumption.Origin{Service: "llm", Version: "v2"})
+	continuation := func(attempt string) func(*http.Request) {
+		return func(req *http.Request) {
+			req.Header.Set("Last-Event-Id", "3")
+			req.Header.Set(names.Resumes, attempt)
+		}
+	}
+	resp, body, err := r.call("/resume/", continuation("first"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	g.Expect(body).To(ContainSubstring("id: 6"))
+	g.Expect(r.requests()).To(HaveLen(1))
+	g.Expect(r.requests()[0].upstream).To(Equal("u2"))
+
+	resp, body, err = r.call("/resume/", continuation("id1"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusOK), "the attempt that continued the stream may be named as well: %s", body)
+
+	r.setVersion("u2", "v3")
+	resp, body, _ = r.call("/resume/", continuation("first"))
+	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(body).To(ContainSubstring("version_gone"))
+	resp, body, _ = r.call("/resume/", continuation("unseen"))
+	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+	g.Expect(body).To(And(ContainSubstring("version_unknown"), ContainSubstring(`"outcome":"not-run"`)))
+	g.Expect(r.requests()).To(HaveLen(2), "refused continuations don't run")
+}
