dispatch, gateway: cached parts are copied between engines of one software version only

A plan takes its source among the engines of the same version; the router that sends compares the two versions once more. With one version in the group a decision does the same work as before.

TestPartsAreCopiedWithinAVersionOnly fails without the change in the plan (e1 of v2 copies from e0 of v1). go test ./dispatch ./lab ./gateway: passed.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -20,6 +20,8 @@
 	refusals              refusalHistory
 	prefillYield          prefillYield
 	groupFit              prefillFit
+	// severalVersions is set if the upstreams have different software versions.
+	severalVersions bool
 	// warmUpGranted is set while this core may send to upstreams that are warming up.
 	warmUpGranted bool
 	// probesRequired is set while only probes tell whether upstreams are warming up.
--- a/dispatch/prefill_plan.go
+++ b/dispatch/prefill_plan.go
@@ -11,16 +11,19 @@
 
 // prefillPlans returns a plan for each upstream of the group, in order.
 func (c *Core) prefillPlans(now time.Duration, j *job) []prefillPlan {
-	if !c.cfg.Engine {
+	if !c.cfg.Engine || len(c.upstreams) == 0 {
 		return c.servicePlans(now)
 	}
 	cached := make([]int, len(c.upstreams))
 	for i, u := range c.upstreams {
 		cached[i] = u.cache.cachedPrefix(j.Parts)
 	}
-	source := c.copySource(now, cached)
+	source := c.copySource(now, cached, c.upstreams[0].Version)
 	out := make([]prefillPlan, len(c.upstreams))
 	for i, u := range c.upstreams {
+		if c.severalVersions {
+			source = c.copySource(now, cached, u.Version)
+		}
 		out[i] = c.planPrefill(u, &j.Request, cached[i], source, cached)
 	}
 	return out
@@ -44,15 +47,16 @@
 	for i, other := range c.upstreams {
 		cached[i] = other.cache.cachedPrefix(j.Parts)
 	}
-	return c.planPrefill(u, &j.Request, u.cache.cachedPrefix(j.Parts), c.copySource(now, cached), cached)
+	return c.planPrefill(u, &j.Request, u.cache.cachedPrefix(j.Parts), c.copySource(now, cached, u.Version), cached)
 }
 
-// copySource returns the index of the upstream that isn't banned with the longest cached
-// prefix, or -1 if none has any of it.
-func (c *Core) copySource(now time.Duration, cached []int) int {
+// copySource returns the index of the upstream with a software version that isn't banned and has
+// the longest cached prefix, or -1 if none has any of it. An upstream copies only from others of
+// its own version: what two versions write doesn't fit together.
+func (c *Core) copySource(now time.Duration, cached []int, version string) int {
 	best := -1
 	for i, u := range c.upstreams {
-		if now < u.bannedUntil || cached[i] == 0 {
+		if now < u.bannedUntil || cached[i] == 0 || u.Version != version {
 			continue
 		}
 		if best < 0 || cached[i] > cached[best] {
--- a/dispatch/version_test.go
+++ b/dispatch/version_test.go
@@ -69,3 +69,23 @@
 	g.Expect(next).To(HaveLen(1))
 	g.Expect(next[0].Ticket).To(Equal(ticket(3)))
 }
+
+// Guards against an engine that copies cached parts from one of another software version.
+func TestPartsAreCopiedWithinAVersionOnly(t *testing.T) {
+	firstElsewhere := func(versions ...string) dispatch.Decision {
+		c := dispatch.New(dispatch.DefaultConfig(true))
+		c.SetMembers(time.Second, versionedEngines(versions...))
+		c.SeedCache(incarnation("e0"), []dispatch.Part{{ID: 5, Tokens: 6000}})
+		for seq := range uint64(30) {
+			for _, d := range c.Submit(2*time.Second, request(seq, "a", 5)) {
+				if d.Verdict == dispatch.Send && d.Upstream == "e1" {
+					return d
+				}
+			}
+		}
+		return dispatch.Decision{}
+	}
+	g := NewWithT(t)
+	g.Expect(firstElsewhere("v1", "v1").CopyFrom).To(Equal("e0"))
+	g.Expect(firstElsewhere("v1", "v2").CopyFrom).To(BeEmpty())
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -34,7 +34,7 @@
 	sentAt := time.Now()
 	r.sentTo, r.sentAt = incarnation(u), sentAt
 	call := s.newCall(r, out, u)
-	if from := s.state.Snapshot().View.Upstream(d.CopyFrom); from != nil && s.mayCopyFrom(from) {
+	if from := s.state.Snapshot().View.Upstream(d.CopyFrom); from != nil && from.Version == u.Version && s.mayCopyFrom(from) {
 		call.Header.Set(s.cfg.Headers.CopyFrom, from.Address)
 		r.record.copyFrom = from.ID
 	}
