soak: upstreams have software versions, callers continue broken streams

Events name the version that wrote them. Callers continue a broken stream up to twice on new connections, naming the attempt that began it. Checks: all events of a stream and of its continuations have one version; of 12 or more streams continued while two upstreams of their version serve, at least half as many go on as new ones begin (the platform's bound).

The check of a stream's events is as strict as before: exact events in order of one version, and at most a part of the next in a broken one. TestStreamsGoOnAtTheirVersion: passed.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/platform"
-	"github.com/aspenswitch/aspenswitch/standin"
 )
 
 // caller sends requests one after another and reuses its connection until the router
@@ -24,6 +23,9 @@
 	op     *operator
 	rec    *Recorder
 
+	// continues is set if the caller continues broken streams.
+	continues bool
+
 	sent        int
 	conn        net.Conn
 	reader      *bufio.Reader
@@ -82,14 +84,43 @@
 	if !c.connect() {
 		return
 	}
-	c.send(c.nextRequest())
+	c.continueBroken(c.send(c.nextRequest()))
+}
+
+// maxContinuations is how often a caller continues a broken stream.
+const maxContinuations = 2
+
+// continueBroken continues a broken stream on new connections, usually at other routers.
+func (c *caller) continueBroken(broken Request) {
+	first := broken
+	for range maxContinuations {
+		if !c.continues || broken.Kind != ResumableStream || broken.Complete || broken.Abandoned || broken.Events == 0 {
+			return
+		}
+		c.closeConn()
+		if !c.connect() {
+			return
+		}
+		req := broken
+		c.sent++
+		req.ID, req.Continues, req.After = fmt.Sprintf("c%d-%d", c.number, c.sent), first.ID, broken.Events
+		req.Router, req.Incarnation = c.router.number, c.incarnation
+		req.Status, req.Version, req.Defect, req.LeavingNotice = 0, "", "", false
+		if broken = c.send(req); broken.Events == 0 {
+			broken.Events = req.After // it was refused and may be sent again
+			time.Sleep(continuationPause)
+		}
+	}
 }
 
-// send sends a request on the open connection and records the result.
-func (c *caller) send(req Request) {
+// continuationPause is the pause after a refusal.
+const continuationPause = 200 * time.Millisecond
+
+// send sends a request on the open connection, records the result and returns it.
+func (c *caller) send(req Request) Request {
 	out, err := c.buildRequest(req)
 	if err != nil {
-		return
+		return req
 	}
 	deadline := time.Now().Add(req.Kind.timeout() + deadlineSlack)
 	if c.rnd.IntN(100) < abandonPercent {
@@ -114,6 +145,7 @@
 		c.closeConn()
 	}
 	c.rec.Add(func(h *History) { h.Requests = append(h.Requests, req) })
+	return req
 }
 
 // nextRequest draws a request.
@@ -154,6 +186,10 @@
 	out.Header.Set(n.RequestID, req.ID)
 	out.Header.Set(n.APIKey, req.Key)
 	out.Header.Set(n.Deadline, fmt.Sprint(req.Kind.timeout().Milliseconds()))
+	if req.Continues != "" {
+		out.Header.Set(n.Resumes, req.Continues)
+		out.Header.Set("Last-Event-Id", fmt.Sprint(req.After))
+	}
 	return out, nil
 }
 
@@ -201,17 +237,3 @@
 	}
 	return ""
 }
-
-func checkStream(req *Request, body string) string {
-	var want strings.Builder
-	for i := 1; i <= streamEvents; i++ {
-		want.WriteString(standin.StreamEvent(req.ID, i))
-	}
-	switch {
-	case req.Complete && body != want.String():
-		return fmt.Sprintf("unexpected stream body of %d bytes in a complete response", len(body))
-	case !strings.HasPrefix(want.String(), body):
-		return "stream with missing, duplicated or foreign events"
-	}
-	return ""
-}
--- a/soak/check.go
+++ b/soak/check.go
@@ -39,6 +39,8 @@
 	c.retryAfter()
 	c.warmUps()
 	c.evacuations()
+	c.streamVersions()
+	c.continuations()
 	c.routeMoves()
 	c.configRollback()
 	c.cancelled()
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -1,11 +1,14 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/aspenswitch/aspenswitch/standin"
 )
 
 const second = time.Second
@@ -175,3 +178,53 @@
 	h.FaultIntervals[0] = FaultInterval{Kind: RouterStop, Target: 0, From: 9 * second, To: 11 * second}
 	g.Expect(violated(h)).NotTo(BeEmpty(), "a planned stop excuses nothing")
 }
+
+// Guards against a check that misses a stream which goes on at another version, or isn't continued.
+func TestCheckFindsStreamsOfTwoVersions(t *testing.T) {
+	g := NewWithT(t)
+	stream := func(id, continues, version string, after, events int) Request {
+		return Request{ID: id, Kind: ResumableStream, Continues: continues, Version: version, After: after, Events: events, Key: fixedKey, Sent: time.Minute, Ended: time.Minute}
+	}
+	h := &History{Requests: []Request{stream("a", "", "v1", 0, 3), stream("b", "a", "v1", 3, 5), stream("c", "a", "v2", 5, 9)}}
+	c := newChecker(h, DefaultConfig().Bounds)
+	c.streamVersions()
+	g.Expect(c.violations).To(HaveLen(1))
+	g.Expect(c.violations[0].Detail).To(ContainSubstring("c at router 0 continues a of version v1 at v2"))
+
+	h = &History{Serving: []ServingSpan{{Upstream: "u1", Service: services[1], Version: "v1"}, {Upstream: "u2", Service: services[1], Version: "v1"}}}
+	for i := range 2 * minContinuations {
+		id := fmt.Sprint("n", i)
+		h.Requests = append(h.Requests, stream(id, "", "v1", 0, 3), stream(id+"+", id, "", 3, 3))
+	}
+	c = newChecker(h, DefaultConfig().Bounds)
+	c.continuations()
+	g.Expect(c.violations).To(HaveLen(1))
+	h.Serving = h.Serving[:1]
+	c = newChecker(h, DefaultConfig().Bounds)
+	c.continuations()
+	g.Expect(c.violations).To(BeEmpty(), "only one upstream of the version serves")
+}
+
+// Guards against a check of a stream's events that accepts joined pieces of two versions.
+func TestCheckOfEventsFindsJoinedPieces(t *testing.T) {
+	g := NewWithT(t)
+	body := func(from, to int, version string) (all string) {
+		for n := from; n <= to; n++ {
+			all += standin.StreamEvent("a", n, versionSuffix(version))
+		}
+		return all
+	}
+	req := Request{ID: "a", After: 4, Complete: true}
+	g.Expect(checkStream(&req, body(5, streamEvents, "v1"))).To(BeEmpty())
+	g.Expect(req.Version).To(Equal("v1"))
+	req = Request{ID: "a"}
+	g.Expect(checkStream(&req, body(1, 6, "v1")+body(7, 7, "v1")[:9])).To(BeEmpty(), "a broken stream")
+	g.Expect(req.Events).To(Equal(6))
+	for name, wrong := range map[string]string{
+		"two versions": body(1, 6, "v1") + body(7, streamEvents, "v2"), "missing": body(1, 6, "v1") + body(8, streamEvents, "v1"),
+		"twice": body(1, 6, "v1") + body(6, streamEvents, "v1"), "short": body(1, 6, "v1"), "more": body(1, streamEvents, "v1") + "x",
+	} {
+		req = Request{ID: "a", Complete: true}
+		g.Expect(checkStream(&req, wrong)).NotTo(BeEmpty(), name)
+	}
+}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -64,7 +64,7 @@
 		return nil, err
 	}
 	for i := range cfg.Callers {
-		c := &caller{number: i, rnd: rand.New(rand.NewPCG(cfg.Seed, uint64(i)+1)), lb: d.lb, op: d.op, rec: d.rec}
+		c := &caller{number: i, rnd: rand.New(rand.NewPCG(cfg.Seed, uint64(i)+1)), lb: d.lb, op: d.op, rec: d.rec, continues: cfg.VersionFaults}
 		wg.Go(func() { c.run(done) })
 	}
 	err := d.executePlan(plan)
--- a/soak/execute.go
+++ b/soak/execute.go
@@ -82,6 +82,10 @@
 		return d.coldRestart(d.endpoints[f.Target], f.ActiveFor)
 	case DomainEvacuate:
 		return d.evacuate(f)
+	case UpstreamUpgrade:
+		return d.endpoints[f.Target].upgrade(f.ActiveFor)
+	case ServiceRelease:
+		return d.release(f)
 	case KeyChange:
 		return d.op.changeKey()
 	case RouteMove:
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -62,6 +62,10 @@
 	UpstreamColdRestart FaultKind = "upstream-cold-return"
 	// DomainEvacuate evacuates a failure domain; its upstreams may be cold afterwards.
 	DomainEvacuate FaultKind = "domain-evacuate"
+	// UpstreamUpgrade is a graceful leave after which the next incarnation runs the next version of
+	// the software. ServiceRelease upgrades the upstreams of a service one after the other.
+	UpstreamUpgrade FaultKind = "upstream-upgrade"
+	ServiceRelease  FaultKind = "service-release"
 	// KeyChange replaces a team's key; RouteMove moves a route to the other service;
 	// RouteAdd adds a route.
 	KeyChange FaultKind = "key-change"
--- a/soak/history.go
+++ b/soak/history.go
@@ -23,6 +23,8 @@
 	// WarmUps are named by upstream, Evacuations by failure domain.
 	WarmUps     []Span `json:"warmUps"`
 	Evacuations []Span `json:"evacuations"`
+	// Serving has the times in which upstreams accepted requests.
+	Serving []ServingSpan `json:"serving"`
 }
 
 // Request is one request of a caller and its outcome.
@@ -50,6 +52,13 @@
 	LeavingNotice bool `json:"notice,omitempty"`
 	// Quarantined is set if the router rejected the request for its content.
 	Quarantined bool `json:"quarantined,omitempty"`
+	// Continues is the attempt that began the stream which this request continues, After the last
+	// event that its caller has. Version is the software version of the events that were received,
+	// Events the number of the last complete one.
+	Continues string `json:"continues,omitempty"`
+	After     int    `json:"after,omitempty"`
+	Version   string `json:"version,omitempty"`
+	Events    int    `json:"events,omitempty"`
 	// Defect describes what is wrong with the response, if anything.
 	Defect string `json:"wrong,omitempty"`
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -63,7 +63,21 @@
 	{DomainEvacuate, 3, 3 * time.Second, 7 * time.Second},
 }
 
+// versionFaults has kinds that concern the upstreams' software versions. They are drawn from a
+// separate random stream.
+var versionFaults = []weightedFault{
+	{UpstreamUpgrade, 4, 0, 500 * time.Millisecond},
+	{ServiceRelease, 1, 4 * time.Second, 6 * time.Second},
+	// Streams break where processes and connections end.
+	{UpstreamCrash, 5, 500 * time.Millisecond, 2 * time.Second},
+	{CallersReset, 6, 0, 0},
+}
+
 const (
+	// versionFaultRate is the mean number of faults per second drawn from versionFaults.
+	versionFaultRate = 0.6
+	// versionRandomStream is the random stream for versionFaults.
+	versionRandomStream = 1 << 34
 	// upstreamFaultRate is the mean number of faults per second drawn from upstreamFaults.
 	upstreamFaultRate = 0.25
 	// warmUpFaultRate is the mean number of faults per second drawn from warmUpFaults.
@@ -88,6 +102,9 @@
 	if cfg.WarmUpFaults {
 		plan = append(plan, drawFaults(rand.New(rand.NewPCG(cfg.Seed, warmUpRandomStream)), cfg, warmUpFaults, warmUpFaultRate)...)
 	}
+	if cfg.VersionFaults {
+		plan = append(plan, drawFaults(rand.New(rand.NewPCG(cfg.Seed, versionRandomStream)), cfg, versionFaults, versionFaultRate)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
@@ -136,7 +153,7 @@
 // drawTarget draws the index of the router or upstream that a fault targets.
 func drawTarget(rnd *rand.Rand, cfg Config, kind FaultKind) int {
 	switch kind {
-	case UpstreamDelay, UpstreamReset, UpstreamStall, UpstreamPartition, UpstreamLeave, UpstreamCrash, UpstreamGrey, UpstreamNotice, UpstreamRetryAfter, UpstreamCold, UpstreamColdRestart, DomainEvacuate:
+	case UpstreamDelay, UpstreamReset, UpstreamStall, UpstreamPartition, UpstreamLeave, UpstreamCrash, UpstreamGrey, UpstreamNotice, UpstreamRetryAfter, UpstreamCold, UpstreamColdRestart, DomainEvacuate, UpstreamUpgrade, ServiceRelease:
 		return rnd.IntN(2 * cfg.Upstreams)
 	default:
 		return rnd.IntN(cfg.Routers)
--- a/soak/regression.go
+++ b/soak/regression.go
@@ -14,6 +14,8 @@
 	UpstreamFaults bool `json:"upstreamFaults"`
 	// WarmUpFaults is Config.WarmUpFaults of the run that failed.
 	WarmUpFaults bool `json:"warmUpFaults"`
+	// VersionFaults is Config.VersionFaults of the run that failed.
+	VersionFaults bool `json:"versionFaults"`
 	// Cause is the cause of the violation.
 	Cause string `json:"cause"`
 }
@@ -21,6 +23,7 @@
 // Config returns base with the seed and the faults of the run that failed.
 func (r Regression) Config(base Config) Config {
 	base.Seed, base.Faults, base.UpstreamFaults, base.WarmUpFaults = r.Seed, r.Faults, r.UpstreamFaults, r.WarmUpFaults
+	base.VersionFaults = r.VersionFaults
 	return base
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -134,6 +134,35 @@
 	}
 }
 
+// Guards against streams that go on at another software version, or don't go on, during releases and
+// failures of routers, upstreams and connections.
+func TestStreamsGoOnAtTheirVersion(t *testing.T) {
+	daemon := buildDaemon(t)
+	for slot, plan := range [][]soak.Fault{
+		{
+			{At: time.Second, Kind: soak.ServiceRelease, Target: 3, ActiveFor: 6 * time.Second},
+			{At: 3 * time.Second, Kind: soak.RouterKill, Target: 1, ActiveFor: time.Second},
+			{At: 5 * time.Second, Kind: soak.UpstreamCrash, Target: 5, ActiveFor: 500 * time.Millisecond},
+			{At: 6 * time.Second, Kind: soak.RouterKill, Target: 2, ActiveFor: 300 * time.Millisecond},
+			{At: 6 * time.Second, Kind: soak.RouterKill, Target: 3, ActiveFor: 300 * time.Millisecond},
+		},
+		{
+			{At: time.Second, Kind: soak.UpstreamUpgrade, Target: 3},
+			{At: 7 * time.Second, Kind: soak.CallersReset, Target: 0},
+			{At: 7200 * time.Millisecond, Kind: soak.CallersReset, Target: 1},
+			{At: 7400 * time.Millisecond, Kind: soak.StoreDown, ActiveFor: 2 * time.Second},
+			{At: 8 * time.Second, Kind: soak.RouterKill, Target: 4, ActiveFor: time.Second},
+		},
+	} {
+		t.Run(string(plan[0].Kind), func(t *testing.T) {
+			t.Parallel()
+			cfg := soak.DefaultConfig()
+			cfg.Seed, cfg.Daemon, cfg.Slot, cfg.Duration = 1, daemon, slot+14, 10*time.Second
+			executePlan(t, cfg, plan)
+		})
+	}
+}
+
 // Guards against overloading an upstream that turns cold while the platform is unavailable.
 func TestUpstreamThatTurnsColdInAnOutage(t *testing.T) {
 	cfg := soak.Regression{Seed: 350005, Faults: 1.2, UpstreamFaults: true, WarmUpFaults: true}.Config(soak.DefaultConfig())
--- a/soak/upstreams.go
+++ b/soak/upstreams.go
@@ -24,6 +24,8 @@
 	runner      *standin.Runner
 	entry       registry.Upstream
 	incarnation int
+	// software is the number of the software version of the next incarnation.
+	software int
 	// replacing is set while one incarnation is being replaced by the next.
 	replacing bool
 }
@@ -55,7 +57,7 @@
 	id, n := e.id(), platform.HTTPHeaders()
 	names := standin.RunnerHeaders{RequestID: n.RequestID, Instance: n.Upstream, Seal: n.Seal, NotRun: n.NotRun, Leaving: n.Leaving}
 	r, err := standin.NewRunner(id, names, standin.RunnerOptions{
-		Work: work, FaultEvery: greyFaultEvery,
+		Work: work, FaultEvery: greyFaultEvery, Version: versionSuffix(e.version()),
 		OnStart:     func(request string) func(bool) { return e.rec.Began(request, id, service) },
 		ShouldCrash: func(r *http.Request) bool { return e.crashIfMarked(id, r) },
 		OnReject:    func(request string, rest time.Duration) { e.recordRejection(id, request, rest) },
@@ -78,7 +80,8 @@
 // activate registers an incarnation that was started.
 func (e *endpoint) activate(r *standin.Runner, service string) error {
 	e.runner = r
-	e.entry = registry.Upstream{ID: e.id(), Service: service, Address: e.link.Address(), FailureDomain: domainOf(e.number), Slots: 32}
+	e.entry = registry.Upstream{ID: e.id(), Service: service, Address: e.link.Address(), FailureDomain: domainOf(e.number), Slots: 32, Version: e.version()}
+	e.recordServing(true)
 	return e.op.register(e.entry)
 }
 
@@ -94,6 +97,12 @@
 	if !e.beginReplacement() {
 		return nil
 	}
+	return e.leaveForGood(delay, func() {})
+}
+
+// leaveForGood drains and ends the current incarnation and starts the next one, which beforeNext
+// prepares. The caller must have marked it as being replaced.
+func (e *endpoint) leaveForGood(delay time.Duration, beforeNext func()) error {
 	e.mu.Lock()
 	e.entry.Draining = true
 	e.runner.SetLeaving(true)
@@ -101,9 +110,13 @@
 	id, runner := e.entry.ID, e.runner
 	e.mu.Unlock()
 	e.rec.Add(func(h *History) { h.Departures = append(h.Departures, Change{Name: id, At: e.rec.Now()}) })
+	e.recordServing(false)
 	time.Sleep(drainDuration)
 	e.op.deregister(id)
 	runner.Crash()
+	e.mu.Lock()
+	beforeNext()
+	e.mu.Unlock()
 	return firstError(err, e.startNext(delay))
 }
 
@@ -115,6 +128,7 @@
 	e.mu.Lock()
 	id, runner := e.entry.ID, e.runner
 	e.mu.Unlock()
+	e.recordServing(false)
 	runner.Crash()
 	time.Sleep(delay)
 	e.op.deregister(id)
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -71,6 +71,8 @@
 	// Address is the address to listen on, or a free port of loopback if empty. A runner that
 	// restarts with the same ID needs the address that it had.
 	Address string
+	// Version is the version of the runner's software. If it is set, events of streams contain it.
+	Version string
 	// FaultEvery injects the fault into every n-th request; 0 means every request.
 	FaultEvery int
 }
--- a/standin/runner_answer.go
+++ b/standin/runner_answer.go
@@ -62,7 +62,7 @@
 			abort(c)
 			return false
 		}
-		event := StreamEvent(id, n)
+		event := StreamEvent(id, n, r.opts.Version)
 		if fault == RunnerTruncatedResponse && n-from > work.Events/2 {
 			_, _ = io.WriteString(out, event[:len(event)/2]) // the connection ends either way
 			return false
@@ -78,8 +78,10 @@
 	return err == nil
 }
 
-// StreamEvent returns the n-th event of a request's stream.
-func StreamEvent(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
+// StreamEvent returns the n-th event of a request's stream, as a runner of a software version sends it.
+func StreamEvent(id string, n int, version string) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d%s\n\n", n, id, n, version)
+}
 
 // response returns the bytes to send and whether the connection stays open.
 func (r *Runner) response(id string, fault RunnerFault, lastResponse string) (raw string, keepAlive bool) {
