--- a/standin/store.go
+++ b/standin/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -15,7 +16,9 @@
 // Store is a fake of the metadata store: keys with revisions that can be read, listed by prefix
 // in pages, and watched. Its methods write keys and inject faults.
 type Store struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// era counts how often the store has been restored from a copy; every response has it.
+	era      int64
 	revision int64
 	items    map[string]storeItem
 	history  []storeItem
@@ -50,6 +53,16 @@
 	StoreConnectionReset
 )
 
+// storeEra is the header with the store's era.
+const storeEra = "Store-Era"
+
+// StoreCopy is a copy of a store's data.
+type StoreCopy struct {
+	revision, compactedRevision int64
+	items                       map[string]storeItem
+	history                     []storeItem
+}
+
 // storeItem is one revision of a key. Tombstone is set for a deletion.
 type storeItem struct {
 	Key       string `json:"key"`
@@ -108,6 +121,25 @@
 	s.compactedRevision = s.revision
 }
 
+// Copy returns a copy of the store's data.
+func (s *Store) Copy() StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreCopy{revision: s.revision, compactedRevision: s.compactedRevision, items: maps.Clone(s.items), history: slices.Clone(s.history)}
+}
+
+// Restore replaces the store's data by a copy. What was written since the copy is lost, and its
+// revisions are given out again. Waiting watches are aborted.
+func (s *Store) Restore(c StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.compactedRevision = c.revision, c.compactedRevision
+	s.items, s.history = maps.Clone(c.items), slices.Clone(c.history)
+	close(s.abortWatches)
+	s.abortWatches = make(chan struct{})
+}
+
 // SetFault sets the fault for all callers.
 func (s *Store) SetFault(f StoreFault) {
 	s.mu.Lock()
@@ -179,6 +211,9 @@
 		fault, delay := max(s.fault, s.faults[caller]), s.delay
 		s.mu.Unlock()
 		time.Sleep(delay)
+		s.mu.Lock()
+		c.Response().Header().Set(storeEra, strconv.FormatInt(s.era, 10))
+		s.mu.Unlock()
 		switch fault {
 		case StoreUnavailable:
 			return c.NoContent(http.StatusServiceUnavailable)
@@ -262,7 +297,7 @@
 func (s *Store) eventsSince(prefix string, after int64) (body watchResponse, compacted bool, changed, aborted chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.compactedRevision {
+	if after < s.compactedRevision || after > s.revision {
 		return body, true, nil, nil
 	}
 	body = watchResponse{Events: []storeItem{}, Revision: s.revision}
