feed, registry, fleet, platform: states are ordered by restore, then by revision

After the platform had come back from an older copy, callers with a revoked key were served and those with a new key or route refused (CONFIG), and requests reached upstreams that had said they leave (DRAIN). Cause: the order of states was the revision alone, which goes back then: listings and entries with lower revisions were dropped while they confirmed the old state, followers were told that nothing had changed, and a watch after a number that had been given out again skipped what came before. Class: an order that outlives the counter behind it.

Each answer's header counts the restores. Package revision keeps that epoch and the counter in one integer, which everything compares already; between routers they are sent apart, so that those of the earlier release read the counter. A watch, or a page, of another epoch leads to one new listing; an answer of an earlier epoch changes and confirms nothing. What the copy can't take back for 10 s, or until it is written again: a leaving, a deletion, an evacuation, a warm-up. What was known from the lost seconds alone lapses like after an outage (1.5 s).

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -12,6 +12,7 @@
 
 	"github.com/aspenswitch/aspenswitch/boottime"
 	"github.com/aspenswitch/aspenswitch/registry"
+	"github.com/aspenswitch/aspenswitch/revision"
 	"github.com/aspenswitch/aspenswitch/routing"
 )
 
@@ -108,6 +109,10 @@
 // has changed already.
 func (f *Feed) apply(b Batch, sentAt boottime.Time, changed bool) {
 	f.mu.Lock()
+	if revision.Epoch(b.Revision) < revision.Epoch(f.revision) {
+		f.mu.Unlock()
+		return // a peer has sent a state of a later epoch meanwhile
+	}
 	for _, c := range b.Changes {
 		changed = f.applyChange(c) || changed
 	}
@@ -136,7 +141,7 @@
 		}
 		f.changes.add(c.Revision, c.Upstream.ID)
 		f.log.Info().Str("event", "upstream").Str("upstream", c.Upstream.ID).Str("service", c.Upstream.Service).
-			Str("address", c.Upstream.Address).Str("version", c.Upstream.Version).Int64("started", c.Upstream.Started).Bool("draining", c.Upstream.Draining).Int64("warm_up_ms", c.Upstream.WarmUpLeft.Milliseconds()).Int64("revision", c.Revision).Msg("upstream published")
+			Str("address", c.Upstream.Address).Str("version", c.Upstream.Version).Int64("started", c.Upstream.Started).Bool("draining", c.Upstream.Draining).Int64("warm_up_ms", c.Upstream.WarmUpLeft.Milliseconds()).Int64("epoch", revision.Epoch(c.Revision)).Int64("revision", revision.Counter(c.Revision)).Msg("upstream published")
 	default:
 		f.removeUpstream(c)
 	}
@@ -151,11 +156,11 @@
 	f.changes.add(c.Revision, c.DeletedUpstream)
 	if f.recoveredAt != 0 && now.Sub(f.recoveredAt) < lapseWindow {
 		f.upstreams.Lapse(c.DeletedUpstream, now.Add(registry.LapseGrace))
-		f.log.Info().Str("event", "upstream").Str("upstream", c.DeletedUpstream).Int64("revision", c.Revision).Msg("upstream lapsed")
+		f.log.Info().Str("event", "upstream").Str("upstream", c.DeletedUpstream).Int64("epoch", revision.Epoch(c.Revision)).Int64("revision", revision.Counter(c.Revision)).Msg("upstream lapsed")
 		return
 	}
 	f.upstreams.Delete(c.DeletedUpstream, c.Revision)
-	f.log.Info().Str("event", "upstream").Str("upstream", c.DeletedUpstream).Int64("revision", c.Revision).Msg("upstream gone")
+	f.log.Info().Str("event", "upstream").Str("upstream", c.DeletedUpstream).Int64("epoch", revision.Epoch(c.Revision)).Int64("revision", revision.Counter(c.Revision)).Msg("upstream gone")
 }
 
 const (
@@ -207,7 +212,7 @@
 		before = old.View.Evacuated()
 	}
 	if now := s.View.Evacuated(); !slices.Equal(before, now) {
-		f.log.Warn().Str("event", "evacuation").Strs("failure_domains", now).Int64("revision", s.Revision).
+		f.log.Warn().Str("event", "evacuation").Strs("failure_domains", now).Int64("revision", revision.Counter(s.Revision)).
 			Dur("age", f.Age()).Msg("evacuated failure domains changed")
 	}
 }
--- a/feed/listing.go
+++ b/feed/listing.go
@@ -1,6 +1,9 @@
 package feed
 
-import "github.com/aspenswitch/aspenswitch/boottime"
+import (
+	"github.com/aspenswitch/aspenswitch/boottime"
+	"github.com/aspenswitch/aspenswitch/revision"
+)
 
 // listing is a listing of the full state in progress.
 type listing struct {
@@ -11,6 +14,12 @@
 	next string
 }
 
+// continuedBy reports whether a page belongs to the listing. The platform may be restored between
+// two pages.
+func (l *listing) continuedBy(p Page) bool {
+	return l.begunAt == 0 || revision.Epoch(l.batch.Revision) == revision.Epoch(p.Revision)
+}
+
 // add adds a page that was requested at sentAt.
 func (l *listing) add(sentAt boottime.Time, p Page) {
 	if l.begunAt == 0 {
--- a/feed/peer.go
+++ b/feed/peer.go
@@ -5,6 +5,7 @@
 
 	"github.com/aspenswitch/aspenswitch/boottime"
 	"github.com/aspenswitch/aspenswitch/registry"
+	"github.com/aspenswitch/aspenswitch/revision"
 	"github.com/aspenswitch/aspenswitch/routing"
 )
 
@@ -17,6 +18,8 @@
 // PeerState is a router's state as sent to its peers.
 type PeerState struct {
 	Revision int64
+	// Epoch is set between SplitEpoch and JoinEpoch; all revisions are counters then.
+	Epoch int64 `json:",omitempty"`
 	// AgeNanos is the time in nanoseconds between the confirmation of the state and
 	// its export.
 	AgeNanos int64
@@ -76,7 +79,7 @@
 // all upstreams if the change log no longer covers it.
 func (f *Feed) exportUpstreams(state *PeerState, s *Snapshot, since int64) {
 	ids, complete := f.changes.since(since)
-	if !complete || since == 0 {
+	if !complete || since == 0 || revision.Epoch(since) != revision.Epoch(s.Revision) {
 		state.Upstreams = s.View.All()
 		return
 	}
@@ -104,7 +107,7 @@
 		}
 		f.revision = state.Revision
 		changed = true
-		f.log.Info().Str("event", "peer_state").Int64("revision", state.Revision).Int64("since", state.Since).
+		f.log.Info().Str("event", "peer_state").Int64("epoch", revision.Epoch(state.Revision)).Int64("revision", revision.Counter(state.Revision)).Int64("since", revision.Counter(state.Since)).
 			Int("upstreams", len(state.Upstreams)).Int("gone", len(state.Gone)).Int64("age_ms", state.AgeNanos/1e6).Msg("applied state from peer")
 	}
 	// A state that could not be applied doesn't confirm the current one.
@@ -124,6 +127,7 @@
 // permanently.
 func (f *Feed) importUpstreams(state *PeerState) bool {
 	now := f.now()
+	f.beginEpoch(state.Revision)
 	if state.Since == 0 {
 		f.importListing(state, now)
 		return true
--- a/feed/read.go
+++ b/feed/read.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/boottime"
+	"github.com/aspenswitch/aspenswitch/revision"
 )
 
 // read lists or watches the platform once and reports whether that succeeded.
@@ -61,6 +62,14 @@
 			return false
 		}
 		f.recordSuccess()
+		if f.ofEarlierEpoch(page.Revision) {
+			f.listing = listing{}
+			return false
+		}
+		if !f.listing.continuedBy(page) {
+			f.listing = listing{}
+			return false // the next call lists from the start
+		}
 		f.listing.add(sentAt, page)
 		if page.Next == "" {
 			break
@@ -76,6 +85,14 @@
 	return true
 }
 
+// ofEarlierEpoch reports whether an answer of the platform is from before a restore of which this
+// router has a later state.
+func (f *Feed) ofEarlierEpoch(answered int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return revision.Epoch(answered) < revision.Epoch(f.revision)
+}
+
 func (f *Feed) listPage(ctx context.Context) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.WatchWait+f.cfg.CallMargin)
 	defer cancel()
@@ -98,6 +115,7 @@
 			evacuated[c.Evacuation.Domain] = c.Revision
 		}
 	}
+	f.beginEpoch(b.Revision)
 	f.upstreams.ReplaceEvacuations(l.begunAt, evacuated, b.Revision)
 	for _, id := range f.upstreams.Missing(listed) {
 		f.removeUpstream(Change{DeletedUpstream: id, Revision: b.Revision})
@@ -111,6 +129,20 @@
 	f.apply(b, l.begunAt, true)
 }
 
+// beginEpoch handles the first state after a restore of the platform. The copy may lack what was
+// written last, and what was written again may not be complete yet: upstreams that are missing lapse,
+// as after an outage. The caller holds mu.
+func (f *Feed) beginEpoch(first int64) {
+	if f.revision == 0 || revision.Epoch(first) <= revision.Epoch(f.revision) {
+		return
+	}
+	now := f.now()
+	f.recoveredAt = now
+	f.upstreams.BeginEpoch(now, first)
+	f.log.Warn().Str("event", "platform").Int64("epoch", revision.Epoch(first)).Int64("revision", revision.Counter(first)).
+		Int64("earlier_epoch", revision.Epoch(f.revision)).Int64("earlier_revision", revision.Counter(f.revision)).Msg("platform was restored from an older copy")
+}
+
 // unreachableFor is how long a failed call counts. A router that doesn't read has no other way to
 // learn that the platform answers it again.
 const unreachableFor = 30 * time.Second
--- a/feed/source.go
+++ b/feed/source.go
@@ -23,14 +23,16 @@
 	// follows the page whose Next is given. The state is complete as of the revision of the
 	// first page. Later changes may or may not be included.
 	List(ctx context.Context, after string) (Page, error)
-	// Watch returns the changes after a revision, waiting for them for at most wait.
+	// Watch returns the changes after a revision, waiting for them for at most wait. It returns
+	// ErrHistoryGone if the platform was restored since.
 	Watch(ctx context.Context, after int64, wait time.Duration) (Batch, error)
 }
 
 // Batch is the result of a read.
 type Batch struct {
 	Changes []Change
-	// Revision is the platform revision up to which the changes are complete.
+	// Revision is the platform's revision up to which the changes are complete, see package
+	// revision.
 	Revision int64
 }
 
--- a/fleet/dump.go
+++ b/fleet/dump.go
@@ -8,6 +8,7 @@
 
 	"github.com/aspenswitch/aspenswitch/boottime"
 	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/revision"
 )
 
 // Dump is the state of a node for operators.
@@ -17,11 +18,13 @@
 	Hub           bool   `json:"hub"`
 	ReadsPlatform bool   `json:"readsPlatform"`
 	// PlatformUnreachable is set if the platform has recently not answered this router.
-	PlatformUnreachable bool  `json:"platformUnreachable"`
-	Revision            int64 `json:"revision"`
-	AgeMs               int64 `json:"ageMs"`
-	Pending             int   `json:"pending"`
-	InFlight            int   `json:"held"`
+	PlatformUnreachable bool `json:"platformUnreachable"`
+	// Revision is the platform's counter within Epoch, which counts its restores from a copy.
+	Revision int64 `json:"revision"`
+	Epoch    int64 `json:"epoch"`
+	AgeMs    int64 `json:"ageMs"`
+	Pending  int   `json:"pending"`
+	InFlight int   `json:"held"`
 	// Evacuated are the failure domains that are being evacuated.
 	Evacuated []string     `json:"evacuated"`
 	Members   []MemberDump `json:"members"`
@@ -75,7 +78,7 @@
 		d.PlatformUnreachable = n.feed.PlatformUnreachable()
 		d.AgeMs = n.feed.Age().Milliseconds()
 		if s := n.feed.Snapshot(); s != nil {
-			d.Revision, d.Evacuated = s.Revision, s.View.Evacuated()
+			d.Revision, d.Epoch, d.Evacuated = revision.Counter(s.Revision), revision.Epoch(s.Revision), s.View.Evacuated()
 		}
 	}
 	for _, m := range n.members {
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/boottime"
+	"github.com/aspenswitch/aspenswitch/revision"
 )
 
 // handleHeartbeat updates the member that sent a heartbeat, and adds it if it is new.
@@ -71,7 +72,11 @@
 	if hb.Echo == 0 || hb.EchoIncarnation != uint32(n.self) {
 		confirmedAt = 0
 	}
-	if n.feed.ConfirmRevision(hb.Revision, confirmedAt) {
+	confirmed, err := revision.New(hb.Epoch, hb.Revision)
+	if err != nil {
+		return // no router sends this
+	}
+	if n.feed.ConfirmRevision(confirmed, confirmedAt) {
 		n.pullFrom(m.addr)
 	}
 }
@@ -106,7 +111,7 @@
 		hb.AgeNanos = int64(n.feed.Age())
 		hb.PlatformUnreachable = n.feed.PlatformUnreachable()
 		if s := n.feed.Snapshot(); s != nil {
-			hb.Revision = s.Revision
+			hb.Epoch, hb.Revision = revision.Epoch(s.Revision), revision.Counter(s.Revision)
 		}
 	}
 	for _, m := range n.members {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -75,6 +75,8 @@
 	heartbeatFields
 	// PlatformUnreachable is set if the sender's last call to the platform failed.
 	PlatformUnreachable bool
+	// Epoch is that of Revision, which is a counter, see package revision.
+	Epoch int64
 }
 
 // heartbeatFields are the fields that routers of all versions send.
@@ -98,7 +100,7 @@
 	ReplyRequested bool
 	// ReceiverIsHub is set if the sender has chosen the receiver as a hub.
 	ReceiverIsHub bool
-	// Revision is that of the sender's published state; AgeNanos is how long before Sent
+	// Revision is the counter of the sender's published state; AgeNanos is how long before Sent
 	// the state was confirmed.
 	Revision int64
 	AgeNanos int64
--- a/fleet/pull.go
+++ b/fleet/pull.go
@@ -11,6 +11,7 @@
 
 	"github.com/aspenswitch/aspenswitch/feed"
 	"github.com/aspenswitch/aspenswitch/obs"
+	"github.com/aspenswitch/aspenswitch/revision"
 )
 
 // methodState is the JSON-RPC method that returns a peer's published state.
@@ -20,8 +21,10 @@
 // stateReply.Compact.
 type stateParams struct {
 	ConfigVersion int64 `json:"configVersion"`
-	Revision      int64 `json:"revision"`
-	Compact       bool  `json:"compact,omitempty"`
+	// Revision is the counter within Epoch, see package revision.
+	Revision int64 `json:"revision"`
+	Epoch    int64 `json:"epoch,omitempty"`
+	Compact  bool  `json:"compact,omitempty"`
 }
 
 // stateReply is the state in one of two encodings: a plain feed.PeerState in JSON, or the same in
@@ -81,7 +84,9 @@
 	requestedAt := n.now()
 	var reply stateReply
 	known := n.feed.StateVersion()
-	if err := rpc.Call(ctx, methodState, stateParams{ConfigVersion: known.ConfigVersion, Revision: known.Revision, Compact: true}, &reply); err != nil {
+	if err := rpc.Call(ctx, methodState, stateParams{
+		ConfigVersion: known.ConfigVersion, Revision: revision.Counter(known.Revision), Epoch: revision.Epoch(known.Revision), Compact: true,
+	}, &reply); err != nil {
 		return Error.Wrap(err)
 	}
 	state := reply.PeerState
@@ -91,6 +96,9 @@
 		}
 		state.AgeNanos = reply.AgeNanos
 	}
+	if err := state.JoinEpoch(); err != nil {
+		return err
+	}
 	n.feed.Import(&state, requestedAt)
 	return nil
 }
@@ -143,9 +151,14 @@
 	if err := decodeParams(req, &params); err != nil {
 		return nil, err
 	}
-	known := feed.StateVersion{ConfigVersion: params.ConfigVersion, Revision: params.Revision}
+	knownRevision, err := revision.New(params.Epoch, params.Revision)
+	if err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	known := feed.StateVersion{ConfigVersion: params.ConfigVersion, Revision: knownRevision}
 	if !params.Compact {
 		if state := n.feed.Export(known); state != nil {
+			state.SplitEpoch()
 			return state, nil
 		}
 		return nil, errNoState
--- a/fleet/state_cache.go
+++ b/fleet/state_cache.go
@@ -40,6 +40,7 @@
 		return nil, 0, nil
 	}
 	ageNanos, state.AgeNanos = state.AgeNanos, 0
+	state.SplitEpoch()
 	raw, err := cbor.Marshal(state)
 	if err != nil {
 		return nil, 0, Error.Wrap(err)
--- /dev/null
+++ b/registry/epoch.go
@@ -0,0 +1,76 @@
+package registry
+
+import (
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/boottime"
+	"github.com/aspenswitch/aspenswitch/revision"
+)
+
+// copyHold is how long after a restore of the platform this router goes by what it knew before, where
+// the copy says otherwise. Until then operators and upstreams have written again what was lost, and
+// entries of upstreams that are gone have expired: an upstream is removed after three missed
+// heartbeats, which it sends every 1.2 s or less often.
+const copyHold = 10 * time.Second
+
+// BeginEpoch records that the platform was restored from an older copy, and the revision of the first
+// state after it.
+//
+// The copy shows what was so some seconds ago. An upstream that was leaving then is still leaving, one
+// that was gone is still gone, and an evacuated failure domain still is. Each of them was acknowledged
+// by the platform, and it may not be written again before requests reach the upstreams.
+func (r *Registry) BeginEpoch(now boottime.Time, first int64) {
+	r.epochStart, r.epochRevision = now, first
+	clear(r.withheld)
+}
+
+// holds reports whether what was known before the current epoch goes first.
+func (r *Registry) holds(now boottime.Time) bool {
+	return r.epochStart != 0 && now < r.epochStart.Add(copyHold)
+}
+
+// withhold reports whether an entry is kept back: its upstream was deleted in an earlier epoch, and the
+// entry may be the copy's. An entry that is written after the first state is the upstream's own.
+func (r *Registry) withhold(now boottime.Time, u Upstream) bool {
+	d, deleted := r.deletions[u.ID]
+	fromCopy := deleted && revision.Epoch(u.Revision) > revision.Epoch(d.revision) && u.Revision <= r.epochRevision
+	restarted := u.Started != 0 && d.started != 0 && u.Started != d.started
+	if !fromCopy || restarted || !r.holds(now) {
+		delete(r.withheld, u.ID)
+		return false
+	}
+	r.withheld[u.ID] = u
+	return true
+}
+
+// keepKnown keeps what can't have changed since an entry of an earlier epoch: an upstream that leaves
+// goes on leaving, and a warm-up that was received goes on.
+func (u *Upstream) keepKnown(earlier *Upstream) {
+	if u.RestartOf(earlier) {
+		return
+	}
+	u.Draining = u.Draining || earlier.Draining
+	if u.WarmUpLeft == earlier.WarmUpLeft {
+		u.WarmUpEnd = earlier.WarmUpEnd
+	}
+}
+
+// endHold accepts the withheld entries that are still published once the hold has ended, and withdraws
+// the evacuations that weren't ordered again. It reports whether it changed anything.
+func (r *Registry) endHold(now boottime.Time) (changed bool) {
+	if r.epochStart == 0 || r.holds(now) {
+		return false
+	}
+	for _, u := range r.withheld {
+		changed = r.Put(now, u) || changed
+	}
+	for domain, e := range r.evacuations {
+		if !e.withdrawn && revision.Epoch(e.revision) < revision.Epoch(r.epochRevision) {
+			r.RecordEvacuation(now, domain, true, r.epochRevision)
+			changed = true
+		}
+	}
+	r.epochStart = 0
+	clear(r.withheld)
+	return changed
+}
--- /dev/null
+++ b/registry/epoch_test.go
@@ -0,0 +1,99 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/aspenswitch/aspenswitch/boottime"
+	"github.com/aspenswitch/aspenswitch/registry"
+	"github.com/aspenswitch/aspenswitch/revision"
+)
+
+// at returns a revision.
+func at(epoch, counter int64) int64 {
+	r, err := revision.New(epoch, counter)
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+// Guards against an upstream that the older copy shows as ready after it said that it leaves.
+func TestLeavingUpstreamGoesOnLeavingAfterARestore(t *testing.T) {
+	g := NewWithT(t)
+	r := registry.New()
+	leaving := newEntry("a", at(0, 30))
+	leaving.Draining = true
+	r.Put(receivedAt, leaving)
+	r.BeginEpoch(receivedAt, at(1, 20))
+	r.Put(receivedAt, newEntry("a", at(1, 12)))
+	g.Expect(r.View().Upstream("a")).To(BeNil())
+
+	r.Put(receivedAt, newEntry("a", at(1, 22)))
+	g.Expect(r.View().Upstream("a")).NotTo(BeNil(), "written again in the new epoch")
+}
+
+// Guards against an upstream that the older copy brings back after it was deleted, and against one
+// that never comes back.
+func TestDeletedUpstreamReturnsOnlyIfItIsWrittenAgain(t *testing.T) {
+	g := NewWithT(t)
+	r := registry.New()
+	for _, id := range []string{"gone", "back", "kept", "restarted"} {
+		u := newEntry(id, at(0, 5))
+		u.Started = 3
+		r.Put(receivedAt, u)
+		r.Delete(id, at(0, 30))
+	}
+	r.BeginEpoch(receivedAt, at(1, 20))
+	for _, id := range []string{"gone", "back", "kept"} {
+		u := newEntry(id, at(1, 5))
+		u.Started = 3
+		g.Expect(r.Put(receivedAt, u)).To(BeFalse(), id)
+	}
+	next := newEntry("restarted", at(1, 19))
+	next.Started = 4
+	g.Expect(r.Put(receivedAt, next)).To(BeTrue(), "another start of the upstream")
+	g.Expect(r.Put(receivedAt, newEntry("back", at(1, 21)))).To(BeTrue(), "written after the restore")
+	r.Delete("gone", at(1, 40))
+	g.Expect(r.Expire(receivedAt.Add(9 * time.Second))).To(BeFalse())
+	g.Expect(r.View().Ready("llm")).To(HaveLen(2))
+	g.Expect(r.Expire(receivedAt.Add(11 * time.Second))).To(BeTrue())
+	g.Expect(r.View().Upstream("kept")).NotTo(BeNil(), "still published after entries of lost upstreams have expired")
+	g.Expect(r.View().Upstream("gone")).To(BeNil())
+}
+
+// Guards against an evacuation that ends because the copy is older than its order, and against one
+// that never ends.
+func TestEvacuationOutlivesARestore(t *testing.T) {
+	g := NewWithT(t)
+	r := registry.New()
+	r.RecordEvacuation(receivedAt, "north", false, at(0, 30))
+	r.RecordEvacuation(receivedAt, "south", false, at(0, 31))
+	r.BeginEpoch(receivedAt, at(1, 20))
+	r.ReplaceEvacuations(receivedAt, nil, at(1, 20))
+	g.Expect(r.View().Evacuated()).To(Equal([]string{"north", "south"}))
+	r.RecordEvacuation(receivedAt, "south", false, at(1, 25))
+	r.RecordEvacuation(receivedAt, "south", true, at(1, 26))
+	g.Expect(r.View().Evacuated()).To(Equal([]string{"north"}), "withdrawn in the new epoch")
+	r.Expire(receivedAt.Add(11 * time.Second))
+	g.Expect(r.View().Evacuated()).To(BeEmpty(), "not ordered again")
+}
+
+// Guards against warm-ups that begin again at all upstreams when the platform is restored.
+func TestWarmUpDoesNotRestartWithARestore(t *testing.T) {
+	g := NewWithT(t)
+	r := registry.New()
+	u := newEntry("a", at(0, 5))
+	u.WarmUpLeft = 4 * time.Second
+	r.Put(receivedAt, u)
+	r.BeginEpoch(receivedAt.Add(time.Minute), at(1, 20))
+	u.Revision = at(1, 5)
+	r.Put(receivedAt.Add(time.Minute), u)
+	g.Expect(r.View().Upstream("a").WarmUpEnd).To(Equal(receivedAt.Add(4 * time.Second)))
+	u.Revision, u.Started = at(1, 21), 9
+	r.Put(receivedAt.Add(time.Minute), u)
+	var end boottime.Time = receivedAt.Add(64 * time.Second)
+	g.Expect(r.View().Upstream("a").WarmUpEnd).To(Equal(end), "written again by a later start")
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/boottime"
+	"github.com/aspenswitch/aspenswitch/revision"
 )
 
 // LapseGrace is how long a lapsed entry is still used, counted from when the router receives the
@@ -20,9 +21,15 @@
 // for concurrent use.
 type Registry struct {
 	entries map[string]Upstream
-	// deletions has the revision at which each entry was deleted, so that a delayed page of a
+	// deletions has the deleted entries, so that a delayed page of a
 	// listing doesn't restore a deleted entry.
-	deletions map[string]int64
+	deletions map[string]deletion
+	// epochStart is when this router received the first state of the current epoch, and
+	// epochRevision that state's revision; both are 0 before the first restore that it has seen.
+	epochStart    boottime.Time
+	epochRevision int64
+	// withheld has entries of that state whose upstreams are known to be gone.
+	withheld map[string]Upstream
 	// lapsed has the times until which lapsed entries are used.
 	lapsed map[string]boottime.Time
 	// evacuations has the latest order for each failure domain. withdrawnAt has the times at
@@ -37,10 +44,17 @@
 	withdrawn bool
 }
 
+// deletion is the deletion of an entry.
+type deletion struct {
+	revision int64
+	// started is Upstream.Started of the deleted entry.
+	started int64
+}
+
 // New returns an empty registry.
 func New() *Registry {
 	return &Registry{
-		entries: map[string]Upstream{}, deletions: map[string]int64{}, lapsed: map[string]boottime.Time{},
+		entries: map[string]Upstream{}, deletions: map[string]deletion{}, withheld: map[string]Upstream{}, lapsed: map[string]boottime.Time{},
 		evacuations: map[string]evacuation{}, withdrawnAt: map[string]boottime.Time{},
 	}
 }
@@ -50,7 +64,10 @@
 // entry is new, has another revision or had lapsed.
 func (r *Registry) Put(now boottime.Time, u Upstream) (changed bool) {
 	current, known := r.entries[u.ID]
-	if r.deletions[u.ID] > u.Revision || current.Revision > u.Revision {
+	if r.deletions[u.ID].revision > u.Revision || current.Revision > u.Revision {
+		return false
+	}
+	if r.withhold(now, u) {
 		return false
 	}
 	_, lapsed := r.lapsed[u.ID]
@@ -65,18 +82,28 @@
 	if current.Revision == u.Revision && current.WarmUpEnd != 0 {
 		u.WarmUpEnd = current.WarmUpEnd
 	}
+	if known && revision.Epoch(u.Revision) > revision.Epoch(current.Revision) {
+		u.keepKnown(&current)
+	}
 	r.entries[u.ID] = u
 	return !known || lapsed || current.Revision != u.Revision
 }
 
 // Delete records that an entry was deleted at a revision, unless a later change is recorded.
-func (r *Registry) Delete(id string, revision int64) {
-	if r.entries[id].Revision > revision {
+func (r *Registry) Delete(id string, at int64) {
+	entry, known := r.entries[id]
+	if entry.Revision > at {
 		return
 	}
 	delete(r.entries, id)
 	delete(r.lapsed, id)
-	r.deletions[id] = max(r.deletions[id], revision)
+	delete(r.withheld, id)
+	d := r.deletions[id]
+	if known {
+		d.started = entry.Started
+	}
+	d.revision = max(d.revision, at)
+	r.deletions[id] = d
 	r.limitDeletions()
 }
 
@@ -119,7 +146,8 @@
 	return missing
 }
 
-// Expire removes lapsed entries whose grace period has ended. It reports whether it removed any.
+// Expire removes lapsed entries whose grace period has ended, and accepts the state of the current
+// epoch as it is once copyHold has passed. It reports whether it changed anything.
 func (r *Registry) Expire(now boottime.Time) bool {
 	removed := false
 	for id, until := range r.lapsed {
@@ -130,7 +158,7 @@
 		delete(r.entries, id)
 		removed = true
 	}
-	return removed
+	return r.endHold(now) || removed
 }
 
 // Lapsed returns the IDs of lapsed entries with the ends of their grace periods.
