--- a/fleet/dump.go
+++ b/fleet/dump.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/aspenswitch/aspenswitch/boottime"
 	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/feed"
 	"github.com/aspenswitch/aspenswitch/revision"
 )
 
@@ -26,13 +29,26 @@
 	Pending  int   `json:"pending"`
 	InFlight int   `json:"held"`
 	// Evacuated are the failure domains that are being evacuated.
-	Evacuated []string     `json:"evacuated"`
-	Members   []MemberDump `json:"members"`
-	Groups    []GroupDump  `json:"groups"`
+	Evacuated []string `json:"evacuated"`
+	// Versions lists the software versions of the upstreams, by service.
+	Versions []VersionDump `json:"versions"`
+	// Streams is the number of streams whose software version this router remembers.
+	Streams int          `json:"streams"`
+	Members []MemberDump `json:"members"`
+	Groups  []GroupDump  `json:"groups"`
 	// Quarantine lists the contents that are suspect or in quarantine.
 	Quarantine []ContentDump `json:"quarantine"`
 }
 
+// VersionDump is the number of a service's upstreams with one software version.
+type VersionDump struct {
+	Service string `json:"service"`
+	// Version is "" for upstreams of which it isn't known.
+	Version    string `json:"version"`
+	Registered int    `json:"registered"`
+	Ready      int    `json:"ready"`
+}
+
 // ContentDump is the quarantine state of a content.
 type ContentDump struct {
 	Team    string `json:"team"`
@@ -73,12 +89,13 @@
 }
 
 func (n *Node) dump(now boottime.Time) Dump {
-	d := Dump{Router: n.self, Domain: n.cfg.Domain, Hub: n.isHub, ReadsPlatform: n.readsPlatform.Load(), Pending: len(n.pending), InFlight: len(n.inFlight)}
+	d := Dump{Router: n.self, Domain: n.cfg.Domain, Hub: n.isHub, ReadsPlatform: n.readsPlatform.Load(), Pending: len(n.pending), InFlight: len(n.inFlight), Streams: n.streams.origins.Len()}
 	if n.feed != nil {
 		d.PlatformUnreachable = n.feed.PlatformUnreachable()
 		d.AgeMs = n.feed.Age().Milliseconds()
 		if s := n.feed.Snapshot(); s != nil {
 			d.Revision, d.Epoch, d.Evacuated = revision.Counter(s.Revision), revision.Epoch(s.Revision), s.View.Evacuated()
+			d.Versions = dumpVersions(s)
 		}
 	}
 	for _, m := range n.members {
@@ -153,3 +170,15 @@
 			Int64("share_tokens", int64(level)).Bool("over_share", t.OverShare).Msg("a team's account")
 	}
 }
+
+// dumpVersions returns the software versions of each service's upstreams, in order.
+func dumpVersions(s *feed.Snapshot) (all []VersionDump) {
+	for i := range s.Table.Config.Services {
+		service := s.Table.Config.Services[i].Name
+		counts := s.View.Versions(service)
+		for _, version := range slices.Sorted(maps.Keys(counts)) {
+			all = append(all, VersionDump{Service: service, Version: version, Registered: counts[version].Registered, Ready: counts[version].Ready})
+		}
+	}
+	return all
+}
