registry: an older copy doesn't end a warm-up

Found while the soak learned restores: where the copy is older than a warm-up, its entry says that none is left, and the upstream would get its whole load for the moment until it is written again. The later of the two ends holds, for the same start of the upstream. Only after a restore is the new line reached.

TestWarmUpDoesNotRestartWithARestore has the case and fails without it.

--- a/registry/epoch.go
+++ b/registry/epoch.go
@@ -50,7 +50,7 @@
 		return
 	}
 	u.Draining = u.Draining || earlier.Draining
-	if u.WarmUpLeft == earlier.WarmUpLeft {
+	if u.WarmUpLeft == earlier.WarmUpLeft || earlier.WarmUpEnd > u.WarmUpEnd {
 		u.WarmUpEnd = earlier.WarmUpEnd
 	}
 }
--- a/registry/epoch_test.go
+++ b/registry/epoch_test.go
@@ -92,7 +92,13 @@
 	u.Revision = at(1, 5)
 	r.Put(receivedAt.Add(time.Minute), u)
 	g.Expect(r.View().Upstream("a").WarmUpEnd).To(Equal(receivedAt.Add(4 * time.Second)))
-	u.Revision, u.Started = at(1, 21), 9
+	u.Revision, u.WarmUpLeft = at(1, 6), 4*time.Second
+	r.Put(receivedAt.Add(time.Minute), u)
+	r.BeginEpoch(receivedAt.Add(61*time.Second), at(2, 5))
+	older := newEntry("a", at(2, 4))
+	r.Put(receivedAt.Add(61*time.Second), older)
+	g.Expect(r.View().Upstream("a").WarmUpEnd).To(Equal(receivedAt.Add(64*time.Second)), "the copy is from before the warm-up")
+	u.Revision, u.Started = at(2, 21), 9
 	r.Put(receivedAt.Add(time.Minute), u)
 	var end boottime.Time = receivedAt.Add(64 * time.Second)
 	g.Expect(r.View().Upstream("a").WarmUpEnd).To(Equal(end), "written again by a later start")
