--- a/ctl/overview.go
+++ b/ctl/overview.go
@@ -30,10 +30,20 @@
 	// Warming is the number of upstreams that are warming up in the groups whose home it is.
 	Evacuated []string `json:"evacuated,omitempty"`
 	Warming   int      `json:"warming"`
+	// Software lists the software versions of the upstreams in the router's state.
+	Software []SoftwareVersion `json:"software,omitempty"`
 	// Error is the error of querying the router, empty if it answered.
 	Error string `json:"error,omitempty"`
 }
 
+// SoftwareVersion is the number of a service's upstreams with one version of their software.
+type SoftwareVersion struct {
+	Service    string `json:"service"`
+	Version    string `json:"version"`
+	Registered int    `json:"registered"`
+	Ready      int    `json:"ready"`
+}
+
 // Role is the role of a router in the fleet.
 type Role string
 
@@ -51,11 +61,14 @@
 type Overview struct {
 	// Evacuated lists the failure domains that most routers report as evacuated. Warming is
 	// the number of upstreams that are warming up.
-	Evacuated []string       `json:"evacuated"`
-	Warming   int            `json:"warming"`
-	Summary   []Summary      `json:"summary"`
-	Outliers  []Outlier      `json:"outliers"`
-	Routers   []RouterStatus `json:"routers"`
+	Evacuated []string `json:"evacuated"`
+	Warming   int      `json:"warming"`
+	// Software lists the software versions of the upstreams as a router with the most common
+	// configuration has them.
+	Software []SoftwareVersion `json:"software,omitempty"`
+	Summary  []Summary         `json:"summary"`
+	Outliers []Outlier         `json:"outliers"`
+	Routers  []RouterStatus    `json:"routers"`
 }
 
 // Summary aggregates the routers of a failure domain that have the same role.
@@ -97,6 +110,9 @@
 		if r.Error == "" && !slices.Equal(r.Evacuated, o.Evacuated) {
 			reasons = append(reasons, fmt.Sprintf("reports [%s] as evacuated, most routers report [%s]", strings.Join(r.Evacuated, " "), strings.Join(o.Evacuated, " ")))
 		}
+		if r.Error == "" && o.Software == nil && r.Version == version {
+			o.Software = r.Software
+		}
 		if len(reasons) > 0 {
 			o.Outliers = append(o.Outliers, Outlier{RouterStatus: r, Reasons: reasons})
 		}
--- a/ctl/platform.go
+++ b/ctl/platform.go
@@ -25,7 +25,13 @@
 		} `json:"members"`
 		Router    uint64   `json:"router"`
 		Evacuated []string `json:"evacuated"`
-		Groups    []struct {
+		Versions  []struct {
+			Service    string `json:"service"`
+			Version    string `json:"version"`
+			Registered int    `json:"registered"`
+			Ready      int    `json:"ready"`
+		} `json:"versions"`
+		Groups []struct {
 			Home  uint64 `json:"home"`
 			State struct {
 				Warming int `json:"warming"`
@@ -40,9 +46,19 @@
 		Version: strconv.FormatInt(d.ConfigVersion, 10), Peers: len(d.Node.Members),
 		Waiting: d.Node.Pending, Running: d.Node.InFlight, ViewAge: time.Duration(d.Node.AgeMs) * time.Millisecond,
 		Evacuated: d.Node.Evacuated, Warming: d.warming(),
+		Software: d.software(),
 	}
 }
 
+// software returns the software versions of the upstreams in the router's state.
+func (d *platformDump) software() []SoftwareVersion {
+	var versions []SoftwareVersion
+	for _, v := range d.Node.Versions {
+		versions = append(versions, SoftwareVersion{Service: v.Service, Version: v.Version, Registered: v.Registered, Ready: v.Ready})
+	}
+	return versions
+}
+
 // warming returns the number of upstreams that are warming up in the groups whose home the
 // router is.
 func (d *platformDump) warming() int {
--- a/ctl/print.go
+++ b/ctl/print.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -40,6 +41,12 @@
 		fmt.Fprintf(out, "%d upstreams are warming up\n", o.Warming)
 	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if len(o.Software) > 0 {
+		fmt.Fprintln(w, "\nservice\tsoftware\tupstreams\tready")
+	}
+	for _, v := range o.Software {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", v.Service, cmp.Or(v.Version, "unknown"), v.Registered, v.Ready)
+	}
 	if len(o.Outliers) > 0 {
 		fmt.Fprintln(w, "\nrouter\tdomain\trole\tdiffers")
 	}
