soak, ctl: restores of the platform from an older copy

Such faults come with key changes, moved routes, departures and cut routers, from a random stream of their own, beside all others; every check judges them unchanged, and their interval excuses what an outage of the platform does.

'fleet status' tells the platform's epoch and names routers that still have the state from before a restore. go test ./ctl, TestOlderCopyOfThePlatformBringsNothingBack: passed.

--- a/ctl/fleet_test.go
+++ b/ctl/fleet_test.go
@@ -28,6 +28,7 @@
 	// that are warming up in a group whose home the router is.
 	evacuated []string
 	warming   int
+	epoch     int
 	versions  []map[string]any
 }
 
@@ -39,7 +40,7 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{
 		"ready": f.ready, "configVersion": f.version,
 		"node": map[string]any{"failureDomain": "east", "hub": f.pending > 0, "ageMs": f.ageMs, "pending": f.pending, "members": members,
-			"router": 1, "evacuated": f.evacuated, "versions": f.versions, "groups": []any{
+			"router": 1, "evacuated": f.evacuated, "epoch": f.epoch, "versions": f.versions, "groups": []any{
 				map[string]any{"home": 1, "state": map[string]any{"warming": f.warming}},
 				map[string]any{"home": 2, "state": map[string]any{"warming": 9}},
 			}},
@@ -84,24 +85,30 @@
 	g.Expect(out.String()).To(ContainSubstring("5 upstreams are warming up"))
 }
 
-// Guards against an overview of a release without its versions.
-func TestStatusReportsSoftwareVersions(t *testing.T) {
+// Guards against an overview of a release without its versions, and against one that doesn't name a
+// router that still has the state from before a restore of the platform.
+func TestStatusReportsSoftwareVersionsAndRestores(t *testing.T) {
 	g := NewWithT(t)
-	router := func() *fakeRouter {
+	router := func(epoch int) *fakeRouter {
 		r := healthyRouter()
+		r.epoch = epoch
 		r.versions = []map[string]any{{"service": "llm", "version": "v1", "registered": 3, "ready": 1}, {"service": "llm", "version": "", "registered": 1, "ready": 1}}
 		return r
 	}
-	bases := startRouters(t, router(), router(), router())
+	bases := startRouters(t, router(2), router(1), router(2))
 	var out bytes.Buffer
 	g.Expect(ctl.NewClient(bases, "").Status(&out, true, ctl.JSON)).To(Succeed())
 	var o ctl.Overview
 	g.Expect(json.Unmarshal(out.Bytes(), &o)).To(Succeed())
+	g.Expect(o.Epoch).To(Equal(int64(2)))
 	g.Expect(o.Software).To(HaveLen(2))
+	g.Expect(o.Outliers).To(HaveLen(1))
+	g.Expect(o.Outliers[0].Router).To(Equal(bases[1]))
 	out.Reset()
 	g.Expect(ctl.NewClient(bases, "").Status(&out, true, ctl.Table)).To(Succeed())
 	g.Expect(out.String()).To(MatchRegexp(`llm +v1 +3 +1\n`))
 	g.Expect(out.String()).To(MatchRegexp(`llm +unknown +1 +1\n`))
+	g.Expect(out.String()).To(ContainSubstring("epoch of the platform: 2"))
 }
 
 func TestStatusReportsRoutersThatDiffer(t *testing.T) {
--- a/ctl/overview.go
+++ b/ctl/overview.go
@@ -30,6 +30,8 @@
 	// Warming is the number of upstreams that are warming up in the groups whose home it is.
 	Evacuated []string `json:"evacuated,omitempty"`
 	Warming   int      `json:"warming"`
+	// Epoch is that of the router's state; it rises each time the platform is restored from a copy.
+	Epoch int64 `json:"epoch"`
 	// Software lists the software versions of the upstreams in the router's state.
 	Software []SoftwareVersion `json:"software,omitempty"`
 	// Error is the error of querying the router, empty if it answered.
@@ -64,8 +66,9 @@
 	Evacuated []string `json:"evacuated"`
 	Warming   int      `json:"warming"`
 	// Software lists the software versions of the upstreams as a router with the most common
-	// configuration has them.
+	// configuration has them. Epoch is the highest one of all routers.
 	Software []SoftwareVersion `json:"software,omitempty"`
+	Epoch    int64             `json:"epoch"`
 	Summary  []Summary         `json:"summary"`
 	Outliers []Outlier         `json:"outliers"`
 	Routers  []RouterStatus    `json:"routers"`
@@ -103,6 +106,9 @@
 func newOverview(routers []RouterStatus) Overview {
 	o := Overview{Routers: routers, Evacuated: mostCommonEvacuated(routers)}
 	version, peers, waiting := typicalValues(routers)
+	for _, r := range routers {
+		o.Epoch = max(o.Epoch, r.Epoch)
+	}
 	sums := map[[2]string]*Summary{}
 	for _, r := range routers {
 		o.Warming += r.Warming
@@ -110,7 +116,9 @@
 		if r.Error == "" && !slices.Equal(r.Evacuated, o.Evacuated) {
 			reasons = append(reasons, fmt.Sprintf("reports [%s] as evacuated, most routers report [%s]", strings.Join(r.Evacuated, " "), strings.Join(o.Evacuated, " ")))
 		}
-		if r.Error == "" && o.Software == nil && r.Version == version {
+		if r.Error == "" && r.Epoch < o.Epoch {
+			reasons = append(reasons, fmt.Sprintf("its state is of epoch %d, before the platform's restore from a copy", r.Epoch))
+		} else if r.Error == "" && o.Software == nil && r.Version == version {
 			o.Software = r.Software
 		}
 		if len(reasons) > 0 {
--- a/ctl/platform.go
+++ b/ctl/platform.go
@@ -25,6 +25,7 @@
 		} `json:"members"`
 		Router    uint64   `json:"router"`
 		Evacuated []string `json:"evacuated"`
+		Epoch     int64    `json:"epoch"`
 		Versions  []struct {
 			Service    string `json:"service"`
 			Version    string `json:"version"`
@@ -46,7 +47,7 @@
 		Version: strconv.FormatInt(d.ConfigVersion, 10), Peers: len(d.Node.Members),
 		Waiting: d.Node.Pending, Running: d.Node.InFlight, ViewAge: time.Duration(d.Node.AgeMs) * time.Millisecond,
 		Evacuated: d.Node.Evacuated, Warming: d.warming(),
-		Software: d.software(),
+		Epoch: d.Node.Epoch, Software: d.software(),
 	}
 }
 
--- a/ctl/print.go
+++ b/ctl/print.go
@@ -40,6 +40,9 @@
 	if o.Warming > 0 {
 		fmt.Fprintf(out, "%d upstreams are warming up\n", o.Warming)
 	}
+	if o.Epoch > 0 {
+		fmt.Fprintf(out, "epoch of the platform: %d (rises each time it is restored from a copy)\n", o.Epoch)
+	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	if len(o.Software) > 0 {
 		fmt.Fprintln(w, "\nservice\tsoftware\tupstreams\tready")
--- a/soak/affected.go
+++ b/soak/affected.go
@@ -31,7 +31,7 @@
 	switch f.Kind {
 	case RouterKillAll:
 		return true
-	case StoreDown, StoreCompact:
+	case StoreDown, StoreCompact, StoreRestore:
 		return s == storeScope
 	case StoreDelay, StoreReset, StoreStall, StorePartition, StoreDownForRouter:
 		return s == storeScope && f.Target == router
--- a/soak/execute.go
+++ b/soak/execute.go
@@ -63,6 +63,8 @@
 		applyLinkFault(d.endpoints[f.Target].link, f)
 	case StoreDownForRouter, StoreDown, StoreCompact:
 		d.applyStoreFault(f)
+	case StoreRestore:
+		return d.restoreStore(f)
 	case UpstreamLeave:
 		return d.endpoints[f.Target].leave(f.ActiveFor)
 	case UpstreamCrash:
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -35,6 +35,8 @@
 	// history and closes all watches.
 	StoreDown    FaultKind = "store-down"
 	StoreCompact FaultKind = "store-forget"
+	// StoreRestore makes the store come back from a copy that is some seconds old.
+	StoreRestore FaultKind = "store-restore"
 	// UpstreamDelay, UpstreamReset, UpstreamStall and UpstreamPartition affect the routers'
 	// link to an upstream.
 	UpstreamDelay     FaultKind = "upstream-delay"
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -27,13 +27,15 @@
 	added       []string
 	// evacuated is the set of failure domains that are being evacuated.
 	evacuated map[string]bool
+	// entries are the published entries of upstreams.
+	entries map[string]registry.Upstream
 }
 
 // fixedKey is the key of the team whose key never changes.
 const fixedKey = "key-fixed"
 
 func newOperator(store *standin.Store, rec *Recorder, limit warmup.Limit) *operator {
-	o := &operator{store: store, rec: rec, key: "key-0", evacuated: map[string]bool{}}
+	o := &operator{store: store, rec: rec, key: "key-0", evacuated: map[string]bool{}, entries: map[string]registry.Upstream{}}
 	o.cfg = routing.Config{
 		Routes: []routing.Route{
 			route(Repeatable, prefixes[Repeatable], services[0]),
@@ -123,6 +125,13 @@
 
 // register writes an upstream's entry.
 func (o *operator) register(u registry.Upstream) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.entries[u.ID] = u
+	return o.writeEntry(u)
+}
+
+func (o *operator) writeEntry(u registry.Upstream) error {
 	key, value, err := platform.EncodeUpstream(u)
 	if err != nil {
 		return err
@@ -132,4 +141,9 @@
 }
 
 // deregister removes an upstream's entry.
-func (o *operator) deregister(id string) { o.store.Delete(platform.UpstreamKey(id)) }
+func (o *operator) deregister(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.entries, id)
+	o.store.Delete(platform.UpstreamKey(id))
+}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -73,7 +73,21 @@
 	{CallersReset, 6, 0, 0},
 }
 
+// restoreFaults has restores of the store, beside changes that may be lost with them. They are drawn
+// from a separate random stream.
+var restoreFaults = []weightedFault{
+	{StoreRestore, 4, 300 * time.Millisecond, 3 * time.Second},
+	{KeyChange, 3, 0, 0},
+	{RouteMove, 2, 0, 0},
+	{UpstreamLeave, 2, time.Second, 2 * time.Second},
+	{StorePartition, 1, 500 * time.Millisecond, 4 * time.Second},
+}
+
 const (
+	// restoreFaultRate is the mean number of faults per second drawn from restoreFaults.
+	restoreFaultRate = 0.4
+	// restoreRandomStream is the random stream for restoreFaults.
+	restoreRandomStream = 1 << 35
 	// versionFaultRate is the mean number of faults per second drawn from versionFaults.
 	versionFaultRate = 0.6
 	// versionRandomStream is the random stream for versionFaults.
@@ -105,6 +119,9 @@
 	if cfg.VersionFaults {
 		plan = append(plan, drawFaults(rand.New(rand.NewPCG(cfg.Seed, versionRandomStream)), cfg, versionFaults, versionFaultRate)...)
 	}
+	if cfg.RestoreFaults {
+		plan = append(plan, drawFaults(rand.New(rand.NewPCG(cfg.Seed, restoreRandomStream)), cfg, restoreFaults, restoreFaultRate)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/soak/regression.go
+++ b/soak/regression.go
@@ -16,6 +16,8 @@
 	WarmUpFaults bool `json:"warmUpFaults"`
 	// VersionFaults is Config.VersionFaults of the run that failed.
 	VersionFaults bool `json:"versionFaults"`
+	// RestoreFaults is Config.RestoreFaults of the run that failed.
+	RestoreFaults bool `json:"restoreFaults"`
 	// Cause is the cause of the violation.
 	Cause string `json:"cause"`
 }
@@ -23,7 +25,7 @@
 // Config returns base with the seed and the faults of the run that failed.
 func (r Regression) Config(base Config) Config {
 	base.Seed, base.Faults, base.UpstreamFaults, base.WarmUpFaults = r.Seed, r.Faults, r.UpstreamFaults, r.WarmUpFaults
-	base.VersionFaults = r.VersionFaults
+	base.VersionFaults, base.RestoreFaults = r.VersionFaults, r.RestoreFaults
 	return base
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -134,6 +134,36 @@
 	}
 }
 
+// Guards against revoked keys, moved routes and leaving upstreams that come back with an older copy of
+// the platform's data, beside cut routers and restarts.
+func TestOlderCopyOfThePlatformBringsNothingBack(t *testing.T) {
+	daemon := buildDaemon(t)
+	for slot, plan := range [][]soak.Fault{
+		{
+			{At: time.Second, Kind: soak.StoreRestore, ActiveFor: 2500 * time.Millisecond, Variant: 1},
+			{At: 2500 * time.Millisecond, Kind: soak.KeyChange},
+			{At: 2600 * time.Millisecond, Kind: soak.RouteMove},
+			{At: 2700 * time.Millisecond, Kind: soak.UpstreamLeave, Target: 1, ActiveFor: time.Second},
+			{At: 4500 * time.Millisecond, Kind: soak.KeyChange},
+		},
+		{
+			{At: time.Second, Kind: soak.StoreRestore, ActiveFor: time.Second},
+			{At: 1500 * time.Millisecond, Kind: soak.KeyChange},
+			{At: 1800 * time.Millisecond, Kind: soak.StorePartition, Target: 0, ActiveFor: 3 * time.Second},
+			{At: 2500 * time.Millisecond, Kind: soak.RouterKill, Target: 2, ActiveFor: 300 * time.Millisecond},
+			{At: 2800 * time.Millisecond, Kind: soak.StoreRestore, ActiveFor: 500 * time.Millisecond, Variant: 3},
+			{At: 3 * time.Second, Kind: soak.RouteMove},
+		},
+	} {
+		t.Run(fmt.Sprint("plan ", slot), func(t *testing.T) {
+			t.Parallel()
+			cfg := soak.DefaultConfig()
+			cfg.Seed, cfg.Daemon, cfg.Slot, cfg.Duration = 1, daemon, slot+16, 10*time.Second
+			executePlan(t, cfg, plan)
+		})
+	}
+}
+
 // Guards against streams that go on at another software version, or don't go on, during releases and
 // failures of routers, upstreams and connections.
 func TestStreamsGoOnAtTheirVersion(t *testing.T) {
--- a/standin/store.go
+++ b/standin/store.go
@@ -140,6 +140,18 @@
 	s.abortWatches = make(chan struct{})
 }
 
+// Keys returns the keys with a prefix, without the prefix.
+func (s *Store) Keys(prefix string) (names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key := range s.items {
+		if name, found := strings.CutPrefix(key, prefix); found {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // SetFault sets the fault for all callers.
 func (s *Store) SetFault(f StoreFault) {
 	s.mu.Lock()
