prove, feed: safeguards of a restored platform

The simulation of restores also deletes upstreams and restores twice within one listing: without that, pages of two epochs went unnoticed.

--- a/feed/restore_test.go
+++ b/feed/restore_test.go
@@ -126,10 +126,10 @@
 		synctest.Test(t, func(t *testing.T) {
 			g := NewWithT(t)
 			rnd := rand.New(rand.NewPCG(seed, 0))
-			s := newRestoredSource(4)
+			s := newRestoredSource(8)
 			f := start(t, s)
 			time.Sleep(time.Second)
-			version, highest, leaving := int64(1), int64(0), map[string]bool{}
+			version, highest, leaving, gone := int64(1), int64(0), map[string]bool{}, map[string]bool{}
 			check := func() {
 				now := f.Snapshot()
 				g.Expect(now.ConfigVersion()).To(BeNumerically(">=", highest), "seed %d", seed)
@@ -137,6 +137,9 @@
 				for id := range leaving {
 					g.Expect(now.View.Upstream(id)).To(BeNil(), "seed %d: %s leaves", seed, id)
 				}
+				for id := range gone {
+					g.Expect(now.View.Upstream(id)).To(BeNil(), "seed %d: %s is gone", seed, id)
+				}
 			}
 			for range 6 {
 				restore := s.copied()
@@ -150,11 +153,19 @@
 					time.Sleep(500 * time.Millisecond)
 					leaving[id] = true
 				}
+				if id := fmt.Sprint("u", 4+rnd.IntN(4)); rnd.IntN(2) == 0 {
+					// Deletions within two seconds after an outage may be lapses.
+					time.Sleep(2 * time.Second)
+					s.write(feed.Change{DeletedUpstream: id})
+					time.Sleep(500 * time.Millisecond)
+					gone[id] = true
+				}
 				time.Sleep(time.Duration(rnd.IntN(400)) * time.Millisecond)
 				check()
-				calls := rnd.IntN(4)
+				first := rnd.IntN(4)
+				second, calls := first+1+rnd.IntN(10), 0
 				s.beforeCall = func(*restoredSource) {
-					if calls--; calls == 0 {
+					if calls++; calls == first || calls == second {
 						restore()
 					}
 				}
@@ -168,6 +179,9 @@
 				for id := range leaving {
 					s.write(feed.Change{Upstream: &registry.Upstream{ID: id, Service: "llm", Draining: true}})
 				}
+				for id := range gone {
+					s.write(feed.Change{DeletedUpstream: id})
+				}
 				time.Sleep(time.Second)
 				check()
 				g.Expect(f.Snapshot().ConfigVersion()).To(Equal(version), "seed %d", seed)
