--- a/resumption/holders.go
+++ b/resumption/holders.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,35 +29,56 @@
 // and routers within them in turn, both by rendezvous hashing (Thaler and Ravishankar 1998): a
 // router that joins or is lost shifts the choice within its failure domain only.
 func Holders(id StreamID, candidates []Candidate, n int) []uint64 {
-	byDomain := map[string][]uint64{}
-	for _, c := range candidates {
-		byDomain[c.Domain] = append(byDomain[c.Domain], c.ID)
+	chosen := chooseDomains(id, candidates)
+	perDomain := (n + Copies - 1) / Copies
+	if len(chosen) < Copies {
+		perDomain = n
 	}
-	domains := make([]string, 0, len(byDomain))
-	for domain, routers := range byDomain {
-		domains = append(domains, domain)
-		slices.SortFunc(routers, func(a, b uint64) int { return cmp.Or(cmp.Compare(score(id, b), score(id, a)), cmp.Compare(a, b)) })
+	best := make([][]scored, len(chosen))
+	for _, c := range candidates {
+		if i := slices.Index(chosen, c.Domain); i >= 0 {
+			best[i] = insertBest(best[i], scored{c.ID, score(id, c.ID)}, perDomain)
+		}
 	}
-	slices.SortFunc(domains, func(a, b string) int {
-		return cmp.Or(cmp.Compare(score(id, xxhash.Sum64String(b)), score(id, xxhash.Sum64String(a))), cmp.Compare(a, b))
-	})
-	chosen := domains[:min(Copies, len(domains))]
 	holders := make([]uint64, 0, n)
-	for rank := 0; len(holders) < n; rank++ {
-		left := false
-		for _, domain := range chosen {
-			if routers := byDomain[domain]; rank < len(routers) && len(holders) < n {
-				holders = append(holders, routers[rank])
-				left = true
+	for rank := range perDomain {
+		for _, routers := range best {
+			if rank < len(routers) && len(holders) < n {
+				holders = append(holders, routers[rank].id)
 			}
 		}
-		if !left {
-			break
-		}
 	}
 	return holders
 }
 
+// chooseDomains returns the failure domains of a stream's holders, by preference.
+func chooseDomains(id StreamID, candidates []Candidate) []string {
+	scores := map[string]uint64{}
+	for _, c := range candidates {
+		if _, known := scores[c.Domain]; !known {
+			scores[c.Domain] = score(id, xxhash.Sum64String(c.Domain))
+		}
+	}
+	domains := slices.SortedFunc(maps.Keys(scores), func(a, b string) int {
+		return cmp.Or(cmp.Compare(scores[b], scores[a]), cmp.Compare(a, b))
+	})
+	return domains[:min(Copies, len(domains))]
+}
+
+// scored is a router with its score for a stream.
+type scored struct{ id, score uint64 }
+
+// insertBest adds a router to a list of at most n in descending order.
+func insertBest(list []scored, s scored, n int) []scored {
+	at, _ := slices.BinarySearchFunc(list, s, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+	})
+	if at == n {
+		return list
+	}
+	return slices.Insert(list[:min(len(list), n-1)], min(at, n-1), s)
+}
+
 func score(id StreamID, key uint64) uint64 {
 	var raw [16]byte
 	binary.LittleEndian.PutUint64(raw[:8], uint64(id))
