--- a/lab/policy.go
+++ b/lab/policy.go
@@ -103,7 +103,7 @@
 		if i%c.homeCount != c.homeIndex {
 			continue
 		}
-		members = append(members, dispatch.Member{Incarnation: dispatch.Incarnation{ID: e.id}, Slots: engine.Slots, KVTokens: engine.KVTokens, CopyPerToken: engine.copyPerToken()})
+		members = append(members, dispatch.Member{Incarnation: dispatch.Incarnation{ID: e.id}, Slots: engine.Slots, KVTokens: engine.KVTokens, CopyPerToken: engine.copyPerToken(), Version: c.sim.fleet.version(i)})
 	}
 	c.core.SetCapacity(c.sim.load.Sheet.TokensPerSecond * float64(len(members)) / float64(c.sim.load.Sheet.Engines))
 	c.deliver(c.core.SetMembers(c.sim.clock.now, members))
@@ -162,7 +162,7 @@
 	}
 	return dispatch.Request{
 		Ticket: c.ticket(r), Team: strconv.Itoa(r.team), Prompt: r.prompt(), Output: r.outputHint,
-		Parts: r.parts, Target: target, Timeout: c.sim.remaining(r),
+		Parts: r.parts, Target: target, Timeout: c.sim.remaining(r), Version: r.version,
 	}
 }
 
--- a/lab/simulation.go
+++ b/lab/simulation.go
@@ -36,7 +36,9 @@
 	seq      uint64
 	attempts int
 	// attemptAt is when the caller sent this attempt.
-	attemptAt   time.Duration
+	attemptAt time.Duration
+	// version is the software version at which the request must run, "" for any.
+	version     string
 	parts       []dispatch.Part
 	outputHint  int
 	engineIndex int
@@ -80,7 +82,10 @@
 	// RedundantPrefill is the fraction of the prefilled tokens that were shared parts cached at
 	// another engine.
 	RedundantPrefill float64
-	offered          float64
+	// ContinuedBegun and NewBegun are the fractions of the continued streams and of the other
+	// requests that an engine began to answer.
+	ContinuedBegun, NewBegun float64
+	offered                  float64
 }
 
 // Fleet describes the simulated fleet and its faults.
@@ -102,10 +107,37 @@
 	// maximum extra delay of the others.
 	ReportLoss     float64
 	MaxReportDelay time.Duration
+	// Release, if not nil, divides the engines into two software versions.
+	Release *Release
 	// HomeReplacements are homes that are lost with all their state.
 	HomeReplacements []HomeReplacement
 }
 
+// Release is a release of the engines' software that is under way. New requests go to any engine.
+type Release struct {
+	// OldEngines is the number of engines that still have the old version.
+	OldEngines int
+	// Continued is the fraction of the requests that continue a broken stream of the old version.
+	Continued float64
+}
+
+// Software versions of the engines.
+const (
+	oldVersion = "old"
+	newVersion = "new"
+)
+
+// version returns the software version of an engine, "" if there is no release.
+func (f Fleet) version(engine int) string {
+	switch {
+	case f.Release == nil:
+		return ""
+	case engine < f.Release.OldEngines:
+		return oldVersion
+	}
+	return newVersion
+}
+
 // HomeReplacement replaces a home by one without any state.
 type HomeReplacement struct {
 	Home int
@@ -148,12 +180,16 @@
 		sim.clock.after(stall.At, func() { sim.routers[stall.Router].stall(stall.Length) })
 	}
 	sim.policy = sim.newPolicy(p)
+	versions := rand.New(rand.NewPCG(l.Seed, versionStream))
 	for i, a := range l.arrivals(f.Routers) {
 		if len(sim.routers) > 0 {
 			a.router = sim.pickRouter(a.team)
 		}
 		r := &request{arrival: a}
 		r.parts = sim.parts(r, uint64(i+1))
+		if f.Release != nil && versions.Float64() < f.Release.Continued {
+			r.version = oldVersion
+		}
 		// Callers' hints are right at the median and often far off.
 		r.outputHint = max(1, int(lognormal(sim.rng, float64(a.outputTokens), 0.5)))
 		sim.earnings.recordRequest(r.at, r.team, sim.worth(r, sim.class(r).Worth), r.charge())
@@ -163,6 +199,9 @@
 	return sim
 }
 
+// versionStream is the random stream that draws the continued streams.
+const versionStream = 2
+
 // pickRouter returns the router for a caller of a team.
 func (s *simulation) pickRouter(team int) int {
 	if slices.Contains(s.fleet.SpreadTeams, team) {
@@ -339,6 +378,7 @@
 	res.Worth, res.SmallTeamsWorth = s.earnings.totalRatio(), s.earnings.smallTeamsRatio()
 	res.FairShareWorth, res.WorstTeamsWorth, res.FairnessRatio = s.earnings.earnings(), s.earnings.worstRatio(), s.fairness.worstRatio()
 	res.TrimmedFairnessRatio = s.fairness.trimmedWorstRatio(trimmedRequests)
+	res.ContinuedBegun, res.NewBegun = s.begunRatio(oldVersion), s.begunRatio("")
 	prefilled, redundant := 0, 0
 	for _, e := range s.engines {
 		prefilled += e.prefilled
@@ -347,3 +387,18 @@
 	res.RedundantPrefill = float64(redundant) / float64(max(prefilled, 1))
 	return res
 }
+
+// begunRatio returns the fraction of the requests of a version that an engine began to answer.
+func (s *simulation) begunRatio(version string) float64 {
+	all, begun := 0, 0
+	for _, r := range s.latestAttempts() {
+		if r.version != version {
+			continue
+		}
+		all++
+		if r.firstToken > 0 {
+			begun++
+		}
+	}
+	return float64(begun) / float64(max(all, 1))
+}
