--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -95,12 +95,7 @@
 			{At: 7 * time.Second, Kind: soak.UpstreamRetryAfter, Target: 1, ActiveFor: 2 * time.Second},
 		},
 	} {
-		t.Run(string(plan[0].Kind), func(t *testing.T) {
-			t.Parallel()
-			cfg := soak.DefaultConfig()
-			cfg.Seed, cfg.Daemon, cfg.Slot, cfg.Duration = 1, daemon, slot+7, 10*time.Second
-			executePlan(t, cfg, plan)
-		})
+		t.Run(string(plan[0].Kind), func(t *testing.T) { executeTenSeconds(t, daemon, slot+7, plan) })
 	}
 }
 
@@ -125,12 +120,7 @@
 			{At: 6 * time.Second, Kind: soak.DomainEvacuate, Target: 1, ActiveFor: time.Second},
 		},
 	} {
-		t.Run(fmt.Sprint(plan[0].Kind, slot), func(t *testing.T) {
-			t.Parallel()
-			cfg := soak.DefaultConfig()
-			cfg.Seed, cfg.Daemon, cfg.Slot, cfg.Duration = 1, daemon, slot+10, 10*time.Second
-			executePlan(t, cfg, plan)
-		})
+		t.Run(fmt.Sprint(plan[0].Kind, slot), func(t *testing.T) { executeTenSeconds(t, daemon, slot+10, plan) })
 	}
 }
 
@@ -155,12 +145,7 @@
 			{At: 3 * time.Second, Kind: soak.RouteMove},
 		},
 	} {
-		t.Run(fmt.Sprint("plan ", slot), func(t *testing.T) {
-			t.Parallel()
-			cfg := soak.DefaultConfig()
-			cfg.Seed, cfg.Daemon, cfg.Slot, cfg.Duration = 1, daemon, slot+16, 10*time.Second
-			executePlan(t, cfg, plan)
-		})
+		t.Run(fmt.Sprint("plan ", slot), func(t *testing.T) { executeTenSeconds(t, daemon, slot+16, plan) })
 	}
 }
 
@@ -184,12 +169,7 @@
 			{At: 8 * time.Second, Kind: soak.RouterKill, Target: 4, ActiveFor: time.Second},
 		},
 	} {
-		t.Run(string(plan[0].Kind), func(t *testing.T) {
-			t.Parallel()
-			cfg := soak.DefaultConfig()
-			cfg.Seed, cfg.Daemon, cfg.Slot, cfg.Duration = 1, daemon, slot+14, 10*time.Second
-			executePlan(t, cfg, plan)
-		})
+		t.Run(string(plan[0].Kind), func(t *testing.T) { executeTenSeconds(t, daemon, slot+14, plan) })
 	}
 }
 
@@ -210,6 +190,15 @@
 	return 0
 }
 
+// executeTenSeconds executes a plan of ten seconds beside other tests, at the addresses of a slot.
+func executeTenSeconds(t *testing.T, daemon string, slot int, plan []soak.Fault) {
+	t.Helper()
+	t.Parallel()
+	cfg := soak.DefaultConfig()
+	cfg.Seed, cfg.Daemon, cfg.Slot, cfg.Duration = 1, daemon, slot, 10*time.Second
+	executePlan(t, cfg, plan)
+}
+
 func execute(t *testing.T, cfg soak.Config) {
 	t.Helper()
 	executePlan(t, cfg, soak.Plan(cfg))
