--- a/feed/restore_test.go
+++ b/feed/restore_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,11 +22,18 @@
 // restoredSource is a platform with one entry a page, which may be restored from a copy between any
 // two calls.
 type restoredSource struct {
+	mu             sync.Mutex
 	epoch, counter int64
 	entries        []feed.Change
 	history        []feed.Change
 	// beforeCall is called before each answer.
-	beforeCall func(s *restoredSource)
+	beforeCall func()
+}
+
+func (s *restoredSource) setBeforeCall(beforeCall func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.beforeCall = beforeCall
 }
 
 func (s *restoredSource) at(counter int64) int64 {
@@ -38,6 +46,8 @@
 
 // write adds or replaces an entry.
 func (s *restoredSource) write(c feed.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.counter++
 	c.Revision = s.counter
 	kept := s.entries[:0:0]
@@ -62,8 +72,11 @@
 	return c.DeletedUpstream
 }
 
-// restore returns a function that restores the platform to its present state.
+// copied returns a function that restores the platform to its present state. The caller of the
+// function must hold mu.
 func (s *restoredSource) copied() func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	counter, entries, history := s.counter, append([]feed.Change(nil), s.entries...), append([]feed.Change(nil), s.history...)
 	return func() { s.epoch, s.counter, s.entries, s.history = s.epoch+1, counter, entries, history }
 }
@@ -80,7 +93,9 @@
 }
 
 func (s *restoredSource) List(_ context.Context, after string) (feed.Page, error) {
-	s.beforeCall(s)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.beforeCall()
 	var i int
 	_, _ = fmt.Sscan(after, &i) // 0 for the first page
 	page := feed.Page{Batch: feed.Batch{Revision: s.at(s.counter)}}
@@ -94,7 +109,17 @@
 }
 
 func (s *restoredSource) Watch(ctx context.Context, after int64, wait time.Duration) (feed.Batch, error) {
-	s.beforeCall(s)
+	b, err := s.changesAfter(after)
+	if err != nil || len(b.Changes) > 0 {
+		return b, err
+	}
+	return b, sleep(ctx, min(wait, 100*time.Millisecond))
+}
+
+func (s *restoredSource) changesAfter(after int64) (feed.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.beforeCall()
 	if revision.Epoch(after) != s.epoch || revision.Counter(after) > s.counter {
 		return feed.Batch{}, feed.ErrHistoryGone
 	}
@@ -104,14 +129,11 @@
 			b.Changes = append(b.Changes, s.published(c))
 		}
 	}
-	if len(b.Changes) == 0 {
-		return b, sleep(ctx, min(wait, 100*time.Millisecond))
-	}
 	return b, nil
 }
 
 func newRestoredSource(upstreams int) *restoredSource {
-	s := &restoredSource{beforeCall: func(*restoredSource) {}}
+	s := &restoredSource{beforeCall: func() {}}
 	s.write(configChange(1))
 	for i := range upstreams {
 		s.write(upstreamChange(fmt.Sprint("u", i), 0))
@@ -164,16 +186,16 @@
 				check()
 				first := rnd.IntN(4)
 				second, calls := first+1+rnd.IntN(10), 0
-				s.beforeCall = func(*restoredSource) {
+				s.setBeforeCall(func() {
 					if calls++; calls == first || calls == second {
 						restore()
 					}
-				}
+				})
 				for range 20 {
 					time.Sleep(50 * time.Millisecond)
 					check()
 				}
-				s.beforeCall = func(*restoredSource) {}
+				s.setBeforeCall(func() {})
 				// The operator and the upstreams write again.
 				s.write(configChange(version))
 				for id := range leaving {
@@ -202,7 +224,9 @@
 		}
 		f := start(t, s)
 		time.Sleep(2 * time.Second)
+		s.mu.Lock()
 		restore()
+		s.mu.Unlock()
 		before := f.Calls()
 		time.Sleep(5 * time.Second)
 		// One 410, five pages, and a watch each MinInterval.
