--- a/fleet/memnet_test.go
+++ b/fleet/memnet_test.go
@@ -42,6 +42,13 @@
 	n.cut = cut
 }
 
+// setLoss sets the fraction of the datagrams that are lost.
+func (n *network) setLoss(loss float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loss = loss
+}
+
 // isolate cuts all links of an address.
 func (n *network) isolate(at netip.AddrPort) {
 	n.setCut(func(from, to netip.AddrPort) bool { return from == at || to == at })
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -87,6 +87,12 @@
 	return dispatch.Decision{Verdict: dispatch.Refuse, RetryAfter: 300 * time.Millisecond}, nil
 }
 
+func (p *fakePlacer) placedRequests() []dispatch.Request {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]dispatch.Request(nil), p.placed...)
+}
+
 func (p *fakePlacer) Started(string, dispatch.Ticket) {}
 
 func (p *fakePlacer) Done(_ string, _ dispatch.Ticket, o dispatch.Outcome, _ time.Duration) {
