--- a/gateway/record.go
+++ b/gateway/record.go
@@ -59,7 +59,7 @@
 		e.Str("version", r.version)
 	}
 	if r.resumes != "" {
-		e.Str("resumes", r.resumes)
+		e.Str("continues", r.resumes)
 	}
 	if r.versionSource != "" {
 		e.Str("version_from", r.versionSource)
--- a/lab/simulation.go
+++ b/lab/simulation.go
@@ -88,75 +88,6 @@
 	offered                  float64
 }
 
-// Fleet describes the simulated fleet and its faults.
-type Fleet struct {
-	Engines, Routers int
-	// Homes is the number of homes that divide the engines; 0 means one.
-	Homes int
-	// SpreadTeams are the teams whose callers use all routers if RouterCPUs is set. The callers
-	// of any other team use one router.
-	SpreadTeams []int
-	// RouterCPUs is the CPU of each router in cores. If empty, routers take no CPU time and a
-	// team's callers use up to two routers.
-	RouterCPUs []float64
-	// RouterStalls are periods in which a router does no work.
-	RouterStalls []RouterStall
-	// EngineOutages are periods in which some of the engines get no work.
-	EngineOutages []EngineOutage
-	// ReportLoss is the fraction of messages between homes that are lost, MaxReportDelay the
-	// maximum extra delay of the others.
-	ReportLoss     float64
-	MaxReportDelay time.Duration
-	// Release, if not nil, divides the engines into two software versions.
-	Release *Release
-	// HomeReplacements are homes that are lost with all their state.
-	HomeReplacements []HomeReplacement
-}
-
-// Release is a release of the engines' software that is under way. New requests go to any engine.
-type Release struct {
-	// OldEngines is the number of engines that still have the old version.
-	OldEngines int
-	// Continued is the fraction of the requests that continue a broken stream of the old version.
-	Continued float64
-}
-
-// Software versions of the engines.
-const (
-	oldVersion = "old"
-	newVersion = "new"
-)
-
-// version returns the software version of an engine, "" if there is no release.
-func (f Fleet) version(engine int) string {
-	switch {
-	case f.Release == nil:
-		return ""
-	case engine < f.Release.OldEngines:
-		return oldVersion
-	}
-	return newVersion
-}
-
-// HomeReplacement replaces a home by one without any state.
-type HomeReplacement struct {
-	Home int
-	At   time.Duration
-}
-
-// EngineOutage makes the last engines of the list unavailable for a period.
-type EngineOutage struct {
-	Engines  int
-	From, To time.Duration
-}
-
-// RouterStall blocks a router's CPU: its CPU quota is used up, or its VM is paused.
-type RouterStall struct {
-	Router int
-	At     time.Duration
-	Length time.Duration
-}
-
 // Simulate runs a load on a fleet under a policy. The same seed gives the same result.
 func Simulate(l Load, f Fleet, p Policy) Result { return runSimulation(l, f, p).summarize() }
 
@@ -199,9 +130,6 @@
 	return sim
 }
 
-// versionStream is the random stream that draws the continued streams.
-const versionStream = 2
-
 // pickRouter returns the router for a caller of a team.
 func (s *simulation) pickRouter(team int) int {
 	if slices.Contains(s.fleet.SpreadTeams, team) {
@@ -387,18 +315,3 @@
 	res.RedundantPrefill = float64(redundant) / float64(max(prefilled, 1))
 	return res
 }
-
-// begunRatio returns the fraction of the requests of a version that an engine began to answer.
-func (s *simulation) begunRatio(version string) float64 {
-	all, begun := 0, 0
-	for _, r := range s.latestAttempts() {
-		if r.version != version {
-			continue
-		}
-		all++
-		if r.firstToken > 0 {
-			begun++
-		}
-	}
-	return float64(begun) / float64(max(all, 1))
-}
--- a/resumption/resumption_test.go
+++ b/resumption/resumption_test.go
@@ -114,9 +114,8 @@
 	from, to time.Duration
 }
 
-// Guards against continuing a stream at a version that isn't proved to have begun it. Any router may
-// begin streams at a version from its registration until it is removed, and this one sees the
-// platform late, with pauses.
+// Guards against continuing a stream at a version that may not have begun it, where this router sees the
+// platform late and with pauses.
 func TestSoleVersionIsTheOneThatBeganTheStream(t *testing.T) {
 	const window = 8 * time.Second
 	rapid.Check(t, func(rt *rapid.T) {
