registry: an entry that is no longer published isn't kept back

Cause: entries of the copy are kept back for ten seconds; if a complete listing lacked one meanwhile, or its deletion fell into the two seconds after the restore, nothing dropped it, and it was used from then on. Missing names such entries too, and a lapse drops them.

--- a/registry/epoch_test.go
+++ b/registry/epoch_test.go
@@ -64,6 +64,29 @@
 	g.Expect(r.View().Upstream("gone")).To(BeNil())
 }
 
+// Guards against an upstream that is used though a complete listing doesn't have it any more, because the
+// copy once had it.
+func TestWithheldUpstreamThatIsNoLongerPublishedIsNotUsed(t *testing.T) {
+	for name, remove := range map[string]func(r *registry.Registry, id string){
+		"deleted": func(r *registry.Registry, id string) { r.Delete(id, at(1, 30)) },
+		"lapsed":  func(r *registry.Registry, id string) { r.Lapse(id, receivedAt.Add(time.Second)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := registry.New()
+			r.Put(receivedAt, newEntry("gone", at(0, 5)))
+			r.Delete("gone", at(0, 30))
+			r.BeginEpoch(receivedAt, at(1, 20))
+			r.Put(receivedAt, newEntry("gone", at(1, 5)))
+			missing := r.Missing(map[string]bool{})
+			g.Expect(missing).To(Equal([]string{"gone"}))
+			remove(r, missing[0])
+			r.Expire(receivedAt.Add(11 * time.Second))
+			g.Expect(r.View().Upstream("gone")).To(BeNil())
+		})
+	}
+}
+
 // Guards against an evacuation that ends because the copy is older than its order, and against one
 // that never ends.
 func TestEvacuationOutlivesARestore(t *testing.T) {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -127,6 +127,7 @@
 // Lapse marks an entry as missing. Expire removes it after the given time unless Put restores it
 // first. Lapsing an entry again doesn't extend the time.
 func (r *Registry) Lapse(id string, until boottime.Time) {
+	delete(r.withheld, id)
 	if _, known := r.entries[id]; !known {
 		return
 	}
@@ -135,9 +136,14 @@
 	}
 }
 
-// Missing returns the IDs of the entries that aren't in a complete listing.
+// Missing returns the IDs of the entries, also of withheld ones, that aren't in a complete listing.
 func (r *Registry) Missing(listed map[string]bool) []string {
 	var missing []string
+	for id := range r.withheld {
+		if !listed[id] {
+			missing = append(missing, id)
+		}
+	}
 	for id := range r.entries {
 		if !listed[id] {
 			missing = append(missing, id)
