soak: a resumed stream's leaving notice isn't laid to the upstream that continued it

The trace: the stream c10-15 began at u4-1, which was leaving and whose headers the answer keeps, as the platform asks, and went on at u5-1, which wasn't; the check took the last run for the source of the notice, and u5-1's own leaving came 4 s later.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -228,3 +228,18 @@
 		g.Expect(checkStream(&req, wrong)).NotTo(BeEmpty(), name)
 	}
 }
+
+// Guards against blaming the upstream that continued a stream for the notice of the one that began it.
+func TestCheckOfNoticesKnowsResumedStreams(t *testing.T) {
+	g := NewWithT(t)
+	notice := Request{ID: "a", Kind: ResumableStream, LeavingNotice: true, Ended: second}
+	later := Request{ID: "b", Kind: ResumableStream, Sent: 9 * second}
+	h := &History{Requests: []Request{notice, later}, Runs: []Run{{Request: "a", Upstream: "u1"}, {Request: "a", Upstream: "u2"}, {Request: "b", Upstream: "u2", Began: 9 * second}}}
+	c := newChecker(h, DefaultConfig().Bounds)
+	c.leavingNotices()
+	g.Expect(c.violations).To(BeEmpty())
+	h.Runs = h.Runs[1:]
+	c = newChecker(h, DefaultConfig().Bounds)
+	c.leavingNotices()
+	g.Expect(c.violations).To(HaveLen(1), "a stream with one run")
+}
