eventstream, gateway: logs show how an upstream's answer was framed and where its stream ended

Package eventstream follows a stream whose data is split anywhere, with lines that end with LF, CRLF or CR, and reports both; the fields framing and stream_end, and the counter broken_streams by framing, show them. No decision uses them yet.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -15,6 +16,7 @@
 // the first bytes of the body arrive. The dispatch.Outcome is reported to the home; the
 // outcome that the caller sees is in result.refused.
 func (s *Server) handleResponse(ctx context.Context, r *request, out *relay, resp *upstream.Response, onFirstByte func()) (result, dispatch.Outcome) {
+	r.record.framing, r.record.streamEnd = resp.Framing.String(), ""
 	notice := s.parseUpstreamNotice(resp)
 	r.record.upstreamLeaving, r.record.upstreamRetryAfter = notice.leaving, notice.retryAfter
 	s.handleNotice(r, notice)
@@ -121,6 +123,10 @@
 // upstream if the route allows it.
 func (s *Server) relayStream(ctx context.Context, r *request, out *relay, resp *upstream.Response, onFirstByte func()) (result, dispatch.Outcome) {
 	err := out.relayEvents(resp, onFirstByte)
+	if end := out.scanner.End(resp.Framing, cmp.Or(err, io.EOF)); end != nil {
+		r.record.streamEnd = end.Error()
+		s.stats.brokenStreams[resp.Framing].Inc(1)
+	}
 	switch {
 	case err == nil:
 		recordRan(r, resp.Status)
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -17,6 +17,9 @@
 	upstream  string
 	// version is the software version of upstream.
 	version string
+	// framing is how the last upstream's response marked the end of its body. streamEnd is why its
+	// stream was incomplete, "" if it was complete.
+	framing, streamEnd string
 	// resumes is the attempt that the caller says it continues, resumedAfter the last event
 	// that it or this router has of the stream.
 	resumes, resumedAfter string
@@ -58,6 +61,12 @@
 	if r.version != "" {
 		e.Str("version", r.version)
 	}
+	if r.framing != "" {
+		e.Str("framing", r.framing)
+	}
+	if r.streamEnd != "" {
+		e.Str("stream_end", r.streamEnd)
+	}
 	if r.resumes != "" {
 		e.Str("continues", r.resumes)
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/aspenswitch/aspenswitch/eventstream"
 	"github.com/aspenswitch/aspenswitch/headers"
 	"github.com/aspenswitch/aspenswitch/routing"
 	"github.com/aspenswitch/aspenswitch/upstream"
@@ -27,6 +28,8 @@
 	lastID string
 	// partial is the received part of an incomplete event.
 	partial []byte
+	// scanner is the position within the stream of the current upstream.
+	scanner eventstream.Scanner
 }
 
 func newRelay(w http.ResponseWriter, route *routing.Route) *relay {
@@ -87,7 +90,7 @@
 // relayEvents forwards a stream. It returns nil if the stream has ended normally.
 // onFirstByte is called when the first bytes of the body arrive.
 func (l *relay) relayEvents(a *upstream.Response, onFirstByte func()) error {
-	l.partial = l.partial[:0]
+	l.partial, l.scanner = l.partial[:0], eventstream.Scanner{}
 	buf := make([]byte, eventBufferBytes)
 	first := true
 	for {
@@ -97,6 +100,7 @@
 				first = false
 				onFirstByte()
 			}
+			l.scan(buf[:n])
 			if werr := l.forward(a, buf[:n]); werr != nil {
 				return werr
 			}
@@ -110,6 +114,13 @@
 	}
 }
 
+func (l *relay) scan(data []byte) {
+	for len(data) > 0 {
+		n, _ := l.scanner.Next(data)
+		data = data[n:]
+	}
+}
+
 // finish writes the remaining bytes after the end of the stream.
 func (l *relay) finish(a *upstream.Response) error {
 	l.writeHeader(a)
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/aspenswitch/aspenswitch/eventstream"
 )
 
 // stats are the gateway's counters and latency histograms.
@@ -17,6 +19,8 @@
 	// unknownVersion counts continued streams that were refused since no router knew which software
 	// version had begun them.
 	unknownVersion tally.Counter
+	// brokenStreams counts upstreams' streams that ended before they were complete, by framing.
+	brokenStreams map[eventstream.Framing]tally.Counter
 	// withheld counts requests that were placed by a home and then not sent, by reason.
 	withheld  map[withheldReason]tally.Counter
 	firstByte tally.Histogram
@@ -31,6 +35,7 @@
 		refused:        scope.Counter("refusals"),
 		quarantined:    scope.Counter("quarantined"),
 		unknownVersion: scope.Counter("unknown_version"),
+		brokenStreams:  map[eventstream.Framing]tally.Counter{},
 		withheld:       map[withheldReason]tally.Counter{},
 		firstByte:      scope.Histogram("first_byte_seconds", latencyBuckets),
 		placement:      scope.Histogram("placing_seconds", latencyBuckets),
@@ -38,6 +43,9 @@
 	for _, name := range []string{"ran", "not-run", "unknown", "cancelled", "cut"} {
 		s.outcomes[name] = scope.Tagged(map[string]string{"outcome": name}).Counter("answers")
 	}
+	for _, framing := range []eventstream.Framing{eventstream.NoBody, eventstream.Length, eventstream.Chunked, eventstream.Connection} {
+		s.brokenStreams[framing] = scope.Tagged(map[string]string{"framing": framing.String()}).Counter("broken_streams")
+	}
 	for _, reason := range []withheldReason{withheldEvacuated, withheldWarming, withheldRegion, withheldVersion} {
 		s.withheld[reason] = scope.Tagged(map[string]string{"reason": string(reason)}).Counter("withheld")
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/aspenswitch/aspenswitch/eventstream"
 )
 
 // Request is a request to an upstream, as sent on the wire.
@@ -35,11 +37,13 @@
 	Header http.Header
 	// BodyLength is the length of the body in bytes, -1 if it is unknown.
 	BodyLength int64
-	body       io.ReadCloser
-	conn       *poolConn
-	pool       *Pool
-	resp       *http.Response
-	stop       func() bool
+	// Framing is how the end of the body is marked.
+	Framing eventstream.Framing
+	body    io.ReadCloser
+	conn    *poolConn
+	pool    *Pool
+	resp    *http.Response
+	stop    func() bool
 	// written is closed once the request has been written completely.
 	written  chan struct{}
 	complete bool
@@ -99,6 +103,7 @@
 	}
 	r.resp = resp
 	r.Status, r.Header, r.BodyLength, r.body = resp.StatusCode, resp.Header, resp.ContentLength, resp.Body
+	r.Framing = eventstream.FramingOf(request.Method, resp)
 	return r, nil
 }
 
