gateway: a stream that ends inside an event isn't complete

Cause: a body with neither length nor chunks ends with its connection, and the reader's EOF was the only judge of a stream's end. The router then framed the answer as complete by itself, and counted a success: in the breaker, the engine's statistics and the quarantine, where it cleared a content that had just crashed its upstream. The end of an event was "\n\n" alone, so that streams with other line ends were never resumed.

Now eventstream.Scanner.End decides, for both kinds of route, each framing and line end: an event that has begun is never complete, and a body that only its connection ends needs an event. A broken end is an error that wraps io.ErrUnexpectedEOF and so takes the path of each other crash: resumption, crash count, breaker, outcome. The caller's framing is the router's own, never the length that the upstream announced. An event that is held back is limited to 64 KiB; a stream with a larger one is passed on and no longer resumed. A caller of HTTP/1.0, which can't see a missing chunk, gets a reset.

--- a/eventstream/end.go
+++ b/eventstream/end.go
@@ -4,7 +4,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"strings"
 )
 
 // Framing is how an HTTP response marks the end of its body (RFC 9112, section 6.3).
@@ -62,20 +61,23 @@
 
 // Error implements error.
 func (e *IncompleteError) Error() string {
-	var text strings.Builder
+	text := "stream ended " + e.Position() + ", framing " + e.Framing.String()
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Position describes where the stream ended, for logs.
+func (e *IncompleteError) Position() string {
 	switch {
 	case e.InEvent:
-		text.WriteString("stream ended inside an event")
+		return "inside an event"
 	case e.Events == 0:
-		text.WriteString("stream ended before the first event")
+		return "before the first event"
 	default:
-		text.WriteString("stream broke between two events")
-	}
-	text.WriteString(" (framing " + e.Framing.String() + ")")
-	if e.Cause != nil {
-		text.WriteString(": " + e.Cause.Error())
+		return "between two events"
 	}
-	return text.String()
 }
 
 // Unwrap returns the cause, or io.ErrUnexpectedEOF if there is none.
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -1,13 +1,14 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/eventstream"
 	"github.com/aspenswitch/aspenswitch/routing"
 	"github.com/aspenswitch/aspenswitch/upstream"
 )
@@ -123,8 +124,9 @@
 // upstream if the route allows it.
 func (s *Server) relayStream(ctx context.Context, r *request, out *relay, resp *upstream.Response, onFirstByte func()) (result, dispatch.Outcome) {
 	err := out.relayEvents(resp, onFirstByte)
-	if end := out.scanner.End(resp.Framing, cmp.Or(err, io.EOF)); end != nil {
-		r.record.streamEnd = end.Error()
+	var incomplete *eventstream.IncompleteError
+	if errors.As(err, &incomplete) {
+		r.record.streamEnd = incomplete.Position()
 		s.stats.brokenStreams[resp.Framing].Inc(1)
 	}
 	switch {
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -17,8 +17,8 @@
 	upstream  string
 	// version is the software version of upstream.
 	version string
-	// framing is how the last upstream's response marked the end of its body. streamEnd is why its
-	// stream was incomplete, "" if it was complete.
+	// framing is how the last upstream's response marked the end of its body. streamEnd is where its
+	// stream ended, "" if it was complete.
 	framing, streamEnd string
 	// resumes is the attempt that the caller says it continues, resumedAfter the last event
 	// that it or this router has of the stream.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,8 +1,9 @@
 package gateway
 
 import (
-	"bytes"
+	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 
@@ -14,6 +15,9 @@
 
 // relay writes a response to the caller. A stream that is resumed at a second upstream keeps
 // the status and headers of the first one.
+//
+// Its framing is its own: a stream gets its last chunk only if it is complete, whatever the
+// framing of the upstream's response.
 type relay struct {
 	w         http.ResponseWriter
 	resumable bool
@@ -26,14 +30,20 @@
 	// lastID is the ID of the last complete event that was forwarded; the stream is
 	// resumed after it.
 	lastID string
-	// partial is the received part of an incomplete event.
-	partial []byte
-	// scanner is the position within the stream of the current upstream.
-	scanner eventstream.Scanner
+	// unsized is set if the length of the upstream's response isn't that of the caller's.
+	unsized bool
+	// events has the incomplete event of the current upstream's stream.
+	events eventstream.Buffer
 }
 
+// maxEventBytes limits the bytes of an event that are held until it is complete.
+const maxEventBytes = 64 << 10
+
 func newRelay(w http.ResponseWriter, route *routing.Route) *relay {
-	return &relay{w: w, resumable: route.Kind == routing.Streaming && route.Resumable}
+	return &relay{
+		w: w, resumable: route.Kind == routing.Streaming && route.Resumable,
+		events: eventstream.Buffer{MaxBytes: maxEventBytes},
+	}
 }
 
 // writeHeader writes the status and headers of the first upstream that responds. Later calls
@@ -51,7 +61,8 @@
 	for name, values := range a.Header {
 		h[name] = values
 	}
-	if a.BodyLength >= 0 {
+	h.Del("Content-Length")
+	if a.BodyLength >= 0 && !l.unsized {
 		h.Set("Content-Length", strconv.FormatInt(a.BodyLength, 10))
 	}
 	l.w.WriteHeader(a.Status)
@@ -84,14 +95,23 @@
 	}
 }
 
-// eventBufferBytes is the size of the read buffer: several events.
-const eventBufferBytes = 2 << 10
+// errNoEventStream is returned if a stream was to be resumed and the response is something else.
+var errNoEventStream = errors.New("gateway: the response that should resume a stream isn't an event stream")
 
-// relayEvents forwards a stream. It returns nil if the stream has ended normally.
-// onFirstByte is called when the first bytes of the body arrive.
+// streamBufferBytes is the size of the read buffer: several events.
+const streamBufferBytes = 2 << 10
+
+// relayEvents forwards a stream. It returns nil if the stream is complete, and an
+// *eventstream.IncompleteError if it isn't. onFirstByte is called when the first bytes of the
+// body arrive.
 func (l *relay) relayEvents(a *upstream.Response, onFirstByte func()) error {
-	l.partial, l.scanner = l.partial[:0], eventstream.Scanner{}
-	buf := make([]byte, eventBufferBytes)
+	resumed, kind := l.started, contentOf(a)
+	if resumed && kind == otherContent {
+		return errNoEventStream
+	}
+	l.unsized = kind != otherContent && a.Framing != eventstream.NoBody
+	l.events.Reset()
+	buf := make([]byte, streamBufferBytes)
 	first := true
 	for {
 		n, err := a.Read(buf)
@@ -100,56 +120,74 @@
 				first = false
 				onFirstByte()
 			}
-			l.scan(buf[:n])
-			if werr := l.forward(a, buf[:n]); werr != nil {
+			if werr := l.forward(a, buf[:n], resumed, kind); werr != nil {
 				return werr
 			}
 		}
-		if err == io.EOF {
-			return l.finish(a)
+		if err == nil {
+			continue
 		}
-		if err != nil {
-			return err
+		if err != io.EOF || kind.endsWithEvent(a.Framing) {
+			if err := l.events.Scanner().End(a.Framing, err); err != nil {
+				return err
+			}
 		}
+		l.writeHeader(a)
+		return l.write(l.events.TakeAll())
 	}
 }
 
-func (l *relay) scan(data []byte) {
-	for len(data) > 0 {
-		n, _ := l.scanner.Next(data)
-		data = data[n:]
+// content is what a response on a streaming route contains, by its Content-Type.
+type content uint8
+
+const (
+	// untypedContent has no Content-Type. It is taken for events, since the route says so.
+	untypedContent content = iota
+	eventContent
+	otherContent
+)
+
+func contentOf(a *upstream.Response) content {
+	value := a.Header.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(value)
+	switch {
+	case value == "":
+		return untypedContent
+	case err == nil && mediaType == "text/event-stream":
+		return eventContent
 	}
+	return otherContent
 }
 
-// finish writes the remaining bytes after the end of the stream.
-func (l *relay) finish(a *upstream.Response) error {
-	l.writeHeader(a)
-	if len(l.partial) == 0 {
-		return nil
-	}
-	return l.write(l.partial)
+// endsWithEvent reports whether a response that has ended regularly is complete only after an
+// event. Untyped content needs no event if its framing marks the end.
+func (c content) endsWithEvent(framing eventstream.Framing) bool {
+	return c == eventContent || c == untypedContent && framing == eventstream.Connection
 }
 
 // forward writes received data. For a resumable stream it writes only complete events: an
 // upstream may stop in the middle of an event, and the next one starts with a complete event.
-func (l *relay) forward(a *upstream.Response, data []byte) error {
-	if !l.resumable {
+func (l *relay) forward(a *upstream.Response, data []byte, resumed bool, kind content) error {
+	err := l.events.Write(data)
+	if err != nil && resumed {
+		// The start of the event may be a part that the caller already has.
+		return err
+	}
+	if !l.resumable || kind == otherContent || err != nil {
+		l.resumable = false
 		l.writeHeader(a)
-		return l.write(data)
+		return l.write(l.events.TakeAll())
 	}
-	l.partial = append(l.partial, data...)
-	complete := lastEventEnd(l.partial)
-	if complete == 0 {
+	ready := l.events.Take()
+	if len(ready) == 0 {
 		return nil
 	}
-	ready := l.skipDelivered(l.partial[:complete])
-	if id := lastIDIn(ready); id != "" {
-		l.lastID = id
+	ready = l.skipDelivered(ready)
+	if id, found := eventstream.Field(ready, idField); found && len(id) > 0 {
+		l.lastID = string(id)
 	}
 	l.writeHeader(a)
-	err := l.write(ready)
-	l.partial = append(l.partial[:0], l.partial[complete:]...)
-	return err
+	return l.write(ready)
 }
 
 func (l *relay) write(b []byte) error {
@@ -167,29 +205,8 @@
 	return nil
 }
 
-var eventEnd = []byte("\n\n")
-
-// lastEventEnd returns the length of the complete events at the start of b.
-func lastEventEnd(b []byte) int {
-	at := bytes.LastIndex(b, eventEnd)
-	if at < 0 {
-		return 0
-	}
-	return at + len(eventEnd)
-}
-
-var idField = []byte("id:")
-
-// lastIDIn returns the ID of the last event in b that has one, or "".
-func lastIDIn(b []byte) string {
-	id := ""
-	for line := range bytes.SplitSeq(b, []byte("\n")) {
-		if value, found := bytes.CutPrefix(line, idField); found {
-			id = string(bytes.TrimSpace(value))
-		}
-	}
-	return id
-}
+// idField is the name of the field with an event's ID.
+const idField = "id"
 
 // skipDelivered removes the events that the caller already has: an upstream that resumes a
 // stream may start too early, and no event may be delivered twice.
@@ -198,13 +215,13 @@
 	if err != nil {
 		return events
 	}
-	for len(events) > 0 {
-		end := bytes.Index(events, eventEnd) + len(eventEnd)
-		id, err := strconv.ParseInt(lastIDIn(events[:end]), 10, 64)
+	for event := range eventstream.Events(events) {
+		value, _ := eventstream.Field(event, idField)
+		id, err := strconv.ParseInt(string(value), 10, 64)
 		if err != nil || id > last {
 			return events
 		}
-		events = events[end:]
+		events = events[len(event):]
 	}
 	return events
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/aspenswitch/aspenswitch/abort"
 	"github.com/aspenswitch/aspenswitch/obs"
 	"github.com/aspenswitch/aspenswitch/retry"
 	"github.com/aspenswitch/aspenswitch/upstream"
@@ -224,9 +225,7 @@
 	}
 	s.finish(r)
 	if truncated {
-		// The response has started and can't be completed: only an aborted
-		// connection shows the caller that it is incomplete.
-		panic(http.ErrAbortHandler)
+		abort.Response(w, in)
 	}
 }
 
