callers: streams of the own API end where package eventstream finds their events' ends

It now uses the same scanner and buffer (1 MiB an event) and error as the gateway, and resets callers of HTTP/1.0. The stand-in engine closes connections inside an event, without length or chunks. New spec for three line ends: on the code before, CR fails; all pass now.

Ruled out: JSON and CBOR answers to the router's own questions (health, reports, listings and pages, states of peers, cached parts, load tool) fail to decode if they are cut, since their outermost value is then open.

--- a/callers/server.go
+++ b/callers/server.go
@@ -8,6 +8,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
 
+	"github.com/aspenswitch/aspenswitch/abort"
 	"github.com/aspenswitch/aspenswitch/retry"
 	"github.com/aspenswitch/aspenswitch/router"
 )
@@ -82,9 +83,7 @@
 		}
 		s.logRequest(c, rec)
 		if truncated {
-			// If the handler returned, the body would end normally, and the caller
-			// would take a partial response for a complete one.
-			panic(http.ErrAbortHandler)
+			abort.Response(c.Response().Writer, c.Request())
 		}
 		return nil
 	}
--- a/callers/stream.go
+++ b/callers/stream.go
@@ -1,17 +1,15 @@
 package callers
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
 
+	"github.com/aspenswitch/aspenswitch/eventstream"
 	"github.com/aspenswitch/aspenswitch/retry"
 	"github.com/aspenswitch/aspenswitch/router"
 	"github.com/aspenswitch/aspenswitch/upstream"
@@ -28,41 +26,15 @@
 	cancelTimeout = 2 * time.Second
 )
 
-// errStreamTruncated is returned if a stream ends before its last event.
-var errStreamTruncated = errors.New("callers: the engine's stream ended early")
+// maxEventBytes limits the bytes of an event that are held until it is complete.
+const maxEventBytes = 1 << 20
 
-// event is one server-sent event with its ID.
-type event struct {
-	id   []byte
-	raw  []byte
-	last bool
-}
-
-// readEvent reads an event, up to and including the blank line that ends it.
-func readEvent(r *bufio.Reader) (event, error) {
-	var e event
-	for {
-		line, err := r.ReadBytes('\n')
-		if err != nil {
-			// Discard the partial event: the resumed stream sends it in full.
-			if err == io.EOF {
-				err = errStreamTruncated
-			}
-			return event{}, err
-		}
-		e.raw = append(e.raw, line...)
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
-			return e, nil
-		}
-		if id, ok := bytes.CutPrefix(text, []byte("id: ")); ok {
-			e.id = bytes.Clone(id)
-		}
-		if data, ok := bytes.CutPrefix(text, []byte("data: ")); ok && string(data) == "[DONE]" {
-			e.last = true
-		}
-	}
-}
+const (
+	idField   = "id"
+	dataField = "data"
+	// doneData is the data of a stream's last event.
+	doneData = "[DONE]"
+)
 
 // streamRelay relays a stream from an engine to a caller.
 type streamRelay struct {
@@ -96,28 +68,54 @@
 	return s.endWithError(err)
 }
 
-// relayEvents relays events up to and including the last one.
+// relayEvents relays events up to and including the last one. A stream without its last event
+// is incomplete, however its body ended.
 func (s *streamRelay) relayEvents(resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
-	in := bufio.NewReader(resp.Body)
+	events := eventstream.Buffer{MaxBytes: maxEventBytes}
+	buf := make([]byte, streamBufferBytes)
 	for {
-		e, err := readEvent(in)
-		if err != nil {
-			return err
+		n, err := resp.Body.Read(buf)
+		if werr := events.Write(buf[:n]); werr != nil {
+			return werr
 		}
-		s.writeHeader(resp)
-		out := s.request.c.Response()
-		if _, err := out.Write(e.raw); err != nil {
-			return errCallerDisconnected
+		last, werr := s.writeEvents(resp, events.Take())
+		if werr != nil || last {
+			return werr
 		}
-		out.Flush()
-		if e.id != nil {
-			s.lastEventID = string(e.id)
+		if err != nil {
+			return events.Scanner().Incomplete(eventstream.FramingOf(resp.Request.Method, resp), err)
 		}
-		if e.last {
-			return nil
+	}
+}
+
+// streamBufferBytes is the size of the read buffer: several events.
+const streamBufferBytes = 4 << 10
+
+// writeEvents sends complete events to the caller, up to the last one of the stream. last is set
+// if that is among them.
+func (s *streamRelay) writeEvents(resp *http.Response, events []byte) (last bool, err error) {
+	if len(events) == 0 {
+		return false, nil
+	}
+	length := 0
+	for event := range eventstream.Events(events) {
+		length += len(event)
+		if data, _ := eventstream.Field(event, dataField); string(data) == doneData {
+			last = true
+			break
 		}
 	}
+	s.writeHeader(resp)
+	out := s.request.c.Response()
+	if _, err := out.Write(events[:length]); err != nil {
+		return false, errCallerDisconnected
+	}
+	out.Flush()
+	if id, found := eventstream.Field(events[:length], idField); found {
+		s.lastEventID = string(id)
+	}
+	return last, nil
 }
 
 // writeHeader writes the response header before the first event.
--- a/daemon/failures_test.go
+++ b/daemon/failures_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,22 @@
 		Expect(answer).To(Equal(expectedText("a round", 10)))
 	})
 
+	// Guards against events that are lost or doubled when a response without length or chunks ends inside one.
+	for name, lineEnd := range map[string]string{"LF": "\n", "CRLF": "\r\n", "CR": "\r"} {
+		It("comes whole over connections that are closed inside an event, "+name, func() {
+			f := newFleet()
+			cfg := fastEngine
+			cfg.DisconnectAfterEvents, cfg.CloseInEvent, cfg.LineEnd = 3, true, lineEnd
+			f.addEngine(cfg, true)
+			f.startRouters(1)
+			got := f.routers[0].requestCompletion("a round", 10, true)
+			Expect(got.err).NotTo(HaveOccurred())
+			answer, complete := text(strings.ReplaceAll(strings.ReplaceAll(got.body, "\r\n", "\n"), "\r", "\n"))
+			Expect(complete).To(BeTrue())
+			Expect(answer).To(Equal(expectedText("a round", 10)))
+		})
+	}
+
 	// Guards against a truncated answer that looks complete. The engine can't resume a stream and
 	// its connection breaks in the middle of one; the caller must receive the events that
 	// arrived, followed by an error event.
--- a/eventstream/end.go
+++ b/eventstream/end.go
@@ -95,10 +95,16 @@
 // other sign of its end, so it must have an event; if it ends between two events, it counts as
 // complete, though its upstream may have ended there.
 func (s *Scanner) End(framing Framing, cause error) error {
+	if cause == io.EOF && (framing == NoBody || !s.InEvent() && (framing != Connection || s.events > 0)) {
+		return nil
+	}
+	return s.Incomplete(framing, cause)
+}
+
+// Incomplete returns the error for a stream that has ended and isn't complete. cause is the read
+// error, io.EOF if the body ended regularly by its framing.
+func (s *Scanner) Incomplete(framing Framing, cause error) error {
 	if cause == io.EOF {
-		if framing == NoBody || !s.InEvent() && (framing != Connection || s.events > 0) {
-			return nil
-		}
 		cause = nil
 	}
 	return &IncompleteError{Framing: framing, InEvent: s.InEvent(), Events: s.events, Cause: cause}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -31,6 +31,11 @@
 	// DisconnectAfterEvents is the number of events after which each connection of a stream is
 	// aborted; 0 disables this.
 	DisconnectAfterEvents int
+	// CloseInEvent makes streams end with their connection, without a length or chunks. After
+	// DisconnectAfterEvents the connection is closed inside an event instead of being aborted.
+	CloseInEvent bool
+	// LineEnd ends the lines of streams; "" means LF.
+	LineEnd string
 }
 
 // Engine is a fake model engine. It runs requests in order of arrival, as many at a time as it
--- a/standin/generation.go
+++ b/standin/generation.go
@@ -95,26 +95,47 @@
 func (g *Engine) writeStream(c echo.Context, s *generation, from int) error {
 	out := c.Response()
 	out.Header().Set(echo.HeaderContentType, "text/event-stream")
+	if g.cfg.CloseInEvent {
+		out.Header().Set("Transfer-Encoding", "identity") // net/http then closes the connection
+	}
 	out.WriteHeader(http.StatusOK)
 	out.Flush()
 	for i := from; ; i++ {
-		if g.cfg.DisconnectAfterEvents > 0 && i-from >= g.cfg.DisconnectAfterEvents {
+		disconnect := g.cfg.DisconnectAfterEvents > 0 && i-from >= g.cfg.DisconnectAfterEvents
+		if disconnect && !g.cfg.CloseInEvent {
 			panic(http.ErrAbortHandler)
 		}
 		token, ok := s.next(c.Request().Context(), i)
 		if !ok {
 			break
 		}
-		if err := writeEvent(out, i, s.chunk(token)); err != nil {
+		event, err := g.event(i, s.chunk(token))
+		if err != nil {
+			return err
+		}
+		if disconnect {
+			event = event[:len(event)/2]
+		}
+		_, err = out.Write(event)
+		out.Flush()
+		if err != nil || disconnect {
 			return nil
 		}
 	}
 	if c.Request().Context().Err() == nil {
-		_, _ = fmt.Fprint(out, "data: [DONE]\n\n")
+		_, _ = out.Write(g.withLineEnds("data: [DONE]\n\n"))
 	}
 	return nil
 }
 
+// withLineEnds returns text with the line ends of the engine.
+func (g *Engine) withLineEnds(text string) []byte {
+	if g.cfg.LineEnd != "" {
+		text = strings.ReplaceAll(text, "\n", g.cfg.LineEnd)
+	}
+	return []byte(text)
+}
+
 func (s *generation) chunk(token string) chunk {
 	return chunk{
 		ID: s.id, Object: "chat.completion.chunk", Model: s.req.Model,
@@ -122,14 +143,13 @@
 	}
 }
 
-func writeEvent(out *echo.Response, i int, ch chunk) error {
+// event returns an event of a stream.
+func (g *Engine) event(i int, ch chunk) ([]byte, error) {
 	data, err := json.Marshal(ch)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	_, err = fmt.Fprintf(out, "id: %d\ndata: %s\n\n", i, data)
-	out.Flush()
-	return err
+	return g.withLineEnds(fmt.Sprintf("id: %d\ndata: %s\n\n", i, data)), nil
 }
 
 // writeCompletion sends the output as a single response once it is complete. It cancels the
