standin, soak: streams without length or chunks, whole and cut inside an event

The callers' check of whole streams was there. New test of two plans beside a release, a restore, cuts and restarts.

--- a/soak/affected.go
+++ b/soak/affected.go
@@ -64,7 +64,7 @@
 
 func (f FaultInterval) affectsUpstream() bool {
 	switch f.Kind {
-	case UpstreamDelay, UpstreamReset, UpstreamStall, UpstreamPartition, UpstreamLeave, UpstreamCrash, UpstreamGrey, UpstreamNotice, UpstreamRetryAfter, UpstreamColdRestart, UpstreamUpgrade:
+	case UpstreamDelay, UpstreamReset, UpstreamStall, UpstreamPartition, UpstreamLeave, UpstreamCrash, UpstreamGrey, UpstreamNotice, UpstreamRetryAfter, UpstreamColdRestart, UpstreamUpgrade, UpstreamUnframed:
 		return true
 	default:
 		return false
--- a/soak/execute.go
+++ b/soak/execute.go
@@ -71,6 +71,8 @@
 		return d.endpoints[f.Target].crash(f.ActiveFor)
 	case UpstreamGrey:
 		d.endpoints[f.Target].grey(f.Variant, f.ActiveFor)
+	case UpstreamUnframed:
+		d.endpoints[f.Target].unframe(f.Variant, f.ActiveFor)
 	case CrashingRequest:
 		d.sendCrashingRequests(f)
 	case UpstreamNotice:
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -50,6 +50,9 @@
 	// UpstreamGrey is a gray failure: the upstream fails some of its requests, truncates
 	// or duplicates responses, or sends malformed ones.
 	UpstreamGrey FaultKind = "upstream-grey"
+	// UpstreamUnframed makes an upstream send some of its streams without a length or chunks, whole
+	// or cut inside an event.
+	UpstreamUnframed FaultKind = "upstream-unframed"
 	// CrashingRequest repeatedly sends a request that crashes every upstream that runs it,
 	// through any router.
 	CrashingRequest FaultKind = "crashing-request"
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -83,7 +83,18 @@
 	{StorePartition, 1, 500 * time.Millisecond, 4 * time.Second},
 }
 
+// framingFaults has kinds that concern the framing of streams. They are drawn from a separate random
+// stream.
+var framingFaults = []weightedFault{
+	{UpstreamUnframed, 4, 2 * time.Second, 6 * time.Second},
+	{UpstreamCrash, 1, 500 * time.Millisecond, 2 * time.Second},
+}
+
 const (
+	// framingFaultRate is the mean number of faults per second drawn from framingFaults.
+	framingFaultRate = 0.3
+	// framingRandomStream is the random stream for framingFaults.
+	framingRandomStream = 1 << 36
 	// restoreFaultRate is the mean number of faults per second drawn from restoreFaults.
 	restoreFaultRate = 0.4
 	// restoreRandomStream is the random stream for restoreFaults.
@@ -122,6 +133,9 @@
 	if cfg.RestoreFaults {
 		plan = append(plan, drawFaults(rand.New(rand.NewPCG(cfg.Seed, restoreRandomStream)), cfg, restoreFaults, restoreFaultRate)...)
 	}
+	if cfg.FramingFaults {
+		plan = append(plan, drawFaults(rand.New(rand.NewPCG(cfg.Seed, framingRandomStream)), cfg, framingFaults, framingFaultRate)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
@@ -170,7 +184,7 @@
 // drawTarget draws the index of the router or upstream that a fault targets.
 func drawTarget(rnd *rand.Rand, cfg Config, kind FaultKind) int {
 	switch kind {
-	case UpstreamDelay, UpstreamReset, UpstreamStall, UpstreamPartition, UpstreamLeave, UpstreamCrash, UpstreamGrey, UpstreamNotice, UpstreamRetryAfter, UpstreamCold, UpstreamColdRestart, DomainEvacuate, UpstreamUpgrade, ServiceRelease:
+	case UpstreamDelay, UpstreamReset, UpstreamStall, UpstreamPartition, UpstreamLeave, UpstreamCrash, UpstreamGrey, UpstreamNotice, UpstreamRetryAfter, UpstreamCold, UpstreamColdRestart, DomainEvacuate, UpstreamUpgrade, ServiceRelease, UpstreamUnframed:
 		return rnd.IntN(2 * cfg.Upstreams)
 	default:
 		return rnd.IntN(cfg.Routers)
--- a/soak/regression.go
+++ b/soak/regression.go
@@ -18,6 +18,8 @@
 	VersionFaults bool `json:"versionFaults"`
 	// RestoreFaults is Config.RestoreFaults of the run that failed.
 	RestoreFaults bool `json:"restoreFaults"`
+	// FramingFaults is Config.FramingFaults of the run that failed.
+	FramingFaults bool `json:"framingFaults"`
 	// Cause is the cause of the violation.
 	Cause string `json:"cause"`
 }
@@ -25,7 +27,7 @@
 // Config returns base with the seed and the faults of the run that failed.
 func (r Regression) Config(base Config) Config {
 	base.Seed, base.Faults, base.UpstreamFaults, base.WarmUpFaults = r.Seed, r.Faults, r.UpstreamFaults, r.WarmUpFaults
-	base.VersionFaults, base.RestoreFaults = r.VersionFaults, r.RestoreFaults
+	base.VersionFaults, base.RestoreFaults, base.FramingFaults = r.VersionFaults, r.RestoreFaults, r.FramingFaults
 	return base
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -173,6 +173,32 @@
 	}
 }
 
+// Guards against cut streams without length or chunks that look complete or aren't resumed, beside
+// releases, restores of the platform, cuts and restarts.
+func TestUnframedStreamsAreWholeOrVisiblyCut(t *testing.T) {
+	daemon := buildDaemon(t)
+	for slot, plan := range [][]soak.Fault{
+		{
+			{At: time.Second, Kind: soak.UpstreamUnframed, Target: 3, ActiveFor: 8 * time.Second},
+			{At: time.Second, Kind: soak.UpstreamUnframed, Target: 4, ActiveFor: 8 * time.Second, Variant: 1},
+			{At: time.Second, Kind: soak.UpstreamUnframed, Target: 5, ActiveFor: 8 * time.Second, Variant: 2},
+			{At: 2 * time.Second, Kind: soak.ServiceRelease, Target: 3, ActiveFor: 5 * time.Second},
+			{At: 3 * time.Second, Kind: soak.RouterKill, Target: 1, ActiveFor: 500 * time.Millisecond},
+			{At: 5 * time.Second, Kind: soak.RouterStop, Target: 2, ActiveFor: 300 * time.Millisecond},
+		},
+		{
+			{At: time.Second, Kind: soak.UpstreamUnframed, Target: 3, ActiveFor: 8 * time.Second},
+			{At: time.Second, Kind: soak.UpstreamUnframed, Target: 5, ActiveFor: 8 * time.Second},
+			{At: 2 * time.Second, Kind: soak.StoreRestore, ActiveFor: time.Second, Variant: 1},
+			{At: 4 * time.Second, Kind: soak.StorePartition, Target: 1, ActiveFor: 2 * time.Second},
+			{At: 5 * time.Second, Kind: soak.UpstreamCrash, Target: 4, ActiveFor: 500 * time.Millisecond},
+			{At: 6 * time.Second, Kind: soak.CallersReset, Target: 0},
+		},
+	} {
+		t.Run(fmt.Sprint("plan ", slot), func(t *testing.T) { executeTenSeconds(t, daemon, slot+18, plan) })
+	}
+}
+
 // Guards against overloading an upstream that turns cold while the platform is unavailable.
 func TestUpstreamThatTurnsColdInAnOutage(t *testing.T) {
 	cfg := soak.Regression{Seed: 350005, Faults: 1.2, UpstreamFaults: true, WarmUpFaults: true}.Config(soak.DefaultConfig())
--- a/soak/upstreams.go
+++ b/soak/upstreams.go
@@ -183,10 +183,22 @@
 
 // grey makes the upstream misbehave for the given duration.
 func (e *endpoint) grey(variant int, duration time.Duration) {
+	e.injectFault(greyFaults[variant%len(greyFaults)], duration)
+}
+
+// unframedFaults are the forms of UpstreamUnframed.
+var unframedFaults = []standin.RunnerFault{standin.RunnerUnframedTruncatedStream, standin.RunnerUnframedTruncatedStream, standin.RunnerUnframedStream}
+
+// unframe makes the upstream send streams that end with their connection for the given duration.
+func (e *endpoint) unframe(variant int, duration time.Duration) {
+	e.injectFault(unframedFaults[variant%len(unframedFaults)], duration)
+}
+
+func (e *endpoint) injectFault(fault standin.RunnerFault, duration time.Duration) {
 	e.mu.Lock()
 	r := e.runner
 	e.mu.Unlock()
-	r.SetFault(greyFaults[variant%len(greyFaults)])
+	r.SetFault(fault)
 	time.Sleep(duration)
 	r.SetFault(standin.RunnerHealthy)
 }
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -37,6 +37,10 @@
 	RunnerNoContentLength
 	// RunnerUnresponsive runs requests and sends no response, but keeps the connection open.
 	RunnerUnresponsive
+	// RunnerUnframedStream sends streams without a length or chunks, which end with the connection.
+	RunnerUnframedStream
+	// RunnerUnframedTruncatedStream sends such streams, and closes the connection inside an event.
+	RunnerUnframedTruncatedStream
 	// RunnerMissingSeal sends responses without the seal header and without a body.
 	RunnerMissingSeal
 )
@@ -63,8 +67,12 @@
 	// nil means never.
 	ShouldCrash func(*http.Request) bool
 	// BreakStreamAfter returns the number of events of this run after which the connection of a
-	// request's stream is reset, 0 for never; nil means never.
+	// request's stream is reset, 0 for never; nil means never. Unframed streams are closed inside the
+	// next event instead.
 	BreakStreamAfter func(*http.Request) int
+	// Unframed reports whether a request's stream has neither a length nor chunks and ends with the
+	// connection; nil means never.
+	Unframed func(*http.Request) bool
 	// OnReject is called for each request rejected with a Retry-After delay of rest. It may be
 	// nil.
 	OnReject func(id string, rest time.Duration)
--- a/standin/runner_answer.go
+++ b/standin/runner_answer.go
@@ -17,7 +17,7 @@
 	if !sleepWhileConnected(work.ProcessingTime, nextRequest) {
 		return false
 	}
-	if work.Events > 0 && (fault == RunnerHealthy || fault == RunnerTruncatedResponse) {
+	if work.Events > 0 && fault.hasStreams() {
 		return r.writeStream(c, req, nextRequest, work, fault)
 	}
 	raw, keepAlive := r.response(req.Header.Get(r.headers.RequestID), fault, lastResponse)
@@ -41,12 +41,24 @@
 	}
 }
 
-// writeStream sends a stream of events. With RunnerTruncatedResponse it stops within an event.
+// hasStreams reports whether a runner with the fault sends streams as streams.
+func (f RunnerFault) hasStreams() bool {
+	return f == RunnerHealthy || f == RunnerTruncatedResponse || f == RunnerUnframedStream || f == RunnerUnframedTruncatedStream
+}
+
+// unframed reports whether the stream of a request ends with its connection.
+func (r *Runner) unframed(req *http.Request, fault RunnerFault) bool {
+	return fault == RunnerUnframedStream || fault == RunnerUnframedTruncatedStream || r.opts.Unframed != nil && r.opts.Unframed(req)
+}
+
+// writeStream sends a stream of events. With the faults that truncate it stops within an event.
 func (r *Runner) writeStream(c net.Conn, req *http.Request, nextRequest <-chan error, work Work, fault RunnerFault) bool {
-	id := req.Header.Get(r.headers.RequestID)
-	out := httputil.NewChunkedWriter(c)
-	head := r.responseHead(http.StatusOK, id, r.headers.Seal+": seal", "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
-	if _, err := io.WriteString(c, head); err != nil {
+	id, unframed := req.Header.Get(r.headers.RequestID), r.unframed(req, fault)
+	head, out := []string{r.headers.Seal + ": seal", "Content-Type: text/event-stream"}, io.WriteCloser(plainWriter{c})
+	if !unframed {
+		head, out = append(head, "Transfer-Encoding: chunked"), httputil.NewChunkedWriter(c)
+	}
+	if _, err := io.WriteString(c, r.responseHead(http.StatusOK, id, head...)); err != nil {
 		return false
 	}
 	from, err := strconv.Atoi(req.Header.Get("Last-Event-Id"))
@@ -57,13 +69,14 @@
 	if r.opts.BreakStreamAfter != nil {
 		breakAfter = r.opts.BreakStreamAfter(req)
 	}
+	truncates := fault == RunnerTruncatedResponse || fault == RunnerUnframedTruncatedStream
 	for n := from + 1; n <= work.Events; n++ {
-		if breakAfter > 0 && n-from > breakAfter {
+		event, breaks := StreamEvent(id, n, r.opts.Version), breakAfter > 0 && n-from > breakAfter
+		if breaks && !unframed {
 			abort(c)
 			return false
 		}
-		event := StreamEvent(id, n, r.opts.Version)
-		if fault == RunnerTruncatedResponse && n-from > work.Events/2 {
+		if breaks || truncates && n-from > work.Events/2 {
 			_, _ = io.WriteString(out, event[:len(event)/2]) // the connection ends either way
 			return false
 		}
@@ -71,13 +84,19 @@
 			return false
 		}
 	}
-	if out.Close() != nil {
+	if unframed || out.Close() != nil {
 		return false
 	}
 	_, err = io.WriteString(c, "\r\n")
 	return err == nil
 }
 
+// plainWriter writes a body that ends with its connection.
+type plainWriter struct{ net.Conn }
+
+// Close implements io.Closer. The connection is closed by its owner.
+func (plainWriter) Close() error { return nil }
+
 // StreamEvent returns the n-th event of a request's stream, as a runner of a software version sends it.
 func StreamEvent(id string, n int, version string) string {
 	return fmt.Sprintf("id: %d\ndata: %s %d%s\n\n", n, id, n, version)
@@ -104,7 +123,7 @@
 		return "", true
 	case RunnerMissingSeal:
 		return r.responseHead(http.StatusOK, id, "Content-Length: 0"), true
-	case RunnerHealthy, RunnerFull:
+	case RunnerHealthy, RunnerFull, RunnerUnframedStream, RunnerUnframedTruncatedStream:
 	}
 	return r.completeResponse(id), true
 }
