--- a/gateway/stream_end_test.go
+++ b/gateway/stream_end_test.go
@@ -162,3 +162,25 @@
 		_ = c.Close()
 	}
 }
+
+// Guards against large events that fill the memory or are cut, and against continuing a stream of
+// which the caller has half an event.
+func TestEventLargerThanTheBufferPasses(t *testing.T) {
+	large := "id: 4\ndata: " + strings.Repeat("x", 100<<10)
+	for _, end := range []struct {
+		partial string
+		whole   bool
+	}{{large + "\n\n", true}, {large, false}} {
+		g := NewWithT(t)
+		r := newHarness(t, map[string]script{
+			"u1": ending{framing: eventstream.Connection, eol: "\n", partial: end.partial}.script(1, 3),
+			"u2": ending{framing: eventstream.Connection, eol: "\n"}.script(4, 6),
+		})
+		_, body, err := r.call("/resume/", nil)
+		g.Expect(err == nil).To(Equal(end.whole))
+		if end.whole {
+			g.Expect(len(body)).To(Equal(len(ending{eol: "\n"}.stream(1, 3)) + len(end.partial)))
+		}
+		g.Expect(r.requests()).To(HaveLen(1))
+	}
+}
