--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -124,6 +124,7 @@
 // upstream if the route allows it.
 func (s *Server) relayStream(ctx context.Context, r *request, out *relay, resp *upstream.Response, onFirstByte func()) (result, dispatch.Outcome) {
 	err := out.relayEvents(resp, onFirstByte)
+	r.events = out.events.Scanner().Events()
 	var incomplete *eventstream.IncompleteError
 	if errors.As(err, &incomplete) {
 		r.record.streamEnd = incomplete.Position()
--- a/gateway/broken_conn.go
+++ b/gateway/broken_conn.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -34,7 +35,7 @@
 	s.log.Warn("upstream_broke", func(e *obs.Event) {
 		e.Str("request", r.id).Str("route", r.record.route).Str("team", contentID.Team).Stringer("content", contentID).
 			Str("upstream", r.sentTo.ID).Int64("started", r.sentTo.Started).
-			Int64("ran_ms", time.Since(r.sentAt).Milliseconds()).Err(err).
+			Int64("ran_ms", time.Since(r.sentAt).Milliseconds()).Int64("events", r.events).Str("parts", r.partIDs()).Err(err).
 			Msg("upstream closed the connection while handling a request")
 	})
 }
@@ -49,3 +50,15 @@
 	}
 	return false
 }
+
+// partIDs returns the IDs of the prompt's parts in hexadecimal, as callers write them.
+func (r *request) partIDs() string {
+	var ids []byte
+	for i, part := range r.parts {
+		if i > 0 {
+			ids = append(ids, ',')
+		}
+		ids = strconv.AppendUint(ids, part.ID, 16)
+	}
+	return string(ids)
+}
