--- a/standin/runner.go
+++ b/standin/runner.go
@@ -66,6 +66,8 @@
 	// ShouldCrash reports whether the runner crashes at the end of a request's processing time;
 	// nil means never.
 	ShouldCrash func(*http.Request) bool
+	// CrashInEvent makes a crash end streams inside an event by a regular close instead of a reset.
+	CrashInEvent bool
 	// BreakStreamAfter returns the number of events of this run after which the connection of a
 	// request's stream is reset, 0 for never; nil means never. Unframed streams are closed inside the
 	// next event instead.
@@ -167,13 +169,18 @@
 // Close closes the listener; open connections stay open.
 func (r *Runner) Close() error { return r.listener.Close() }
 
-// Crash closes the listener and resets all connections.
+// Crash closes the listener and all connections, by a reset unless CrashInEvent is set.
 func (r *Runner) Crash() {
 	_ = r.listener.Close() // it may be closed already
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.crashed = true
 	for c := range r.conns {
+		if r.opts.CrashInEvent {
+			_, _ = io.WriteString(c, "id:") // the connection ends either way
+			_ = c.Close()
+			continue
+		}
 		abort(c)
 	}
 }
@@ -257,6 +264,9 @@
 	}
 	if r.opts.ShouldCrash != nil && r.opts.ShouldCrash(req) {
 		_ = sleepWhileConnected(work.ProcessingTime, nextRequest) // crashes even if the caller has disconnected
+		if r.opts.CrashInEvent && work.Events > 0 {
+			_, _ = io.WriteString(c, r.responseHead(http.StatusOK, id, r.headers.Seal+": seal", "Content-Type: text/event-stream"))
+		}
 		r.Crash()
 		ended(true)
 		return false
