quarantine: the ID of a content is a Key

A rename before a second kind of key is added: ContentID is Key, its constructors NewContentKey and ParseContentKey.

--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -216,7 +216,7 @@
 
 // releaseQuarantine handles requests to end the quarantine of a team's content at all routers.
 func (d *FleetDaemon) releaseQuarantine(c echo.Context) error {
-	id, err := quarantine.ParseContentID(c.QueryParam("team"), c.QueryParam("content"))
+	id, err := quarantine.ParseContentKey(c.QueryParam("team"), c.QueryParam("content"))
 	if err != nil {
 		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 	}
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -119,7 +119,7 @@
 		n.ledgers[i] = dispatch.NewLedger(cfg.Engine.ShareWindow)
 	}
 	n.quarantine.table = quarantine.NewTable(cfg.Quarantine)
-	n.quarantine.pendingTrials = map[quarantine.ContentID]*pendingTrial{}
+	n.quarantine.pendingTrials = map[quarantine.Key]*pendingTrial{}
 	n.self = n.random.Uint64()
 	n.sharedPeakRouters.Store(1)
 	n.readsPlatform.Store(true)
--- a/fleet/quarantine.go
+++ b/fleet/quarantine.go
@@ -23,7 +23,7 @@
 	// notices have not been sent to the members yet.
 	notices []quarantine.Notice
 	// pendingTrials has the trial requests awaiting the hub's answer, at most one per content.
-	pendingTrials map[quarantine.ContentID]*pendingTrial
+	pendingTrials map[quarantine.Key]*pendingTrial
 	expiredAt     boottime.Time
 
 	// mu guards the fields below it.
@@ -48,34 +48,34 @@
 		crash quarantine.Crash
 	}
 	successEvent struct {
-		id     quarantine.ContentID
+		id     quarantine.Key
 		reason string
 	}
 )
 
 // ReportCrash implements gateway.Placer.
-func (n *Node) ReportCrash(id quarantine.ContentID, at dispatch.Incarnation, ran time.Duration) {
+func (n *Node) ReportCrash(id quarantine.Key, at dispatch.Incarnation, ran time.Duration) {
 	n.post(crashEvent{crash: quarantine.Crash{
 		ID: id, Upstream: incarnationHash(at), Sent: time.Duration(n.now().Add(-ran)),
 	}})
 }
 
 // ReportSuccess implements gateway.Placer.
-func (n *Node) ReportSuccess(id quarantine.ContentID, from dispatch.Incarnation) {
+func (n *Node) ReportSuccess(id quarantine.Key, from dispatch.Incarnation) {
 	n.quarantine.addSuccess(time.Duration(n.now()), id, incarnationHash(from))
 	if n.Quarantine().HasCrashes(id) {
 		n.post(successEvent{id: id, reason: successReason})
 	}
 }
 
-func (q *quarantineState) addSuccess(now time.Duration, id quarantine.ContentID, upstream uint32) {
+func (q *quarantineState) addSuccess(now time.Duration, id quarantine.Key, upstream uint32) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.successes.Add(now, id)
 	q.broken.RecordSuccess(upstream)
 }
 
-func (q *quarantineState) recentlySucceeded(now time.Duration, id quarantine.ContentID) bool {
+func (q *quarantineState) recentlySucceeded(now time.Duration, id quarantine.Key) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.successes.SucceededRecently(now, id)
@@ -85,7 +85,7 @@
 const successReason = "a request received its complete response"
 
 // Release ends the quarantine of a content at all routers, at an operator's request.
-func (n *Node) Release(id quarantine.ContentID) {
+func (n *Node) Release(id quarantine.Key) {
 	n.post(successEvent{id: id, reason: "released by an operator"})
 }
 
@@ -97,7 +97,7 @@
 }
 
 // quarantineKey is the key by which the hub of a content is chosen.
-func quarantineKey(id quarantine.ContentID) string { return "content/" + id.Team + "/" + id.String() }
+func quarantineKey(id quarantine.Key) string { return "content/" + id.Team + "/" + id.String() }
 
 // handleCrash records a crash that this router has observed, and reports it to the hub of
 // the content, which counts the crashes observed by all routers. It ignores requests sent to
@@ -114,7 +114,7 @@
 }
 
 // sendToHub sends an update to the hub of a content, unless this router is the hub.
-func (n *Node) sendToHub(now boottime.Time, id quarantine.ContentID, update *quarantineUpdate) {
+func (n *Node) sendToHub(now boottime.Time, id quarantine.Key, update *quarantineUpdate) {
 	if hub := n.hubFor(now, quarantineKey(id)); hub != nil {
 		n.send(hub.addr, &packet{Infrequent: &infrequent{Quarantine: update}})
 	}
@@ -137,7 +137,7 @@
 // clearIfSucceeded clears a content that this router recently saw succeed. It guards
 // against quarantining a content that many callers share and that was interrupted by
 // several unrelated crashes.
-func (n *Node) clearIfSucceeded(now boottime.Time, id quarantine.ContentID) {
+func (n *Node) clearIfSucceeded(now boottime.Time, id quarantine.Key) {
 	if n.quarantine.table.View().Status(id) != quarantine.Normal && n.quarantine.recentlySucceeded(time.Duration(now), id) {
 		n.clearSuspicion(now, successEvent{id: id, reason: successReason})
 	}
@@ -193,17 +193,17 @@
 	for i := range update.Crashes {
 		c := &update.Crashes[i]
 		n.recordCrash(now, quarantine.Crash{
-			ID:       quarantine.ContentID{Team: c.Team, Hash: c.Hash},
+			ID:       quarantine.Key{Team: c.Team, Hash: c.Hash},
 			Upstream: c.Upstream, Sent: time.Duration(now) - duration(max(c.RanMs, 0)),
 		})
 	}
 	for i := range update.Successes {
 		s := &update.Successes[i]
-		n.recordSuccess(now, successEvent{id: quarantine.ContentID{Team: s.Team, Hash: s.Hash}, reason: successReason})
+		n.recordSuccess(now, successEvent{id: quarantine.Key{Team: s.Team, Hash: s.Hash}, reason: successReason})
 	}
 	for i := range update.Notices {
 		s := &update.Notices[i]
-		id := quarantine.ContentID{Team: s.Team, Hash: s.Hash}
+		id := quarantine.Key{Team: s.Team, Hash: s.Hash}
 		if n.quarantine.table.Apply(time.Duration(now), s.notice()) {
 			n.logQuarantine(now, id, "notice received from a peer")
 			n.clearIfSucceeded(now, id)
@@ -238,7 +238,7 @@
 	}
 }
 
-func (n *Node) logQuarantine(now boottime.Time, id quarantine.ContentID, reason string) {
+func (n *Node) logQuarantine(now boottime.Time, id quarantine.Key, reason string) {
 	e := n.quarantine.table.Get(time.Duration(now), id)
 	n.log.Warn().Str("event", "quarantine").Str("team", id.Team).Stringer("content", id).Stringer("status", e.Status).
 		Int("crashes", e.Crashes).Int("failed_trials", e.FailedTrials).Int64("left_s", int64(e.Left.Seconds())).Str("why", reason).Msg("quarantine status of a content changed")
@@ -247,7 +247,7 @@
 // notice returns the decoded notice.
 func (s *statusNotice) notice() quarantine.Notice {
 	return quarantine.Notice{
-		ID: quarantine.ContentID{Team: s.Team, Hash: s.Hash}, Status: s.Status, Version: s.Version,
+		ID: quarantine.Key{Team: s.Team, Hash: s.Hash}, Status: s.Status, Version: s.Version,
 		Left: time.Duration(s.LeftS) * time.Second, FailedTrials: int(s.FailedTrials),
 	}
 }
--- a/fleet/quarantine_test.go
+++ b/fleet/quarantine_test.go
@@ -17,13 +17,13 @@
 // timeToCrash is the time from sending a request to the crash of its upstream.
 const timeToCrash = 50 * time.Millisecond
 
-func crashingContent(team string) quarantine.ContentID {
-	return quarantine.NewContentID(team, "POST", "h", "/", nil)
+func crashingContent(team string) quarantine.Key {
+	return quarantine.NewContentKey(team, "POST", "h", "/", nil)
 }
 
 // crashUpstreams reports consecutive crashes of different upstreams that handle a content.
 // The routers take turns to report them.
-func crashUpstreams(all []*member, id quarantine.ContentID, first, upstreams int) {
+func crashUpstreams(all []*member, id quarantine.Key, first, upstreams int) {
 	for i := range upstreams {
 		time.Sleep(2 * timeToCrash)
 		all[i%len(all)].node.ReportCrash(id, dispatch.Incarnation{ID: fmt.Sprint("u", first+i)}, timeToCrash)
@@ -31,7 +31,7 @@
 }
 
 // countStatuses returns the number of routers at which the content has each status.
-func countStatuses(all []*member, id quarantine.ContentID) map[quarantine.Status]int {
+func countStatuses(all []*member, id quarantine.Key) map[quarantine.Status]int {
 	out := map[quarantine.Status]int{}
 	for _, m := range all {
 		out[m.node.Quarantine().Status(id)]++
--- a/fleet/trial.go
+++ b/fleet/trial.go
@@ -11,7 +11,7 @@
 // trialEvent asks the control goroutine whether a request with a quarantined content may be
 // sent as a trial.
 type trialEvent struct {
-	id     quarantine.ContentID
+	id     quarantine.Key
 	answer chan bool
 }
 
@@ -26,7 +26,7 @@
 const trialAnswerTimeout = 100 * time.Millisecond
 
 // RequestTrial implements gateway.Placer.
-func (n *Node) RequestTrial(ctx context.Context, id quarantine.ContentID) bool {
+func (n *Node) RequestTrial(ctx context.Context, id quarantine.Key) bool {
 	answer := make(chan bool, 1)
 	n.post(trialEvent{id: id, answer: answer})
 	select {
@@ -57,7 +57,7 @@
 // handleTrialMessage decides on a trial that a peer asks for, or passes the hub's answer to the
 // request that waits for it.
 func (n *Node) handleTrialMessage(now boottime.Time, from *member, m *trialMessage) {
-	id := quarantine.ContentID{Team: m.Team, Hash: m.Hash}
+	id := quarantine.Key{Team: m.Team, Hash: m.Hash}
 	if !m.Answer {
 		granted := n.quarantine.table.GrantTrial(time.Duration(now), id)
 		n.sendTrialMessage(from, trialMessage{Team: m.Team, Hash: m.Hash, Answer: true, Granted: granted})
--- a/fleet/trial_test.go
+++ b/fleet/trial_test.go
@@ -14,7 +14,7 @@
 
 // requestTrials requests a trial from each router every 100 ms for a duration. It calls
 // granted for each trial that is granted, and returns their number.
-func requestTrials(all []*member, id quarantine.ContentID, duration time.Duration, granted func(*member)) int {
+func requestTrials(all []*member, id quarantine.Key, duration time.Duration, granted func(*member)) int {
 	n := 0
 	for until := time.Now().Add(duration); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
 		for _, m := range all {
--- a/gateway/broken_conn.go
+++ b/gateway/broken_conn.go
@@ -11,29 +11,29 @@
 	"github.com/aspenswitch/aspenswitch/quarantine"
 )
 
-// ensureContentID returns the request's content ID. The first call must come before the
+// ensureContentKey returns the request's content key. The first call must come before the
 // body is released.
-func (r *request) ensureContentID() quarantine.ContentID {
-	if !r.hasContentID {
-		r.hasContentID = true
-		r.contentID = quarantine.NewContentID(r.teamName(), r.in.Method, r.in.Host, r.in.RequestURI, r.body)
+func (r *request) ensureContentKey() quarantine.Key {
+	if !r.hasContentKey {
+		r.hasContentKey = true
+		r.contentKey = quarantine.NewContentKey(r.teamName(), r.in.Method, r.in.Host, r.in.RequestURI, r.body)
 	}
-	return r.contentID
+	return r.contentKey
 }
 
 // reportBrokenConn reports and logs that an upstream closed or reset the connection while
-// it was handling the request. A crash breaks every request on the upstream; the content ID
+// it was handling the request. A crash breaks every request on the upstream; the content key
 // shows which of them breaks on each upstream that it is sent to.
 func (s *Server) reportBrokenConn(r *request, err error) {
 	if !closedByUpstream(err) {
 		return
 	}
-	contentID := r.ensureContentID()
+	contentKey := r.ensureContentKey()
 	r.crashes++
-	s.placer.ReportCrash(contentID, r.sentTo, time.Since(r.sentAt))
-	r.record.content = contentID.String()
+	s.placer.ReportCrash(contentKey, r.sentTo, time.Since(r.sentAt))
+	r.record.content = contentKey.String()
 	s.log.Warn("upstream_broke", func(e *obs.Event) {
-		e.Str("request", r.id).Str("route", r.record.route).Str("team", contentID.Team).Stringer("content", contentID).
+		e.Str("request", r.id).Str("route", r.record.route).Str("team", contentKey.Team).Stringer("content", contentKey).
 			Str("upstream", r.sentTo.ID).Int64("started", r.sentTo.Started).
 			Int64("ran_ms", time.Since(r.sentAt).Milliseconds()).Int64("events", r.events).Str("parts", r.partIDs()).Err(err).
 			Msg("upstream closed the connection while handling a request")
--- a/gateway/deps.go
+++ b/gateway/deps.go
@@ -50,12 +50,12 @@
 	StreamVersion(ctx context.Context, service, attempt string, window time.Duration) resumption.Decision
 	// ReportCrash reports that an upstream closed the connection after it had been handling
 	// a request for the time ran.
-	ReportCrash(id quarantine.ContentID, upstream dispatch.Incarnation, ran time.Duration)
+	ReportCrash(id quarantine.Key, upstream dispatch.Incarnation, ran time.Duration)
 	// ReportSuccess reports that a request received a complete response from an upstream.
-	ReportSuccess(id quarantine.ContentID, from dispatch.Incarnation)
+	ReportSuccess(id quarantine.Key, from dispatch.Incarnation)
 	// RequestTrial reports whether a request with a quarantined content may be sent as a
 	// trial, to find out whether the content still crashes upstreams.
-	RequestTrial(ctx context.Context, id quarantine.ContentID) bool
+	RequestTrial(ctx context.Context, id quarantine.Key) bool
 	// Quarantine returns the current statuses of contents; nil means that all are normal.
 	Quarantine() *quarantine.View
 	// Routers returns the largest number of live routers seen at any time since the start of
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -128,7 +128,7 @@
 	return append([]dispatch.Outcome(nil), p.outcomes...)
 }
 
-func (p *fakePlacer) RequestTrial(context.Context, quarantine.ContentID) bool {
+func (p *fakePlacer) RequestTrial(context.Context, quarantine.Key) bool {
 	return p.grantTrial.Swap(false)
 }
 
@@ -138,7 +138,7 @@
 	p.leaving = append(p.leaving, upstream)
 }
 
-func (p *fakePlacer) ReportCrash(id quarantine.ContentID, _ dispatch.Incarnation, _ time.Duration) {
+func (p *fakePlacer) ReportCrash(id quarantine.Key, _ dispatch.Incarnation, _ time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.table == nil {
@@ -149,7 +149,7 @@
 	p.table.RecordCrash(now, quarantine.Crash{ID: id, Upstream: uint32(p.crashes), Sent: now})
 }
 
-func (p *fakePlacer) ReportSuccess(id quarantine.ContentID, _ dispatch.Incarnation) {
+func (p *fakePlacer) ReportSuccess(id quarantine.Key, _ dispatch.Incarnation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.table != nil {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -14,7 +14,7 @@
 	if view.Empty() {
 		return quarantine.Normal
 	}
-	return view.Status(r.ensureContentID())
+	return view.Status(r.ensureContentKey())
 }
 
 // refuseQuarantined rejects a request whose content is in quarantine, unless it may be sent
@@ -25,10 +25,10 @@
 		return nil
 	}
 	// Only a first attempt can be a trial.
-	if r.trial = len(r.tried) == 0 && s.placer.RequestTrial(r.ctx, r.contentID); r.trial {
+	if r.trial = len(r.tried) == 0 && s.placer.RequestTrial(r.ctx, r.contentKey); r.trial {
 		return nil
 	}
-	r.record.content = r.contentID.String()
+	r.record.content = r.contentKey.String()
 	s.stats.quarantined.Inc(1)
 	return &refusal{
 		status: http.StatusBadGateway, outcome: retry.NotRun, code: "quarantined",
@@ -49,5 +49,5 @@
 // reportSuccess reports a complete response. It is reported even if no content has crashes
 // yet: a recent success clears content that many callers share when upstreams crash.
 func (s *Server) reportSuccess(r *request) {
-	s.placer.ReportSuccess(r.ensureContentID(), r.sentTo)
+	s.placer.ReportSuccess(r.ensureContentKey(), r.sentTo)
 }
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -63,7 +63,7 @@
 	g.Expect(r.requests()).To(HaveLen(3))
 
 	other := newCrashingHarness(t, "/safe/bad")
-	id := quarantine.NewContentID("schools", http.MethodPost, "h", "/safe/bad", []byte("hello"))
+	id := quarantine.NewContentKey("schools", http.MethodPost, "h", "/safe/bad", []byte("hello"))
 	other.placer.ReportCrash(id, dispatch.Incarnation{ID: "u9"}, 0)
 	_, _, _ = other.call("/safe/bad", nil)
 	g.Expect(other.requests()).To(HaveLen(1), "another router has reported a crash before")
@@ -76,7 +76,7 @@
 	for range 2 {
 		_, _, _ = r.call("/unsafe/bad", nil)
 	}
-	id := quarantine.NewContentID("schools", http.MethodPost, "h", "/unsafe/bad", []byte("hello"))
+	id := quarantine.NewContentKey("schools", http.MethodPost, "h", "/unsafe/bad", []byte("hello"))
 	r.placer.beforePlace = func() { r.placer.ReportCrash(id, dispatch.Incarnation{ID: "u9"}, 0) }
 	resp, body, err := r.call("/unsafe/bad", nil)
 	g.Expect(err).NotTo(HaveOccurred())
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -35,9 +35,9 @@
 	parts        []dispatch.Part
 	// regions are the regions whose upstreams may serve the request, nil for all.
 	regions []string
-	// contentID is computed on first use and is valid if hasContentID is set.
-	contentID    quarantine.ContentID
-	hasContentID bool
+	// contentKey is computed on first use and is valid if hasContentKey is set.
+	contentKey    quarantine.Key
+	hasContentKey bool
 	// sentTo is the upstream of the latest attempt, which was sent at sentAt.
 	sentTo dispatch.Incarnation
 	sentAt time.Time
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -45,9 +45,9 @@
 	defer a.Close()
 	if !r.route.Repeatable() {
 		// The body won't be sent again. Keeping it would hold hundreds of prompts in memory
-		// for as long as their responses run. The content ID is computed first, since it is
+		// for as long as their responses run. The content key is computed first, since it is
 		// needed if the response is interrupted.
-		r.ensureContentID()
+		r.ensureContentKey()
 		r.body, call.Body = nil, nil
 	}
 	r.tried = append(r.tried, id)
--- a/gateway/stream_end_test.go
+++ b/gateway/stream_end_test.go
@@ -110,7 +110,7 @@
 	for _, path := range []string{"/stream/", "/resume/"} {
 		g := NewWithT(t)
 		r := newHarness(t, map[string]script{"u1": ending{framing: eventstream.Connection, eol: "\n", partial: "id: 4"}.script(1, 3)})
-		content := quarantine.NewContentID("schools", http.MethodPost, "h", path, []byte("hello"))
+		content := quarantine.NewContentKey("schools", http.MethodPost, "h", path, []byte("hello"))
 		for range 2 {
 			_, _, _ = r.call(path, nil)
 		}
--- a/quarantine/bounds.go
+++ b/quarantine/bounds.go
@@ -7,14 +7,14 @@
 //
 // A team at its limit can only evict its own entries, so that a team with many crashing
 // contents doesn't displace those of other teams.
-func (t *Table) add(id ContentID) *entry {
+func (t *Table) add(id Key) *entry {
 	switch {
 	case t.perTeam[id.Team] >= t.cfg.MaxPerTeam:
-		if !t.evict(func(other ContentID) bool { return other.Team == id.Team }) {
+		if !t.evict(func(other Key) bool { return other.Team == id.Team }) {
 			return nil
 		}
 	case len(t.entries) >= t.cfg.MaxEntries:
-		if !t.evict(func(ContentID) bool { return true }) {
+		if !t.evict(func(Key) bool { return true }) {
 			return nil
 		}
 	}
@@ -26,8 +26,8 @@
 
 // evict removes the eligible entry with the least evidence against it. It never removes an
 // entry in quarantine, and returns false if there is no other.
-func (t *Table) evict(eligible func(ContentID) bool) bool {
-	var victim ContentID
+func (t *Table) evict(eligible func(Key) bool) bool {
+	var victim Key
 	var weakest *entry
 	for id, e := range t.entries {
 		if eligible(id) && e.status != Quarantined && (weakest == nil || e.compare(weakest) < 0) {
@@ -46,7 +46,7 @@
 	return cmp.Or(cmp.Compare(e.status, o.status), cmp.Compare(e.crashes, o.crashes), cmp.Compare(e.lastCrash, o.lastCrash))
 }
 
-func (t *Table) remove(id ContentID) {
+func (t *Table) remove(id Key) {
 	t.stale = true
 	delete(t.entries, id)
 	if t.perTeam[id.Team]--; t.perTeam[id.Team] == 0 {
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -3,7 +3,7 @@
 // starts no goroutines; the time is always an argument.
 //
 // A content is what all requests with the same team, method, host, URI and body have in
-// common; ContentID identifies it. A trial is a request with a quarantined content that is
+// common; Key identifies it. A trial is a request with a quarantined content that is
 // sent to find out whether it still crashes upstreams. The hub of a content is the router
 // that counts its crashes across the fleet and grants its trials (see package fleet).
 package quarantine
--- a/quarantine/content.go
+++ b/quarantine/key.go
@@ -11,9 +11,9 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("quarantine")
 
-// ContentID identifies a request by its content. It is the same for all request IDs,
+// Key identifies a request by its content. It is the same for all request IDs,
 // attempts and routers.
-type ContentID struct {
+type Key struct {
 	// Team is compared in full and is not hashed, so that a hash collision can't affect
 	// the requests of another team. It is empty for all callers of public routes.
 	Team string
@@ -21,8 +21,8 @@
 	Hash uint64
 }
 
-// NewContentID returns the content ID of a request.
-func NewContentID(team, method, host, uri string, body []byte) ContentID {
+// NewContentKey returns the content key of a request.
+func NewContentKey(team, method, host, uri string, body []byte) Key {
 	h := xxhash.New()
 	for _, field := range []string{method, host, uri} {
 		// The length prefix keeps adjacent fields from being confused.
@@ -32,17 +32,17 @@
 		_, _ = h.WriteString(field)
 	}
 	_, _ = h.Write(body)
-	return ContentID{Team: team, Hash: h.Sum64()}
+	return Key{Team: team, Hash: h.Sum64()}
 }
 
-// ParseContentID returns the content ID for a team and a hash in the format of String.
-func ParseContentID(team, hash string) (ContentID, error) {
+// ParseContentKey returns the content key for a team and a hash in the format of String.
+func ParseContentKey(team, hash string) (Key, error) {
 	n, err := strconv.ParseUint(hash, 16, 64)
 	if err != nil {
-		return ContentID{}, Error.New("content %q: must be up to 16 hexadecimal digits", hash)
+		return Key{}, Error.New("content %q: must be up to 16 hexadecimal digits", hash)
 	}
-	return ContentID{Team: team, Hash: n}, nil
+	return Key{Team: team, Hash: n}, nil
 }
 
 // String returns the hash in hexadecimal, without the team.
-func (c ContentID) String() string { return strconv.FormatUint(c.Hash, 16) }
+func (c Key) String() string { return strconv.FormatUint(c.Hash, 16) }
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -25,7 +25,7 @@
 	// lastIncarnation is the latest incarnation number given to an upstream.
 	lastIncarnation uint32
 	// crashingID is the content that crashes every upstream that handles it.
-	crashingID quarantine.ContentID
+	crashingID quarantine.Key
 	// crashTimes and sendTimes are when requests with crashingID crashed an upstream and
 	// were sent. rejected and total count the other requests.
 	crashTimes, sendTimes []time.Duration
@@ -41,7 +41,7 @@
 }
 
 type simRequest struct {
-	id       quarantine.ContentID
+	id       quarantine.Key
 	router   int
 	sent     time.Duration
 	upstream *simUpstream
@@ -69,7 +69,7 @@
 func (s *simulation) after(d time.Duration, do func()) { heap.Push(&s.queue, simEvent{s.now + d, do}) }
 
 func newSimulation(seed uint64, routers, upstreams int) *simulation {
-	s := &simulation{rnd: rand.New(rand.NewPCG(seed, 0)), now: start, crashingID: newContentID(0)}
+	s := &simulation{rnd: rand.New(rand.NewPCG(seed, 0)), now: start, crashingID: newContentKey(0)}
 	for range routers {
 		s.tables = append(s.tables, quarantine.NewTable(quarantine.DefaultConfig()))
 		s.successes = append(s.successes, &quarantine.RecentSuccesses{})
@@ -106,7 +106,7 @@
 }
 
 // request sends a new request to a random router.
-func (s *simulation) request(id quarantine.ContentID) {
+func (s *simulation) request(id quarantine.Key) {
 	s.attempt(&simRequest{id: id, router: s.rnd.IntN(len(s.tables))})
 }
 
@@ -176,7 +176,7 @@
 }
 
 // report updates the tables of the observing router and of the content's hub.
-func (s *simulation) report(router int, id quarantine.ContentID, update func(*quarantine.Table) (quarantine.Notice, bool)) {
+func (s *simulation) report(router int, id quarantine.Key, update func(*quarantine.Table) (quarantine.Notice, bool)) {
 	s.update(router, update)
 	if hub := s.hub(id); hub != router {
 		s.after(s.delay(), func() { s.update(hub, update) })
@@ -184,7 +184,7 @@
 }
 
 // hub returns the router that counts the crashes of a content and grants its trials.
-func (s *simulation) hub(id quarantine.ContentID) int { return int(id.Hash % uint64(len(s.tables))) }
+func (s *simulation) hub(id quarantine.Key) int { return int(id.Hash % uint64(len(s.tables))) }
 
 // update updates a router's table and notifies the other routers of a status change.
 func (s *simulation) update(router int, update func(*quarantine.Table) (quarantine.Notice, bool)) {
@@ -222,9 +222,9 @@
 	unique := 1000
 	s.repeat(250, until, func() {
 		unique++
-		id := newContentID(unique)
+		id := newContentKey(unique)
 		if s.rnd.IntN(10) == 0 {
-			id = newContentID(1 + s.rnd.IntN(20))
+			id = newContentKey(1 + s.rnd.IntN(20))
 		}
 		s.request(id)
 	})
@@ -289,11 +289,11 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			g := NewWithT(t)
 			s := newSimulation(seed, 5, 6)
-			shared := newContentID(1)
+			shared := newContentKey(1)
 			end := start + 40*second
 			s.repeat(4, end, func() { s.request(shared) })
 			s.after(5*second, func() { s.crashingID = shared })
-			s.after(7*second, func() { s.crashingID = newContentID(0) })
+			s.after(7*second, func() { s.crashingID = newContentKey(0) })
 			s.run(end)
 			t.Logf("%d crashes, %d requests rejected", len(s.crashTimes), s.rejected)
 			for _, table := range s.tables {
--- a/quarantine/status.go
+++ b/quarantine/status.go
@@ -30,7 +30,7 @@
 // Crash reports one request that was interrupted because its upstream closed the connection.
 // A crash of the upstream's process yields one Crash for each request that it was handling.
 type Crash struct {
-	ID ContentID
+	ID Key
 	// Upstream identifies the upstream's incarnation.
 	Upstream uint32
 	// Sent is when the request was sent to the upstream.
@@ -39,7 +39,7 @@
 
 // Notice informs other routers of the status of a content.
 type Notice struct {
-	ID     ContentID
+	ID     Key
 	Status Status
 	// Version is incremented with each status change. The notice with the higher version
 	// takes precedence; with equal versions, the more severe status does.
@@ -52,7 +52,7 @@
 
 // Entry describes the state of a content in a Table.
 type Entry struct {
-	ID      ContentID
+	ID      Key
 	Status  Status
 	Crashes int
 	// FailedTrials is the number of failed trials in the current quarantine.
--- a/quarantine/successes.go
+++ b/quarantine/successes.go
@@ -5,8 +5,8 @@
 // RecentSuccesses records the contents of requests that recently received a complete
 // response. It keeps at most maxSuccesses contents, evicting the oldest first.
 type RecentSuccesses struct {
-	times map[ContentID]time.Duration
-	ring  []ContentID
+	times map[Key]time.Duration
+	ring  []Key
 	next  int
 }
 
@@ -18,9 +18,9 @@
 )
 
 // Add records a success.
-func (s *RecentSuccesses) Add(now time.Duration, id ContentID) {
+func (s *RecentSuccesses) Add(now time.Duration, id Key) {
 	if s.times == nil {
-		s.times = map[ContentID]time.Duration{}
+		s.times = map[Key]time.Duration{}
 	}
 	if _, known := s.times[id]; !known {
 		s.insert(id)
@@ -29,7 +29,7 @@
 }
 
 // insert adds a content to the ring, replacing the one that was inserted first if it is full.
-func (s *RecentSuccesses) insert(id ContentID) {
+func (s *RecentSuccesses) insert(id Key) {
 	if len(s.ring) < maxSuccesses {
 		s.ring = append(s.ring, id)
 		return
@@ -40,7 +40,7 @@
 }
 
 // SucceededRecently reports whether a request with the content succeeded within SuccessWindow.
-func (s *RecentSuccesses) SucceededRecently(now time.Duration, id ContentID) bool {
+func (s *RecentSuccesses) SucceededRecently(now time.Duration, id Key) bool {
 	at, known := s.times[id]
 	return known && now-at <= SuccessWindow
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -13,7 +13,7 @@
 // Table isn't safe for concurrent use.
 type Table struct {
 	cfg     Config
-	entries map[ContentID]*entry
+	entries map[Key]*entry
 	perTeam map[string]int
 	view    *View
 	digest  uint16
@@ -45,7 +45,7 @@
 
 // NewTable returns an empty table.
 func NewTable(cfg Config) *Table {
-	return &Table{cfg: cfg, entries: map[ContentID]*entry{}, perTeam: map[string]int{}, view: &View{}}
+	return &Table{cfg: cfg, entries: map[Key]*entry{}, perTeam: map[string]int{}, view: &View{}}
 }
 
 // RecordCrash records a crash. It returns a notice for the other routers if the status of
@@ -82,7 +82,7 @@
 }
 
 // updateStatus derives the status from the number of crashes.
-func (t *Table) updateStatus(now time.Duration, id ContentID, e *entry) (Notice, bool) {
+func (t *Table) updateStatus(now time.Duration, id Key, e *entry) (Notice, bool) {
 	before := e.status
 	switch {
 	case e.crashes >= t.cfg.QuarantineAfter:
@@ -105,7 +105,7 @@
 // Clear resets a content to Normal after a request with it received a complete
 // response, or after an operator released it. It returns a notice for the other routers if
 // the status has changed.
-func (t *Table) Clear(now time.Duration, id ContentID) (Notice, bool) {
+func (t *Table) Clear(now time.Duration, id Key) (Notice, bool) {
 	e := t.entries[id]
 	if e == nil {
 		return Notice{}, false
@@ -172,7 +172,7 @@
 }
 
 // Get returns the state of a content.
-func (t *Table) Get(now time.Duration, id ContentID) Entry {
+func (t *Table) Get(now time.Duration, id Key) Entry {
 	e := t.entries[id]
 	if e == nil {
 		return Entry{ID: id}
@@ -194,7 +194,7 @@
 	return all
 }
 
-func (t *Table) notice(now time.Duration, id ContentID, e *entry) Notice {
+func (t *Table) notice(now time.Duration, id Key, e *entry) Notice {
 	return Notice{ID: id, Status: e.status, Version: e.version, Left: e.expires - now, FailedTrials: e.failedTrials}
 }
 
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -16,18 +16,18 @@
 	start  = time.Hour
 )
 
-func newContentID(n int) quarantine.ContentID {
-	return quarantine.NewContentID("schools", "POST", "h", fmt.Sprint("/", n), nil)
+func newContentKey(n int) quarantine.Key {
+	return quarantine.NewContentKey("schools", "POST", "h", fmt.Sprint("/", n), nil)
 }
 
 // newCrash returns a crash at now, of a request that was sent 100 ms earlier.
-func newCrash(id quarantine.ContentID, upstream uint32, now time.Duration) quarantine.Crash {
+func newCrash(id quarantine.Key, upstream uint32, now time.Duration) quarantine.Crash {
 	return quarantine.Crash{ID: id, Upstream: upstream, Sent: now - 100*time.Millisecond}
 }
 
 // recordCrashes records crashes of n upstreams one second apart, and returns the time one
 // second after the last.
-func recordCrashes(t *quarantine.Table, id quarantine.ContentID, from time.Duration, first uint32, n int) time.Duration {
+func recordCrashes(t *quarantine.Table, id quarantine.Key, from time.Duration, first uint32, n int) time.Duration {
 	for i := range n {
 		t.RecordCrash(from, newCrash(id, first+uint32(i), from))
 		from += second
@@ -38,7 +38,7 @@
 // Guards against sending a content that has crashed three upstreams in a row.
 func TestThirdConsecutiveCrashQuarantines(t *testing.T) {
 	g := NewWithT(t)
-	table, id := quarantine.NewTable(quarantine.DefaultConfig()), newContentID(1)
+	table, id := quarantine.NewTable(quarantine.DefaultConfig()), newContentKey(1)
 	var got []quarantine.Status
 	for i := range 4 {
 		now := start + time.Duration(i)*second
@@ -46,39 +46,39 @@
 		got = append(got, table.View().Status(id))
 	}
 	g.Expect(got).To(Equal([]quarantine.Status{quarantine.Normal, quarantine.Suspect, quarantine.Quarantined, quarantine.Quarantined}))
-	g.Expect(table.View().Status(newContentID(2))).To(Equal(quarantine.Normal))
+	g.Expect(table.View().Status(newContentKey(2))).To(Equal(quarantine.Normal))
 }
 
 // Guards against quarantining a content for crashes that it didn't cause.
 func TestCrashesThatDoNotCount(t *testing.T) {
-	for name, record := range map[string]func(*quarantine.Table, quarantine.ContentID){
-		"repeated crashes of one incarnation": func(table *quarantine.Table, id quarantine.ContentID) {
+	for name, record := range map[string]func(*quarantine.Table, quarantine.Key){
+		"repeated crashes of one incarnation": func(table *quarantine.Table, id quarantine.Key) {
 			for i := range 5 {
 				now := start + time.Duration(i)*second
 				table.RecordCrash(now, newCrash(id, 1, now))
 			}
 		},
-		"simultaneous crashes in a failure domain": func(table *quarantine.Table, id quarantine.ContentID) {
+		"simultaneous crashes in a failure domain": func(table *quarantine.Table, id quarantine.Key) {
 			for i := range 5 {
 				now := start + time.Duration(i)*time.Millisecond
 				table.RecordCrash(now, newCrash(id, uint32(i), now))
 			}
 		},
-		"crashes with successes in between": func(table *quarantine.Table, id quarantine.ContentID) {
+		"crashes with successes in between": func(table *quarantine.Table, id quarantine.Key) {
 			for i := range 5 {
 				now := start + time.Duration(i)*second
 				table.RecordCrash(now, newCrash(id, uint32(i), now))
 				table.Clear(now+second/2, id)
 			}
 		},
-		"crashes of requests sent before the last success": func(table *quarantine.Table, id quarantine.ContentID) {
+		"crashes of requests sent before the last success": func(table *quarantine.Table, id quarantine.Key) {
 			table.RecordCrash(start, newCrash(id, 1, start))
 			table.Clear(start, id)
 			for i := range 5 {
 				table.RecordCrash(start+time.Duration(i)*second, quarantine.Crash{ID: id, Upstream: uint32(2 + i), Sent: start - second})
 			}
 		},
-		"crashes that have expired": func(table *quarantine.Table, id quarantine.ContentID) {
+		"crashes that have expired": func(table *quarantine.Table, id quarantine.Key) {
 			for i := range 5 {
 				now := start + time.Duration(i)*time.Hour
 				table.Expire(now)
@@ -88,8 +88,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			table := quarantine.NewTable(quarantine.DefaultConfig())
-			record(table, newContentID(1))
-			NewWithT(t).Expect(table.View().Status(newContentID(1))).To(Equal(quarantine.Normal))
+			record(table, newContentKey(1))
+			NewWithT(t).Expect(table.View().Status(newContentKey(1))).To(Equal(quarantine.Normal))
 		})
 	}
 }
@@ -98,7 +98,7 @@
 func TestTrialDelayGrowsWithEachFailedTrial(t *testing.T) {
 	g := NewWithT(t)
 	cfg := quarantine.DefaultConfig()
-	table, id := quarantine.NewTable(cfg), newContentID(1)
+	table, id := quarantine.NewTable(cfg), newContentKey(1)
 	now := recordCrashes(table, id, start, 1, 3) - second
 	g.Expect(table.GrantTrial(now, id)).To(BeFalse())
 	for i, delay := range append(cfg.TrialDelays, cfg.TrialDelays[len(cfg.TrialDelays)-1]) {
@@ -119,7 +119,7 @@
 func TestSuccessfulTrialEndsQuarantine(t *testing.T) {
 	g := NewWithT(t)
 	cfg := quarantine.DefaultConfig()
-	table, id := quarantine.NewTable(cfg), newContentID(1)
+	table, id := quarantine.NewTable(cfg), newContentKey(1)
 	now := recordCrashes(table, id, start, 1, 3) + cfg.TrialDelays[0]
 	g.Expect(table.GrantTrial(now, id)).To(BeTrue())
 	g.Expect(table.GrantTrial(now+cfg.TrialTimeout, id)).To(BeTrue(), "the first trial has timed out")
@@ -134,20 +134,20 @@
 func TestOneTeamCannotEvictOthers(t *testing.T) {
 	g := NewWithT(t)
 	cfg := quarantine.DefaultConfig()
-	table, id := quarantine.NewTable(cfg), newContentID(1)
+	table, id := quarantine.NewTable(cfg), newContentKey(1)
 	now := recordCrashes(table, id, start, 1, 3)
-	other := quarantine.NewContentID("homes", "POST", "h", "/", nil)
+	other := quarantine.NewContentKey("homes", "POST", "h", "/", nil)
 	now = recordCrashes(table, other, now, 1, 2)
 	for i := range 10 * cfg.MaxEntries {
 		now += time.Millisecond
-		table.RecordCrash(now, newCrash(newContentID(100+i), uint32(i), now))
+		table.RecordCrash(now, newCrash(newContentKey(100+i), uint32(i), now))
 	}
 	g.Expect(table.View().Status(id)).To(Equal(quarantine.Quarantined))
 	g.Expect(table.View().Status(other)).To(Equal(quarantine.Suspect))
 	for team := range 100 {
 		for i := range 100 {
 			now += time.Millisecond
-			flood := quarantine.NewContentID(fmt.Sprint("team", team), "POST", "h", fmt.Sprint("/", i), nil)
+			flood := quarantine.NewContentKey(fmt.Sprint("team", team), "POST", "h", fmt.Sprint("/", i), nil)
 			table.RecordCrash(now, newCrash(flood, uint32(i), now))
 		}
 	}
@@ -168,7 +168,7 @@
 		for i := range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			now += time.Duration(rapid.IntRange(0, 500).Draw(rt, "gap")) * time.Millisecond
 			table := tables[rapid.IntRange(0, routers-1).Draw(rt, "router")]
-			id := newContentID(rapid.IntRange(0, 2).Draw(rt, "content"))
+			id := newContentKey(rapid.IntRange(0, 2).Draw(rt, "content"))
 			var notice quarantine.Notice
 			changed := false
 			switch rapid.IntRange(0, 3).Draw(rt, "what") {
@@ -192,7 +192,7 @@
 		}
 		for _, table := range tables {
 			for i := range 3 {
-				if got, want := table.View().Status(newContentID(i)), tables[0].View().Status(newContentID(i)); got != want {
+				if got, want := table.View().Status(newContentKey(i)), tables[0].View().Status(newContentKey(i)); got != want {
 					rt.Fatalf("content %d has status %v at one router and %v at another", i, got, want)
 				}
 			}
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -15,7 +15,7 @@
 //
 // Quarantined requests can't succeed, since they aren't sent. Without trials, a content that
 // was interrupted by unrelated crashes would be refused until its quarantine expires.
-func (t *Table) TrialDue(now time.Duration, id ContentID) bool {
+func (t *Table) TrialDue(now time.Duration, id Key) bool {
 	e := t.entries[id]
 	if e == nil || e.status != Quarantined || now < e.nextTrialAt {
 		return false
@@ -25,7 +25,7 @@
 
 // GrantTrial grants a trial if one is due, and reports whether it did. Only the hub of a
 // content may call it, so that the routers don't send trials concurrently.
-func (t *Table) GrantTrial(now time.Duration, id ContentID) bool {
+func (t *Table) GrantTrial(now time.Duration, id Key) bool {
 	if !t.TrialDue(now, id) {
 		return false
 	}
--- a/quarantine/view.go
+++ b/quarantine/view.go
@@ -9,7 +9,7 @@
 // View is an immutable snapshot of the statuses in a Table.
 type View struct {
 	// statuses has every content with a counted crash, including those with status Normal.
-	statuses map[ContentID]Status
+	statuses map[Key]Status
 }
 
 // Empty reports whether the view has no contents, so that no lookup is needed.
@@ -17,7 +17,7 @@
 
 // HasCrashes reports whether crashes are counted against the content, so that a success
 // must be reported.
-func (v *View) HasCrashes(id ContentID) bool {
+func (v *View) HasCrashes(id Key) bool {
 	if v == nil {
 		return false
 	}
@@ -26,7 +26,7 @@
 }
 
 // Status returns the status of a content.
-func (v *View) Status(id ContentID) Status {
+func (v *View) Status(id Key) Status {
 	if v == nil {
 		return Normal
 	}
@@ -52,7 +52,7 @@
 		return
 	}
 	t.stale = false
-	t.view, t.digest = &View{statuses: map[ContentID]Status{}}, 0
+	t.view, t.digest = &View{statuses: map[Key]Status{}}, 0
 	for id, e := range t.entries {
 		if e.crashes > 0 {
 			t.view.statuses[id] = e.status
@@ -63,7 +63,7 @@
 	}
 }
 
-func (e *entry) digest(id ContentID) uint16 {
+func (e *entry) digest(id Key) uint16 {
 	raw := binary.LittleEndian.AppendUint64(nil, id.Hash)
 	raw = binary.LittleEndian.AppendUint32(raw, e.version)
 	raw = append(raw, byte(e.status))
