--- a/gateway/broken_conn.go
+++ b/gateway/broken_conn.go
@@ -35,7 +35,7 @@
 	s.log.Warn("upstream_broke", func(e *obs.Event) {
 		e.Str("request", r.id).Str("route", r.record.route).Str("team", contentKey.Team).Stringer("content", contentKey).
 			Str("upstream", r.sentTo.ID).Int64("started", r.sentTo.Started).
-			Int64("ran_ms", time.Since(r.sentAt).Milliseconds()).Int64("events", r.events).Str("parts", r.partIDs()).Err(err).
+			Int64("ran_ms", time.Since(r.sentAt).Milliseconds()).Int64("events", r.events).Bool("answer_started", r.answerStarted).Str("parts", r.partIDs()).Err(err).
 			Msg("upstream closed the connection while handling a request")
 	})
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -103,8 +103,8 @@
 
 // relayEvents forwards a stream. It returns nil if the stream is complete, and an
 // *eventstream.IncompleteError if it isn't. onFirstByte is called when the first bytes of the
-// body arrive.
-func (l *relay) relayEvents(a *upstream.Response, onFirstByte func()) error {
+// body arrive, onStarted when eventsOfStartedAnswer events have come.
+func (l *relay) relayEvents(a *upstream.Response, onFirstByte, onStarted func()) error {
 	resumed, kind := l.started, contentOf(a)
 	if resumed && kind == otherContent {
 		return errNoEventStream
@@ -112,7 +112,7 @@
 	l.unsized = kind != otherContent && a.Framing != eventstream.NoBody
 	l.events.Reset()
 	buf := make([]byte, streamBufferBytes)
-	first := true
+	first, started := true, false
 	for {
 		n, err := a.Read(buf)
 		if n > 0 {
@@ -120,7 +120,12 @@
 				first = false
 				onFirstByte()
 			}
-			if werr := l.forward(a, buf[:n], resumed, kind); werr != nil {
+			werr := l.forward(a, buf[:n], resumed, kind)
+			if !started && l.events.Scanner().Events() >= eventsOfStartedAnswer {
+				started = true
+				onStarted()
+			}
+			if werr != nil {
 				return werr
 			}
 		}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -41,8 +41,10 @@
 	// sentTo is the upstream of the latest attempt, which was sent at sentAt.
 	sentTo dispatch.Incarnation
 	sentAt time.Time
-	// events is the number of complete events that the latest attempt has brought.
-	events int64
+	// events is the number of complete events that the latest attempt has brought. answerStarted
+	// is set once its upstream has started to answer.
+	events        int64
+	answerStarted bool
 	// sentVersion is the software version of that upstream, "" if unknown.
 	sentVersion string
 	// began is set once the caller has a part of a stream that may be resumed. version is the
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -32,7 +32,7 @@
 	r.record.upstream, r.record.version = id, u.Version
 	r.record.upstreamLeaving, r.record.upstreamRetryAfter = false, 0
 	sentAt := time.Now()
-	r.sentTo, r.sentAt, r.events = incarnation(u), sentAt, 0
+	r.sentTo, r.sentAt, r.events, r.answerStarted = incarnation(u), sentAt, 0, false
 	call := s.newCall(r, out, u)
 	if from := s.state.Snapshot().View.Upstream(d.CopyFrom); from != nil && from.Version == u.Version && s.mayCopyFrom(from) {
 		call.Header.Set(s.cfg.Headers.CopyFrom, from.Address)
