--- a/fleet/broken.go
+++ b/fleet/broken.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/boottime"
-	"github.com/aspenswitch/aspenswitch/quarantine"
 )
 
 // brokenKey is the key by which the hub of a broken upstream is chosen.
@@ -14,10 +13,10 @@
 // sentToBrokenUpstream reports whether the request was sent after its upstream was recorded as
 // broken. The proxy of an upstream that is gone accepts connections and closes them; without
 // this check, each request sent there would count as a crash of its content.
-func (q *quarantineState) sentToBrokenUpstream(c quarantine.Crash) bool {
+func (q *quarantineState) sentToBrokenUpstream(sent time.Duration, upstream uint32) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.broken.BrokenBefore(c.Sent, c.Upstream)
+	return q.broken.BrokenBefore(sent, upstream)
 }
 
 // reportBroken records a broken upstream and, if it is new, reports it to its hub, which
--- a/fleet/dump.go
+++ b/fleet/dump.go
@@ -36,8 +36,8 @@
 	Streams int          `json:"streams"`
 	Members []MemberDump `json:"members"`
 	Groups  []GroupDump  `json:"groups"`
-	// Quarantine lists the contents that are suspect or in quarantine.
-	Quarantine []ContentDump `json:"quarantine"`
+	// Quarantine lists the contents and parts that are suspect or in quarantine.
+	Quarantine []QuarantineDump `json:"quarantine"`
 }
 
 // VersionDump is the number of a service's upstreams with one software version.
@@ -49,10 +49,12 @@
 	Ready      int    `json:"ready"`
 }
 
-// ContentDump is the quarantine state of a content.
-type ContentDump struct {
+// QuarantineDump is the quarantine state of a content of a team, or of a part of prompts.
+type QuarantineDump struct {
 	Team    string `json:"team"`
 	Content string `json:"content"`
+	// Part is the ID of the part, "" for a content.
+	Part    string `json:"part,omitempty"`
 	Status  string `json:"status"`
 	Crashes int    `json:"crashes"`
 	LeftMs  int64  `json:"leftMs"`
@@ -108,9 +110,13 @@
 		d.Groups = append(d.Groups, GroupDump{Group: g.name, Home: g.home, State: g.core.State(time.Duration(now))})
 	}
 	for _, e := range n.quarantine.table.Entries(time.Duration(now)) {
-		d.Quarantine = append(d.Quarantine, ContentDump{
-			Team: e.ID.Team, Content: e.ID.String(), Status: e.Status.String(), Crashes: e.Crashes, LeftMs: e.Left.Milliseconds(),
-		})
+		held := QuarantineDump{Status: e.Status.String(), Crashes: e.Crashes, LeftMs: e.Left.Milliseconds()}
+		if e.ID.Part {
+			held.Part = e.ID.String()
+		} else {
+			held.Team, held.Content = e.ID.Team, e.ID.String()
+		}
+		d.Quarantine = append(d.Quarantine, held)
 	}
 	return d
 }
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -126,7 +126,7 @@
 	case seedsEvent:
 		n.cfg.Seeds = e.ips
 	case crashEvent:
-		n.handleCrash(now, e.crash)
+		n.handleCrash(now, e)
 	case successEvent:
 		n.clearSuspicion(now, e)
 	case trialEvent:
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -219,8 +219,8 @@
 	Window, Recent float32
 }
 
-// quarantineUpdate carries crashes and successes to the hub responsible for the content (see
-// hubFor), and notices to all members.
+// quarantineUpdate carries crashes and successes to the hub responsible for a key (see hubFor),
+// and notices to all members.
 type quarantineUpdate struct {
 	_         struct{} `cbor:",toarray"`
 	Crashes   []crashReport
@@ -229,7 +229,7 @@
 	Trial     *trialMessage
 }
 
-// trialMessage asks the hub responsible for the content (see hubFor) to grant a trial or, if
+// trialMessage asks the hub responsible for the key (see hubFor) to grant a trial or, if
 // Answer is set, carries the hub's answer.
 type trialMessage struct {
 	_       struct{} `cbor:",toarray"`
@@ -239,14 +239,14 @@
 	Granted bool
 }
 
-// successReport reports that a request with a content received a complete response.
+// successReport reports that a key is harmless.
 type successReport struct {
 	_    struct{} `cbor:",toarray"`
 	Team string
 	Hash uint64
 }
 
-// crashReport reports that an upstream crashed while handling a request with a content.
+// crashReport reports that an upstream crashed while handling a request with a key.
 type crashReport struct {
 	_        struct{} `cbor:",toarray"`
 	Team     string
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -120,6 +120,8 @@
 	}
 	n.quarantine.table = quarantine.NewTable(cfg.Quarantine)
 	n.quarantine.pendingTrials = map[quarantine.Key]*pendingTrial{}
+	n.quarantine.successes = quarantine.NewRecentSuccesses(quarantine.MaxSuccesses)
+	n.quarantine.started = quarantine.NewRecentSuccesses(quarantine.MaxSuccesses)
 	n.self = n.random.Uint64()
 	n.sharedPeakRouters.Store(1)
 	n.readsPlatform.Store(true)
--- /dev/null
+++ b/fleet/parts_test.go
@@ -0,0 +1,161 @@
+package fleet_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/fleet"
+	"github.com/aspenswitch/aspenswitch/quarantine"
+)
+
+var badPart, sharedPart = quarantine.NewPartKey(0xbad), quarantine.NewPartKey(0x5a)
+
+// crashWithParts reports consecutive crashes of different upstreams under prompts with both parts, no
+// two of one content. The routers take turns.
+func crashWithParts(all []*member, first, upstreams int) {
+	for i := range upstreams {
+		time.Sleep(3 * timeToCrash)
+		content := quarantine.NewContentKey("schools", "POST", "h", fmt.Sprint("/", first+i), nil)
+		all[i%len(all)].node.ReportCrash([]quarantine.Key{content, sharedPart, badPart}, "schools", dispatch.Incarnation{ID: fmt.Sprint("p", first+i)}, timeToCrash)
+	}
+}
+
+// startAnswers reports every 50 ms, for a duration, that an answer to a prompt with the shared part has
+// started at one of the routers.
+func startAnswers(all []*member, duration time.Duration) {
+	for i, until := 0, time.Now().Add(duration); time.Now().Before(until); i++ {
+		all[i%len(all)].node.ReportStarted([]dispatch.Part{{ID: sharedPart.Hash}}, dispatch.Incarnation{ID: "answering"})
+		time.Sleep(timeToCrash)
+	}
+}
+
+// Guards against other routers sending prompts with a part that crashes upstreams, and against refusing
+// the prompts that share another part with them.
+func TestPartIsQuarantinedAtAllRoutersAndNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		all := start(t, 7, &source{revision: 1, version: 1})
+		go startAnswers(all, 5*time.Second)
+		crashWithParts(all, 0, 5)
+		time.Sleep(propagationTime)
+		g.Expect(countStatuses(all, badPart)).To(Equal(map[quarantine.Status]int{quarantine.Quarantined: 7}))
+		g.Expect(countStatuses(all, sharedPart)).To(Equal(map[quarantine.Status]int{quarantine.Normal: 7}))
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// Guards against refusing a shared part that was quarantined beside the crashing one once its answers
+// start again, at routers that saw none of the crashes too.
+func TestWrongQuarantineOfAPartEndsWithTheNextAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		all := start(t, 7, &source{revision: 1, version: 1})
+		crashWithParts(all[:2], 0, 5)
+		time.Sleep(propagationTime)
+		g.Expect(countStatuses(all, sharedPart)).To(Equal(map[quarantine.Status]int{quarantine.Quarantined: 7}), "nothing has shown that it is harmless")
+		all[5].node.ReportStarted([]dispatch.Part{{ID: sharedPart.Hash}}, dispatch.Incarnation{ID: "answering"})
+		time.Sleep(propagationTime)
+		g.Expect(countStatuses(all, sharedPart)).To(Equal(map[quarantine.Status]int{quarantine.Normal: 7}))
+		g.Expect(countStatuses(all, badPart)).To(Equal(map[quarantine.Status]int{quarantine.Quarantined: 7}))
+	})
+}
+
+// Guards against losing the quarantine of a part with its hub, and against routers that were cut off or
+// start later and send it.
+func TestQuarantineOfAPartOutlivesRouters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &source{revision: 1, version: 1}
+		c := startCluster(t, 5, s)
+		c.net.isolate(c.all[4].addr)
+		crashWithParts(c.all[:4], 0, 5)
+		c.net.setCut(func(netip.AddrPort, netip.AddrPort) bool { return false })
+		for _, m := range c.all[1:3] { // the first is the seed of routers that start
+			m.stop()
+			<-m.done
+		}
+		c.run(5, s)
+		const repairTime = 3 * time.Second
+		time.Sleep(repairTime)
+		g.Expect(countStatuses(append(c.all[:1:1], c.all[3:]...), badPart)).To(Equal(map[quarantine.Status]int{quarantine.Quarantined: 4}))
+	})
+}
+
+// Guards against trials of a part that together are more than three later than the first seconds, and
+// against a release that sends it to more than one upstream.
+func TestTrialsOfAPartAreLimitedAcrossRouters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		all := start(t, 7, &source{revision: 1, version: 1})
+		crashWithParts(all, 0, 5)
+		upstream := 10
+		try := func(duration time.Duration) int {
+			return requestTrials(all, badPart, duration, func(m *member) {
+				upstream++
+				m.node.ReportCrash([]quarantine.Key{badPart}, "schools", dispatch.Incarnation{ID: fmt.Sprint("t", upstream)}, 0)
+			})
+		}
+		g.Expect(try(3 * time.Second)).To(BeNumerically("<=", 1))
+		g.Expect(try(100 * time.Second)).To(BeNumerically("<=", 3))
+		all[2].node.Release(badPart)
+		time.Sleep(propagationTime)
+		g.Expect(countStatuses(all, badPart)).To(Equal(map[quarantine.Status]int{quarantine.Quarantined: 7}))
+		g.Expect(try(5 * time.Second)).To(Equal(1))
+		all[2].node.Release(badPart)
+		time.Sleep(2 * time.Second)
+		g.Expect(all[3].node.RequestTrial(t.Context(), badPart)).To(BeTrue())
+		all[3].node.ReportStarted([]dispatch.Part{{ID: badPart.Hash}}, dispatch.Incarnation{ID: "answering"})
+		time.Sleep(propagationTime)
+		g.Expect(countStatuses(all, badPart)).To(Equal(map[quarantine.Status]int{quarantine.Normal: 7}))
+	})
+}
+
+// Guards against messages about parts exceeding their share of the control traffic.
+func TestTrafficAboutPartsIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(t)
+		c.configure = func(i int, cfg *fleet.Config) { cfg.Domain = fmt.Sprint("d", i%4) }
+		const routers, crashes, interrupted, parts = 16, 30, 8, 15
+		c.start(routers, &source{revision: 1, version: 1})
+		time.Sleep(10 * time.Second)
+		traffic := func(do func()) float64 {
+			sum := 0
+			before := make([]int, routers)
+			for i, m := range c.all {
+				_, before[i] = c.net.traffic(m.addr)
+			}
+			started := time.Now()
+			do()
+			time.Sleep(10*time.Second - time.Since(started))
+			for i, m := range c.all {
+				_, bytes := c.net.traffic(m.addr)
+				sum += bytes - before[i]
+			}
+			return float64(sum) / routers / 10
+		}
+		idle := traffic(func() {})
+		busy := traffic(func() {
+			for crash := range crashes {
+				time.Sleep(300 * time.Millisecond)
+				for r := range interrupted {
+					keys := []quarantine.Key{quarantine.NewContentKey("schools", "POST", "h", fmt.Sprint("/", crash, r), nil)}
+					for part := range parts {
+						keys = append(keys, quarantine.NewPartKey(uint64(1000*crash+20*r+part)))
+					}
+					c.all[(crash+r)%routers].node.ReportCrash(keys, "schools", dispatch.Incarnation{ID: fmt.Sprint("u", crash)}, timeToCrash)
+				}
+			}
+		})
+		t.Logf("bytes per second and router: idle %.0f, while upstreams crash three times a second under %d requests with %d parts %.0f", idle, interrupted, parts, busy)
+		// The whole of a router's control traffic limit, for the seconds of an incident.
+		const maxBytesPerSecond = 2000
+		g.Expect(busy - idle).To(BeNumerically("<", maxBytesPerSecond))
+	})
+}
--- a/fleet/quarantine.go
+++ b/fleet/quarantine.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -15,22 +14,26 @@
 	"github.com/aspenswitch/aspenswitch/quarantine"
 )
 
-// quarantineState is this router's record of contents that crash upstreams. Except for view
-// and the fields guarded by mu, it is owned by the control goroutine.
+// quarantineState is this router's record of contents and parts of prompts that crash upstreams.
+// Except for view and the fields guarded by mu, it is owned by the control goroutine.
 type quarantineState struct {
 	table *quarantine.Table
 	view  atomic.Pointer[quarantine.View]
+	// outdated is set if view lacks crashes or successes that change no status. A view is a copy
+	// of the table, and a crash of an upstream is reported once for each of its requests.
+	outdated bool
 	// notices have not been sent to the members yet.
 	notices []quarantine.Notice
-	// pendingTrials has the trial requests awaiting the hub's answer, at most one per content.
+	// pendingTrials has the trial requests awaiting the hub's answer, at most one per key.
 	pendingTrials map[quarantine.Key]*pendingTrial
 	expiredAt     boottime.Time
 
 	// mu guards the fields below it.
 	mu sync.Mutex
-	// successes has only the successes that this router has observed.
-	successes quarantine.RecentSuccesses
-	broken    quarantine.BrokenUpstreams
+	// successes has the contents, started the parts of which this router has observed that they
+	// are harmless.
+	successes, started *quarantine.RecentSuccesses
+	broken             quarantine.BrokenUpstreams
 }
 
 const (
@@ -44,111 +47,184 @@
 
 // Events of the control goroutine.
 type (
+	// crashEvent is a request that was interrupted because its upstream closed the connection.
 	crashEvent struct {
-		crash quarantine.Crash
+		keys     []quarantine.Key
+		team     string
+		upstream uint32
+		sent     time.Duration
 	}
 	successEvent struct {
-		id     quarantine.Key
+		key    quarantine.Key
 		reason string
 	}
 )
 
 // ReportCrash implements gateway.Placer.
-func (n *Node) ReportCrash(id quarantine.Key, at dispatch.Incarnation, ran time.Duration) {
-	n.post(crashEvent{crash: quarantine.Crash{
-		ID: id, Upstream: incarnationHash(at), Sent: time.Duration(n.now().Add(-ran)),
-	}})
+func (n *Node) ReportCrash(keys []quarantine.Key, team string, at dispatch.Incarnation, ran time.Duration) {
+	n.post(crashEvent{keys: keys, team: team, upstream: incarnationHash(at), sent: time.Duration(n.now().Add(-ran))})
 }
 
 // ReportSuccess implements gateway.Placer.
-func (n *Node) ReportSuccess(id quarantine.Key, from dispatch.Incarnation) {
-	n.quarantine.addSuccess(time.Duration(n.now()), id, incarnationHash(from))
-	if n.Quarantine().HasCrashes(id) {
-		n.post(successEvent{id: id, reason: successReason})
+func (n *Node) ReportSuccess(content quarantine.Key, from dispatch.Incarnation) {
+	n.quarantine.addSuccess(time.Duration(n.now()), content, incarnationHash(from))
+	if n.Quarantine().HasCrashes(content) {
+		n.post(successEvent{key: content, reason: successReason})
 	}
 }
 
-func (q *quarantineState) addSuccess(now time.Duration, id quarantine.Key, upstream uint32) {
+// ReportStarted implements gateway.Placer.
+func (n *Node) ReportStarted(parts []dispatch.Part, from dispatch.Incarnation) {
+	n.quarantine.addStarted(time.Duration(n.now()), parts, incarnationHash(from))
+	view := n.Quarantine()
+	if !view.HasParts() {
+		return
+	}
+	for _, part := range parts {
+		if key := quarantine.NewPartKey(part.ID); view.HasCrashes(key) {
+			n.post(successEvent{key: key, reason: startedReason})
+		}
+	}
+}
+
+func (q *quarantineState) addSuccess(now time.Duration, content quarantine.Key, upstream uint32) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.successes.Add(now, id)
+	q.successes.Add(now, content)
 	q.broken.RecordSuccess(upstream)
 }
 
-func (q *quarantineState) recentlySucceeded(now time.Duration, id quarantine.Key) bool {
+func (q *quarantineState) addStarted(now time.Duration, parts []dispatch.Part, upstream uint32) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.successes.SucceededRecently(now, id)
+	for _, part := range parts {
+		q.started.Add(now, quarantine.NewPartKey(part.ID))
+	}
+	q.broken.RecordSuccess(upstream)
 }
 
-// successReason is logged when a success resets the status of a content.
-const successReason = "a request received its complete response"
+// succeeded reports whether this router has observed that a key is harmless: shortly before now, or
+// at all.
+func (q *quarantineState) succeeded(now time.Duration, key quarantine.Key) (recently, before bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !key.Part {
+		return q.successes.SucceededWithin(now, key, quarantine.SuccessWindow), false
+	}
+	return q.started.SucceededWithin(now, key, quarantine.PartSuccessWindow), q.started.SucceededWithin(now, key, quarantine.ProvenWindow)
+}
+
+// Reasons that are logged when a key's status is reset.
+const (
+	successReason = "a request received its complete response"
+	startedReason = "an answer to a prompt with the part has started"
+)
 
-// Release ends the quarantine of a content at all routers, at an operator's request.
-func (n *Node) Release(id quarantine.Key) {
-	n.post(successEvent{id: id, reason: "released by an operator"})
+// Release ends the quarantine of a content at all routers, at an operator's request. A part stays in
+// quarantine until its next trial, which is due within seconds: its requests come from many callers,
+// and would crash several upstreams before it is quarantined again.
+func (n *Node) Release(key quarantine.Key) {
+	if !key.Part {
+		n.post(successEvent{key: key, reason: "released by an operator"})
+		return
+	}
+	n.post(callEvent{do: func(now boottime.Time) {
+		if notice, changed := n.quarantine.table.RetryTrials(time.Duration(now), key); changed {
+			n.announce(now, notice, "trial requested by an operator")
+			n.publishQuarantine()
+		}
+	}})
 }
 
 // Quarantine implements gateway.Placer.
 func (n *Node) Quarantine() *quarantine.View { return n.quarantine.view.Load() }
 
+// publishQuarantine makes the statuses of the table available to the goroutines of requests.
+func (n *Node) publishQuarantine() {
+	n.quarantine.outdated = false
+	n.quarantine.view.Store(n.quarantine.table.View())
+}
+
 func incarnationHash(at dispatch.Incarnation) uint32 {
 	return uint32(xxhash.Sum64String(at.ID + "/" + strconv.FormatInt(at.Started, 10)))
 }
 
-// quarantineKey is the key by which the hub of a content is chosen.
-func quarantineKey(id quarantine.Key) string { return "content/" + id.Team + "/" + id.String() }
+// quarantineHubKey is the key by which the hub of a quarantine key is chosen.
+func quarantineHubKey(key quarantine.Key) string {
+	if key.Part {
+		return "part/" + key.String()
+	}
+	return "content/" + key.Team + "/" + key.String()
+}
 
-// handleCrash records a crash that this router has observed, and reports it to the hub of
-// the content, which counts the crashes observed by all routers. It ignores requests sent to
-// broken upstreams.
-func (n *Node) handleCrash(now boottime.Time, c quarantine.Crash) {
-	if n.quarantine.sentToBrokenUpstream(c) {
+// handleCrash records a crash that this router has observed, and reports it to the hubs of its
+// keys, which count the crashes observed by all routers. It ignores requests sent to broken
+// upstreams.
+func (n *Node) handleCrash(now boottime.Time, e crashEvent) {
+	if n.quarantine.sentToBrokenUpstream(e.sent, e.upstream) {
 		return
 	}
-	n.reportBroken(now, c.Upstream)
-	n.recordCrash(now, c)
-	n.sendToHub(now, c.ID, &quarantineUpdate{Crashes: []crashReport{{
-		Team: c.ID.Team, Hash: c.ID.Hash, Upstream: c.Upstream, RanMs: millis(time.Duration(now) - c.Sent),
-	}}})
+	n.reportBroken(now, e.upstream)
+	updates := map[*member]*quarantineUpdate{}
+	for _, key := range e.keys {
+		n.recordCrash(now, quarantine.Crash{ID: key, Team: e.team, Upstream: e.upstream, Sent: e.sent})
+		hub := n.hubFor(now, quarantineHubKey(key))
+		if hub == nil {
+			continue
+		}
+		if updates[hub] == nil {
+			updates[hub] = &quarantineUpdate{}
+		}
+		updates[hub].Crashes = append(updates[hub].Crashes, newCrashReport(key, e, time.Duration(now)))
+	}
+	for hub, update := range updates {
+		n.send(hub.addr, &packet{Infrequent: &infrequent{Quarantine: update}})
+	}
 }
 
-// sendToHub sends an update to the hub of a content, unless this router is the hub.
-func (n *Node) sendToHub(now boottime.Time, id quarantine.Key, update *quarantineUpdate) {
-	if hub := n.hubFor(now, quarantineKey(id)); hub != nil {
+// sendToHub sends an update to the hub of a key, unless this router is the hub.
+func (n *Node) sendToHub(now boottime.Time, key quarantine.Key, update *quarantineUpdate) {
+	if hub := n.hubFor(now, quarantineHubKey(key)); hub != nil {
 		n.send(hub.addr, &packet{Infrequent: &infrequent{Quarantine: update}})
 	}
 }
 
-// clearSuspicion resets the status of a content in this router's table and at its hub.
+// clearSuspicion resets the status of a key in this router's table and at its hub.
 func (n *Node) clearSuspicion(now boottime.Time, e successEvent) {
 	n.recordSuccess(now, e)
-	n.sendToHub(now, e.id, &quarantineUpdate{Successes: []successReport{{Team: e.id.Team, Hash: e.id.Hash}}})
+	n.sendToHub(now, e.key, &quarantineUpdate{Successes: []successReport{newSuccessReport(e.key)}})
 }
 
 func (n *Node) recordSuccess(now boottime.Time, e successEvent) {
-	notice, changed := n.quarantine.table.Clear(time.Duration(now), e.id)
-	if changed {
+	n.quarantine.outdated = true
+	if notice, changed := n.quarantine.table.Clear(time.Duration(now), e.key); changed {
 		n.announce(now, notice, e.reason)
+		n.publishQuarantine()
 	}
-	n.quarantine.view.Store(n.quarantine.table.View())
 }
 
-// clearIfSucceeded clears a content that this router recently saw succeed. It guards
-// against quarantining a content that many callers share and that was interrupted by
-// several unrelated crashes.
-func (n *Node) clearIfSucceeded(now boottime.Time, id quarantine.Key) {
-	if n.quarantine.table.View().Status(id) != quarantine.Normal && n.quarantine.recentlySucceeded(time.Duration(now), id) {
-		n.clearSuspicion(now, successEvent{id: id, reason: successReason})
+// clearIfSucceeded clears a key that this router recently saw succeed. It guards against
+// quarantining a content or a part that many callers share and that was interrupted by several
+// unrelated crashes.
+func (n *Node) clearIfSucceeded(now boottime.Time, key quarantine.Key) {
+	if n.quarantine.table.View().Status(key) == quarantine.Normal {
+		return
+	}
+	recently, before := n.quarantine.succeeded(time.Duration(now), key)
+	if recently {
+		n.clearSuspicion(now, successEvent{key: key, reason: successReason})
+	} else if before {
+		n.quarantine.table.SetProven(time.Duration(now), key)
 	}
 }
 
 func (n *Node) recordCrash(now boottime.Time, c quarantine.Crash) {
+	n.quarantine.outdated = true
 	if notice, changed := n.quarantine.table.RecordCrash(time.Duration(now), c); changed {
 		n.announce(now, notice, "upstreams crashed while handling it")
 		n.clearIfSucceeded(now, c.ID)
+		n.publishQuarantine()
 	}
-	n.quarantine.view.Store(n.quarantine.table.View())
 }
 
 // announce logs a status change or a failed trial and queues its notice for all members. A
@@ -174,10 +250,7 @@
 func (n *Node) sendNotices(to *member, notices []quarantine.Notice) {
 	update := &quarantineUpdate{}
 	for _, notice := range notices {
-		update.Notices = append(update.Notices, statusNotice{
-			Team: notice.ID.Team, Hash: notice.ID.Hash, Status: notice.Status, Version: notice.Version, LeftS: int32(math.Ceil(notice.Left.Seconds())),
-			FailedTrials: uint8(min(notice.FailedTrials, math.MaxUint8)),
-		})
+		update.Notices = append(update.Notices, newStatusNotice(notice))
 	}
 	n.send(to.addr, &packet{Infrequent: &infrequent{Quarantine: update}})
 }
@@ -191,25 +264,23 @@
 		return
 	}
 	for i := range update.Crashes {
-		c := &update.Crashes[i]
-		n.recordCrash(now, quarantine.Crash{
-			ID:       quarantine.Key{Team: c.Team, Hash: c.Hash},
-			Upstream: c.Upstream, Sent: time.Duration(now) - duration(max(c.RanMs, 0)),
-		})
+		n.recordCrash(now, update.Crashes[i].crash(time.Duration(now)))
 	}
 	for i := range update.Successes {
-		s := &update.Successes[i]
-		n.recordSuccess(now, successEvent{id: quarantine.Key{Team: s.Team, Hash: s.Hash}, reason: successReason})
+		n.recordSuccess(now, successEvent{key: update.Successes[i].key(), reason: "a peer saw it succeed"})
 	}
+	changed := false
 	for i := range update.Notices {
-		s := &update.Notices[i]
-		id := quarantine.Key{Team: s.Team, Hash: s.Hash}
-		if n.quarantine.table.Apply(time.Duration(now), s.notice()) {
-			n.logQuarantine(now, id, "notice received from a peer")
-			n.clearIfSucceeded(now, id)
+		notice := update.Notices[i].notice()
+		if n.quarantine.table.Apply(time.Duration(now), notice) {
+			changed = true
+			n.logQuarantine(now, notice.ID, "notice received from a peer")
+			n.clearIfSucceeded(now, notice.ID)
 		}
 	}
-	n.quarantine.view.Store(n.quarantine.table.View())
+	if changed {
+		n.publishQuarantine()
+	}
 }
 
 // repairQuarantine resends this router's notices to a peer whose digest differs. It guards
@@ -231,23 +302,24 @@
 		n.broadcastNotices()
 	}
 	n.expirePendingTrials(now)
+	if n.quarantine.outdated {
+		n.publishQuarantine()
+	}
 	if now.Sub(n.quarantine.expiredAt) >= expireInterval {
 		n.quarantine.expiredAt = now
 		n.quarantine.table.Expire(time.Duration(now))
-		n.quarantine.view.Store(n.quarantine.table.View())
+		n.publishQuarantine()
 	}
 }
 
-func (n *Node) logQuarantine(now boottime.Time, id quarantine.Key, reason string) {
-	e := n.quarantine.table.Get(time.Duration(now), id)
-	n.log.Warn().Str("event", "quarantine").Str("team", id.Team).Stringer("content", id).Stringer("status", e.Status).
-		Int("crashes", e.Crashes).Int("failed_trials", e.FailedTrials).Int64("left_s", int64(e.Left.Seconds())).Str("why", reason).Msg("quarantine status of a content changed")
-}
-
-// notice returns the decoded notice.
-func (s *statusNotice) notice() quarantine.Notice {
-	return quarantine.Notice{
-		ID: quarantine.Key{Team: s.Team, Hash: s.Hash}, Status: s.Status, Version: s.Version,
-		Left: time.Duration(s.LeftS) * time.Second, FailedTrials: int(s.FailedTrials),
+func (n *Node) logQuarantine(now boottime.Time, key quarantine.Key, reason string) {
+	e := n.quarantine.table.Get(time.Duration(now), key)
+	line := n.log.Warn().Str("event", "quarantine")
+	if key.Part {
+		line = line.Stringer("part", key)
+	} else {
+		line = line.Str("team", key.Team).Stringer("content", key)
 	}
+	line.Stringer("status", e.Status).Int("crashes", e.Crashes).Int("failed_trials", e.FailedTrials).Int64("left_s", int64(e.Left.Seconds())).
+		Str("why", reason).Msg("quarantine status of a content or a part changed")
 }
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -120,14 +120,10 @@
 	return result{refused: unknownOutcome(http.StatusBadGateway, "cut", "the answer broke off")}
 }
 
-// eventsOfStartedAnswer is the number of events after which the answer of a stream has started. One
-// event doesn't show it: an upstream may send it and crash.
-const eventsOfStartedAnswer = 2
-
 // relayStream forwards events as they arrive. An interrupted stream is resumed at another
 // upstream if the route allows it.
 func (s *Server) relayStream(ctx context.Context, r *request, out *relay, resp *upstream.Response, onFirstByte func()) (result, dispatch.Outcome) {
-	err := out.relayEvents(resp, onFirstByte, func() { r.answerStarted = true })
+	err := out.relayEvents(resp, onFirstByte, func() { s.reportStarted(r) })
 	r.events = out.events.Scanner().Events()
 	var incomplete *eventstream.IncompleteError
 	if errors.As(err, &incomplete) {
--- a/gateway/deps.go
+++ b/gateway/deps.go
@@ -49,14 +49,17 @@
 	// began, within window before the request. attempt is "" if the caller names none.
 	StreamVersion(ctx context.Context, service, attempt string, window time.Duration) resumption.Decision
 	// ReportCrash reports that an upstream closed the connection after it had been handling
-	// a request for the time ran.
-	ReportCrash(id quarantine.Key, upstream dispatch.Incarnation, ran time.Duration)
+	// a request of a team for the time ran. keys are the request's content and, if its answer
+	// had not started, the parts that its prompt shares with others.
+	ReportCrash(keys []quarantine.Key, team string, upstream dispatch.Incarnation, ran time.Duration)
 	// ReportSuccess reports that a request received a complete response from an upstream.
-	ReportSuccess(id quarantine.Key, from dispatch.Incarnation)
-	// RequestTrial reports whether a request with a quarantined content may be sent as a
-	// trial, to find out whether the content still crashes upstreams.
-	RequestTrial(ctx context.Context, id quarantine.Key) bool
-	// Quarantine returns the current statuses of contents; nil means that all are normal.
+	ReportSuccess(content quarantine.Key, from dispatch.Incarnation)
+	// ReportStarted reports that an upstream has started to answer a prompt with these parts.
+	ReportStarted(parts []dispatch.Part, from dispatch.Incarnation)
+	// RequestTrial reports whether a request with a quarantined key may be sent as a trial, to
+	// find out whether the key still crashes upstreams.
+	RequestTrial(ctx context.Context, key quarantine.Key) bool
+	// Quarantine returns the current statuses of keys; nil means that all are normal.
 	Quarantine() *quarantine.View
 	// Routers returns the largest number of live routers seen at any time since the start of
 	// this router, including itself.
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -51,6 +51,8 @@
 	// table is the quarantine table of the fleet; crashes is the number of reported crashes.
 	table   *quarantine.Table
 	crashes int
+	// started has the parts of prompts that were reported as started.
+	started []uint64
 	// grantTrial is set if the next trial is granted; granting it resets the flag.
 	grantTrial atomic.Bool
 	// leaving are the upstreams that were reported as leaving.
@@ -138,7 +140,7 @@
 	p.leaving = append(p.leaving, upstream)
 }
 
-func (p *fakePlacer) ReportCrash(id quarantine.Key, _ dispatch.Incarnation, _ time.Duration) {
+func (p *fakePlacer) ReportCrash(keys []quarantine.Key, team string, _ dispatch.Incarnation, _ time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.table == nil {
@@ -146,7 +148,9 @@
 	}
 	p.crashes++
 	now := time.Duration(p.crashes) * time.Second
-	p.table.RecordCrash(now, quarantine.Crash{ID: id, Upstream: uint32(p.crashes), Sent: now})
+	for _, key := range keys {
+		p.table.RecordCrash(now, quarantine.Crash{ID: key, Team: team, Upstream: uint32(p.crashes), Sent: now})
+	}
 }
 
 func (p *fakePlacer) ReportSuccess(id quarantine.Key, _ dispatch.Incarnation) {
@@ -157,6 +161,23 @@
 	}
 }
 
+func (p *fakePlacer) ReportStarted(parts []dispatch.Part, _ dispatch.Incarnation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, part := range parts {
+		p.started = append(p.started, part.ID)
+		if p.table != nil {
+			p.table.Clear(time.Hour, quarantine.NewPartKey(part.ID))
+		}
+	}
+}
+
+func (p *fakePlacer) startedParts() []uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]uint64(nil), p.started...)
+}
+
 func (p *fakePlacer) ReportStreamBegan(attempt string, origin resumption.Origin) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -127,7 +127,7 @@
 func (r *harness) publish(view *registry.View, keys ...string) {
 	route := func(name string, kind routing.Kind, attempts int, resumable bool) routing.Route {
 		return routing.Route{
-			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, MaxAttempts: attempts, Resumable: resumable,
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, MaxAttempts: attempts, Resumable: resumable, Sticky: kind == routing.Streaming,
 			Timeout: 2 * time.Second, Target: time.Second, Split: []routing.Share{{Service: "llm", Weight: 1}},
 		}
 	}
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -39,9 +39,11 @@
 	overShare         bool
 	// lag is the router's processing delay, set if it was the reason for the outcome.
 	lag time.Duration
-	// content is the content hash, set if an upstream connection broke during the request or
-	// the request was quarantined.
+	// content is the content hash, set if an upstream connection broke during the request or the
+	// request was quarantined for it.
 	content string
+	// part is the part of the prompt for which the request was quarantined.
+	part string
 	// upstreamLeaving and upstreamRetryAfter are from the response of the last upstream.
 	upstreamLeaving    bool
 	upstreamRetryAfter time.Duration
@@ -94,6 +96,9 @@
 	if r.content != "" {
 		e.Str("content", r.content)
 	}
+	if r.part != "" {
+		e.Str("part", r.part)
+	}
 	if r.upstreamLeaving {
 		e.Bool("upstream_leaving", true)
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -33,6 +33,8 @@
 	promptTokens int
 	outputTokens int
 	parts        []dispatch.Part
+	// morePartsThanRead is set if the prompt has more parts than parts contains.
+	morePartsThanRead bool
 	// regions are the regions whose upstreams may serve the request, nil for all.
 	regions []string
 	// contentKey is computed on first use and is valid if hasContentKey is set.
@@ -51,8 +53,8 @@
 	// software version that began it, "" if unknown: a stream goes on at this version only.
 	began   bool
 	version string
-	// trial is set if the request may be sent although its content is in quarantine.
-	trial bool
+	// trialOf is the quarantined key with which the request may be sent all the same.
+	trialOf *quarantine.Key
 	// crashes is how many upstreams closed the connection while handling the request.
 	crashes int
 	// tried are the IDs of the upstreams to exclude from further placements.
@@ -217,7 +219,11 @@
 	list := r.in.Header.Get(s.cfg.Headers.Parts)
 	for entry := range strings.SplitSeq(list, ",") {
 		id, tokens, found := strings.Cut(strings.TrimSpace(entry), ":")
-		if !found || len(r.parts) == maxParts {
+		if !found {
+			break
+		}
+		if len(r.parts) == maxParts {
+			r.morePartsThanRead = true
 			break
 		}
 		n, err := strconv.ParseUint(id, 16, 64)
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -14,7 +14,7 @@
 	outcomes map[string]tally.Counter
 	other    tally.Counter
 	refused  tally.Counter
-	// quarantined counts requests that were rejected because their content is in quarantine.
+	// quarantined counts requests that were rejected because their content or a part of their prompt is in quarantine.
 	quarantined tally.Counter
 	// unknownVersion counts continued streams that were refused since no router knew which software
 	// version had begun them.
--- a/quarantine/config.go
+++ b/quarantine/config.go
@@ -4,33 +4,77 @@
 
 // Config configures a Table.
 type Config struct {
-	// SuspectAfter and QuarantineAfter are the numbers of consecutive crashes, each of a
-	// different upstream incarnation, after which a content becomes suspect and is
-	// quarantined.
-	SuspectAfter, QuarantineAfter int
-	// EntryTTL is how long a content that isn't in quarantine is kept after its last crash.
+	// Content and Part are the policies for the two kinds of keys.
+	Content, Part Policy
+	// EntryTTL is how long a key that isn't in quarantine is kept after its last crash.
 	EntryTTL time.Duration
-	// QuarantineDuration is how long a content stays in quarantine after its last crash.
+	// QuarantineDuration is how long a key stays in quarantine after its last crash, or after
+	// the last request with it (see Table.Touch).
 	QuarantineDuration time.Duration
-	// TrialDelays are the delays from the start of a quarantine to its first trial, and from
-	// each failed trial to the next. The last delay repeats.
-	TrialDelays []time.Duration
 	// TrialTimeout is how long a granted trial may remain without a result before another
 	// may be granted.
 	TrialTimeout time.Duration
-	// MaxEntries and MaxPerTeam limit the number of contents in the table. A single crash
-	// can interrupt on the order of a hundred requests of one team.
+	// MaxEntries and MaxPerTeam limit the number of keys in the table. A single crash can
+	// interrupt on the order of a hundred requests of one team.
 	MaxEntries, MaxPerTeam int
 }
 
+// Policy decides when keys of a kind are quarantined and when trials are due.
+type Policy struct {
+	// SuspectAfter and QuarantineAfter are the numbers of consecutive crashes, each of a
+	// different upstream incarnation, after which a key becomes suspect and is quarantined.
+	// With SuspectAfter 0 it never becomes suspect.
+	SuspectAfter, QuarantineAfter int
+	// MaxDoublings limits how often QuarantineAfter is doubled. It is doubled each time a
+	// quarantine turns out to be wrong.
+	MaxDoublings int
+	// BurstWindow is the time after a counted crash in which others aren't counted: the loss
+	// of a failure domain crashes many upstreams at once. With 0, requests that were sent
+	// before the last counted crash aren't counted.
+	BurstWindow time.Duration
+	// TrialDelays are the delays from the start of a quarantine to its first trial, and from
+	// each failed trial to the next. The last delay repeats.
+	TrialDelays []time.Duration
+	// ProvenTrialDelays replace TrialDelays for a key that has been harmless before. Empty
+	// means that there is no difference.
+	ProvenTrialDelays []time.Duration
+}
+
 // DefaultConfig returns the default configuration.
 func DefaultConfig() Config {
 	return Config{
-		SuspectAfter: 2, QuarantineAfter: 3,
+		Content: Policy{
+			SuspectAfter: 2, QuarantineAfter: 3,
+			TrialDelays: []time.Duration{time.Second, 2 * time.Second, 20 * time.Second, 200 * time.Second, 30 * time.Minute},
+		},
+		Part: Policy{
+			QuarantineAfter: 4, MaxDoublings: 2, BurstWindow: 100 * time.Millisecond,
+			TrialDelays:       []time.Duration{time.Second, 10 * time.Second, 5 * time.Minute, time.Hour, 6 * time.Hour},
+			ProvenTrialDelays: []time.Duration{time.Second, 4 * time.Second, 15 * time.Second, time.Minute},
+		},
 		EntryTTL:           5 * time.Minute,
 		QuarantineDuration: 2 * time.Hour,
-		TrialDelays:        []time.Duration{time.Second, 2 * time.Second, 20 * time.Second, 200 * time.Second, 30 * time.Minute},
 		TrialTimeout:       15 * time.Second,
 		MaxEntries:         2048, MaxPerTeam: 256,
 	}
 }
+
+func (c *Config) policy(k Key) *Policy {
+	if k.Part {
+		return &c.Part
+	}
+	return &c.Content
+}
+
+// threshold returns the number of crashes that quarantine a key after it was wrongly
+// quarantined the given number of times.
+func (p *Policy) threshold(wrong int) int { return p.QuarantineAfter << min(wrong, p.MaxDoublings) }
+
+// trialDelay returns the delay to the next trial.
+func (p *Policy) trialDelay(e *entry) time.Duration {
+	delays := p.TrialDelays
+	if e.proven && len(p.ProvenTrialDelays) > 0 {
+		delays = p.ProvenTrialDelays
+	}
+	return delays[min(e.failedTrials, len(delays)-1)]
+}
--- a/quarantine/key.go
+++ b/quarantine/key.go
@@ -11,17 +11,24 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("quarantine")
 
-// Key identifies a request by its content. It is the same for all request IDs,
-// attempts and routers.
+// Key identifies what may make requests crash upstreams: their whole content, or a part of
+// their prompt. It is the same for all request IDs, attempts and routers.
 type Key struct {
-	// Team is compared in full and is not hashed, so that a hash collision can't affect
-	// the requests of another team. It is empty for all callers of public routes.
+	// Team is compared in full and is not hashed, so that a hash collision can't affect the
+	// requests of another team. It is empty for all callers of public routes, and for parts,
+	// which requests of several teams share.
 	Team string
-	// Hash covers the method, the host, the URI and the body.
+	// Hash covers the method, the host, the URI and the body; for a part it is the part's ID.
 	Hash uint64
+	// Part is set for the key of a part.
+	Part bool
 }
 
-// NewContentKey returns the content key of a request.
+// PartTeam is the team of a part in messages and digests, where keys are a team and a hash. No
+// configured team has a name with a NUL.
+const PartTeam = "\x00part"
+
+// NewContentKey returns the key of a request's content.
 func NewContentKey(team, method, host, uri string, body []byte) Key {
 	h := xxhash.New()
 	for _, field := range []string{method, host, uri} {
@@ -35,7 +42,10 @@
 	return Key{Team: team, Hash: h.Sum64()}
 }
 
-// ParseContentKey returns the content key for a team and a hash in the format of String.
+// NewPartKey returns the key of a part of a prompt.
+func NewPartKey(id uint64) Key { return Key{Hash: id, Part: true} }
+
+// ParseContentKey returns the key of a content for a team and a hash in the format of String.
 func ParseContentKey(team, hash string) (Key, error) {
 	n, err := strconv.ParseUint(hash, 16, 64)
 	if err != nil {
@@ -44,5 +54,22 @@
 	return Key{Team: team, Hash: n}, nil
 }
 
+// ParsePartKey returns the key of a part for an ID in the format of String.
+func ParsePartKey(id string) (Key, error) {
+	n, err := strconv.ParseUint(id, 16, 64)
+	if err != nil {
+		return Key{}, Error.New("part %q: must be up to 16 hexadecimal digits", id)
+	}
+	return NewPartKey(n), nil
+}
+
 // String returns the hash in hexadecimal, without the team.
-func (c Key) String() string { return strconv.FormatUint(c.Hash, 16) }
+func (k Key) String() string { return strconv.FormatUint(k.Hash, 16) }
+
+// Name returns what the key identifies, for messages.
+func (k Key) Name() string {
+	if k.Part {
+		return "part " + k.String()
+	}
+	return "content " + k.String() + " of team " + strconv.Quote(k.Team)
+}
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -72,7 +72,7 @@
 	s := &simulation{rnd: rand.New(rand.NewPCG(seed, 0)), now: start, crashingID: newContentKey(0)}
 	for range routers {
 		s.tables = append(s.tables, quarantine.NewTable(quarantine.DefaultConfig()))
-		s.successes = append(s.successes, &quarantine.RecentSuccesses{})
+		s.successes = append(s.successes, quarantine.NewRecentSuccesses(quarantine.MaxSuccesses))
 	}
 	for range upstreams {
 		u := &simUpstream{}
@@ -206,7 +206,7 @@
 
 // clearIfSucceeded reports a success that the router observed shortly before the notice.
 func (s *simulation) clearIfSucceeded(router int, notice quarantine.Notice) {
-	if notice.Status != quarantine.Normal && s.successes[router].SucceededRecently(s.now, notice.ID) {
+	if notice.Status != quarantine.Normal && s.successes[router].SucceededWithin(s.now, notice.ID, quarantine.SuccessWindow) {
 		s.report(router, notice.ID, func(t *quarantine.Table) (quarantine.Notice, bool) { return t.Clear(s.now, notice.ID) })
 	}
 }
--- a/quarantine/status.go
+++ b/quarantine/status.go
@@ -31,6 +31,8 @@
 // A crash of the upstream's process yields one Crash for each request that it was handling.
 type Crash struct {
 	ID Key
+	// Team is the team of the request.
+	Team string
 	// Upstream identifies the upstream's incarnation.
 	Upstream uint32
 	// Sent is when the request was sent to the upstream.
--- a/quarantine/successes.go
+++ b/quarantine/successes.go
@@ -2,45 +2,56 @@
 
 import "time"
 
-// RecentSuccesses records the contents of requests that recently received a complete
-// response. It keeps at most maxSuccesses contents, evicting the oldest first.
+// RecentSuccesses records the keys that were recently shown to be harmless: contents whose
+// requests received a complete response, and parts of prompts whose answer has started. It keeps
+// a limited number of keys, evicting the oldest first.
 type RecentSuccesses struct {
+	max   int
 	times map[Key]time.Duration
 	ring  []Key
 	next  int
 }
 
 const (
-	// maxSuccesses limits memory use. It covers a few seconds of requests at a busy router.
-	maxSuccesses = 2048
+	// MaxSuccesses limits memory use. It covers a few seconds of contents at a busy router, and
+	// minutes of the parts that many prompts share.
+	MaxSuccesses = 2048
 	// SuccessWindow is how long a success counts as evidence that a content is harmless.
 	SuccessWindow = time.Second
+	// PartSuccessWindow is the same for a part. Its quarantine can follow the first crash within
+	// half a second, and a success before that shows nothing.
+	PartSuccessWindow = 500 * time.Millisecond
+	// ProvenWindow is how long a success counts as evidence that a part was harmless before it was
+	// quarantined.
+	ProvenWindow = 10 * time.Minute
 )
 
+// NewRecentSuccesses returns a RecentSuccesses that keeps up to max keys.
+func NewRecentSuccesses(max int) *RecentSuccesses {
+	return &RecentSuccesses{max: max, times: map[Key]time.Duration{}}
+}
+
 // Add records a success.
 func (s *RecentSuccesses) Add(now time.Duration, id Key) {
-	if s.times == nil {
-		s.times = map[Key]time.Duration{}
-	}
 	if _, known := s.times[id]; !known {
 		s.insert(id)
 	}
 	s.times[id] = now
 }
 
-// insert adds a content to the ring, replacing the one that was inserted first if it is full.
+// insert adds a key to the ring, replacing the one that was inserted first if it is full.
 func (s *RecentSuccesses) insert(id Key) {
-	if len(s.ring) < maxSuccesses {
+	if len(s.ring) < s.max {
 		s.ring = append(s.ring, id)
 		return
 	}
 	delete(s.times, s.ring[s.next])
 	s.ring[s.next] = id
-	s.next = (s.next + 1) % maxSuccesses
+	s.next = (s.next + 1) % s.max
 }
 
-// SucceededRecently reports whether a request with the content succeeded within SuccessWindow.
-func (s *RecentSuccesses) SucceededRecently(now time.Duration, id Key) bool {
+// SucceededWithin reports whether there was a success with a key in the time before now.
+func (s *RecentSuccesses) SucceededWithin(now time.Duration, id Key, window time.Duration) bool {
 	at, known := s.times[id]
-	return known && now-at <= SuccessWindow
+	return known && now-at <= window
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -14,15 +14,19 @@
 type Table struct {
 	cfg     Config
 	entries map[Key]*entry
-	perTeam map[string]int
+	// perKind is the number of contents (false) and parts (true).
+	perKind map[bool]int
+	owners  map[owner]*ownerState
 	view    *View
 	digest  uint16
 	// stale is set if the view and the digest must be recomputed from the entries.
 	stale bool
 }
 
-// entry is the state of one content.
+// entry is the state of one key.
 type entry struct {
+	// team is the team whose request was the first to crash an upstream with the key.
+	team    string
 	status  Status
 	version uint32
 	// crashes is the number of consecutive crashes; upstreams are the most recent
@@ -30,9 +34,15 @@
 	crashes   int
 	upstreams []uint32
 	lastCrash time.Duration
-	// clearedAt is when the content was last reset to Normal: by a complete response, an
-	// operator's release or another router's notice.
+	// lastCrashNumber is the number of the last crash among those of its owner.
+	lastCrashNumber uint32
+	// clearedAt is when the key was last reset to Normal: by a response, an operator's
+	// release or another router's notice.
 	clearedAt time.Duration
+	// wrong is how often a quarantine was cleared. proven is set if the key was harmless before
+	// the quarantine.
+	wrong  int
+	proven bool
 	// failedTrials is the number of failed trials in the current quarantine; the next trial
 	// is due at nextTrialAt.
 	failedTrials int
@@ -45,7 +55,7 @@
 
 // NewTable returns an empty table.
 func NewTable(cfg Config) *Table {
-	return &Table{cfg: cfg, entries: map[Key]*entry{}, perTeam: map[string]int{}, view: &View{}}
+	return &Table{cfg: cfg, entries: map[Key]*entry{}, perKind: map[bool]int{}, owners: map[owner]*ownerState{}, view: &View{}}
 }
 
 // RecordCrash records a crash. It returns a notice for the other routers if the status of
@@ -53,27 +63,40 @@
 //
 // A crash interrupts every request on the upstream, so one crash doesn't show which request
 // caused it. Only consecutive crashes of different incarnations count, with no success in
-// between. Requests sent before the last counted crash are ignored, since the loss of a
-// failure domain crashes many upstreams at once. A failed trial counts even if the
-// incarnation has crashed before.
+// between. The loss of a failure domain crashes many upstreams at once and counts as one crash
+// (see Policy.BurstWindow). A failed trial counts even if the incarnation has crashed before.
 func (t *Table) RecordCrash(now time.Duration, c Crash) (Notice, bool) {
+	if !c.ID.Part {
+		c.Team = c.ID.Team
+	}
 	e := t.entries[c.ID]
+	number := t.crashOf(owner{team: c.Team, part: c.ID.Part}, c.Upstream)
 	if e == nil {
-		if e = t.add(c.ID); e == nil {
+		if t.isFull(owner{team: c.Team, part: c.ID.Part}) {
+			return Notice{}, false
+		}
+		if e = t.add(c.ID, c.Team, outlived); e == nil {
 			return Notice{}, false
 		}
 	}
-	if c.Sent < e.clearedAt || c.Sent < e.lastCrash {
+	if e.team == c.Team {
+		e.lastCrashNumber = number
+	}
+	policy := t.cfg.policy(c.ID)
+	if c.Sent < e.clearedAt || policy.BurstWindow == 0 && c.Sent < e.lastCrash {
 		return Notice{}, false
 	}
 	if e.status == Quarantined {
 		return t.recordFailedTrial(now, c, e)
 	}
+	if e.lastCrash > 0 && now < e.lastCrash+policy.BurstWindow {
+		return Notice{}, false
+	}
 	if slices.Contains(e.upstreams, c.Upstream) {
 		return Notice{}, false
 	}
 	e.upstreams = append(e.upstreams, c.Upstream)
-	if len(e.upstreams) > t.cfg.QuarantineAfter {
+	if len(e.upstreams) > policy.threshold(e.wrong) {
 		e.upstreams = e.upstreams[1:]
 	}
 	e.crashes++
@@ -83,12 +106,12 @@
 
 // updateStatus derives the status from the number of crashes.
 func (t *Table) updateStatus(now time.Duration, id Key, e *entry) (Notice, bool) {
-	before := e.status
+	before, policy := e.status, t.cfg.policy(id)
 	switch {
-	case e.crashes >= t.cfg.QuarantineAfter:
+	case e.crashes >= policy.threshold(e.wrong):
 		e.status = Quarantined
-		t.scheduleQuarantine(now, e, t.cfg.QuarantineDuration)
-	case e.crashes >= t.cfg.SuspectAfter:
+		t.scheduleQuarantine(now, id, e, t.cfg.QuarantineDuration)
+	case policy.SuspectAfter > 0 && e.crashes >= policy.SuspectAfter:
 		e.status = Suspect
 		e.expires = now + t.cfg.EntryTTL
 	default:
@@ -102,8 +125,8 @@
 	return t.notice(now, id, e), true
 }
 
-// Clear resets a content to Normal after a request with it received a complete
-// response, or after an operator released it. It returns a notice for the other routers if
+// Clear resets a key to Normal after a response to a request with it has shown that it is
+// harmless, or after an operator released it. It returns a notice for the other routers if
 // the status has changed.
 func (t *Table) Clear(now time.Duration, id Key) (Notice, bool) {
 	e := t.entries[id]
@@ -111,6 +134,9 @@
 		return Notice{}, false
 	}
 	changed := e.status != Normal
+	if e.status == Quarantined {
+		e.wrong++
+	}
 	e.reset(now)
 	e.expires = now + t.cfg.EntryTTL
 	t.stale = true
@@ -123,7 +149,7 @@
 
 // reset clears the crashes and sets clearedAt.
 func (e *entry) reset(now time.Duration) {
-	*e = entry{version: e.version, expires: e.expires, clearedAt: now}
+	*e = entry{team: e.team, version: e.version, expires: e.expires, clearedAt: now, wrong: e.wrong}
 }
 
 // Apply merges a notice from another router. It reports whether the status of the content
@@ -134,7 +160,7 @@
 	}
 	e := t.entries[n.ID]
 	if e == nil {
-		if e = t.add(n.ID); e == nil {
+		if e = t.add(n.ID, n.ID.Team, always); e == nil {
 			return false
 		}
 	}
@@ -147,21 +173,41 @@
 	left := min(max(n.Left, 0), t.cfg.QuarantineDuration)
 	switch n.Status {
 	case Quarantined:
-		e.crashes = max(e.crashes, t.cfg.QuarantineAfter)
+		e.crashes = max(e.crashes, t.cfg.policy(n.ID).QuarantineAfter)
 		e.failedTrials = max(n.FailedTrials, 0)
-		t.scheduleQuarantine(now, e, left)
+		t.scheduleQuarantine(now, n.ID, e, left)
 	case Suspect:
-		e.crashes = max(e.crashes, t.cfg.SuspectAfter)
+		e.crashes = max(e.crashes, t.cfg.policy(n.ID).SuspectAfter)
 		// Prevents counting a crash twice: one that is recorded here later may already be
 		// included in the notice.
 		e.lastCrash = now
 	default:
+		if before == Quarantined {
+			e.wrong++
+		}
 		e.reset(now)
 	}
 	e.status, e.expires = n.Status, now+left
 	return e.status != before
 }
 
+// Touch keeps a part in quarantine for another QuarantineDuration, since a request with it has
+// come. A content is forgotten meanwhile, as its requests may come for other reasons.
+func (t *Table) Touch(now time.Duration, id Key) {
+	if e := t.entries[id]; e != nil && id.Part && e.status == Quarantined {
+		e.expires = max(e.expires, now+t.cfg.QuarantineDuration)
+	}
+}
+
+// SetProven records that a quarantined key was harmless before: its trials come at shorter
+// intervals.
+func (t *Table) SetProven(now time.Duration, id Key) {
+	if e := t.entries[id]; e != nil && e.status == Quarantined && !e.proven {
+		e.proven = true
+		e.nextTrialAt = min(e.nextTrialAt, now+t.cfg.policy(id).trialDelay(e))
+	}
+}
+
 // Expire removes expired entries, including those in quarantine.
 func (t *Table) Expire(now time.Duration) {
 	for id, e := range t.entries {
@@ -180,7 +226,8 @@
 	return Entry{ID: id, Status: e.status, Crashes: e.crashes, FailedTrials: e.failedTrials, Left: e.expires - now}
 }
 
-// Entries returns the contents that are suspect or in quarantine, sorted by team and hash.
+// Entries returns the keys that are suspect or in quarantine: contents, then parts, sorted by
+// team and hash.
 func (t *Table) Entries(now time.Duration) []Entry {
 	var all []Entry
 	for id, e := range t.entries {
@@ -189,11 +236,22 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b Entry) int {
-		return cmp.Or(strings.Compare(a.ID.Team, b.ID.Team), cmp.Compare(a.ID.Hash, b.ID.Hash))
+		return cmp.Or(compareBool(a.ID.Part, b.ID.Part), strings.Compare(a.ID.Team, b.ID.Team), cmp.Compare(a.ID.Hash, b.ID.Hash))
 	})
 	return all
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 func (t *Table) notice(now time.Duration, id Key, e *entry) Notice {
 	return Notice{ID: id, Status: e.status, Version: e.version, Left: e.expires - now, FailedTrials: e.failedTrials}
 }
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -101,7 +101,7 @@
 	table, id := quarantine.NewTable(cfg), newContentKey(1)
 	now := recordCrashes(table, id, start, 1, 3) - second
 	g.Expect(table.GrantTrial(now, id)).To(BeFalse())
-	for i, delay := range append(cfg.TrialDelays, cfg.TrialDelays[len(cfg.TrialDelays)-1]) {
+	for i, delay := range append(cfg.Content.TrialDelays, cfg.Content.TrialDelays[len(cfg.Content.TrialDelays)-1]) {
 		g.Expect(table.GrantTrial(now+delay-1, id)).To(BeFalse())
 		now += delay
 		g.Expect(table.GrantTrial(now, id)).To(BeTrue())
@@ -120,7 +120,7 @@
 	g := NewWithT(t)
 	cfg := quarantine.DefaultConfig()
 	table, id := quarantine.NewTable(cfg), newContentKey(1)
-	now := recordCrashes(table, id, start, 1, 3) + cfg.TrialDelays[0]
+	now := recordCrashes(table, id, start, 1, 3) + cfg.Content.TrialDelays[0]
 	g.Expect(table.GrantTrial(now, id)).To(BeTrue())
 	g.Expect(table.GrantTrial(now+cfg.TrialTimeout, id)).To(BeTrue(), "the first trial has timed out")
 	notice, changed := table.Clear(now+cfg.TrialTimeout, id)
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -4,17 +4,17 @@
 
 // scheduleQuarantine sets when a quarantine expires and when its next trial is due. No trial
 // is pending afterwards.
-func (t *Table) scheduleQuarantine(now time.Duration, e *entry, left time.Duration) {
+func (t *Table) scheduleQuarantine(now time.Duration, id Key, e *entry, left time.Duration) {
 	e.expires = now + left
 	e.trialGrantedAt = 0
-	e.nextTrialAt = now + t.cfg.TrialDelays[min(e.failedTrials, len(t.cfg.TrialDelays)-1)]
+	e.nextTrialAt = now + t.cfg.policy(id).trialDelay(e)
 }
 
-// TrialDue reports whether a trial may be granted: a request with a quarantined content that
-// is sent to find out whether the content still crashes upstreams.
+// TrialDue reports whether a trial may be granted: a request with a quarantined key that is
+// sent to find out whether the key still crashes upstreams.
 //
-// Quarantined requests can't succeed, since they aren't sent. Without trials, a content that
-// was interrupted by unrelated crashes would be refused until its quarantine expires.
+// Quarantined requests can't succeed, since they aren't sent. Without trials, a key that was
+// interrupted by unrelated crashes would be refused until its quarantine expires.
 func (t *Table) TrialDue(now time.Duration, id Key) bool {
 	e := t.entries[id]
 	if e == nil || e.status != Quarantined || now < e.nextTrialAt {
@@ -46,6 +46,20 @@
 	e.version++
 	e.lastCrash = now
 	t.stale = true
-	t.scheduleQuarantine(now, e, t.cfg.QuarantineDuration)
+	t.scheduleQuarantine(now, c.ID, e, t.cfg.QuarantineDuration)
 	return t.notice(now, c.ID, e), true
 }
+
+// RetryTrials restarts the trials of a key in quarantine, at an operator's request. It returns a
+// notice for the other routers.
+func (t *Table) RetryTrials(now time.Duration, id Key) (Notice, bool) {
+	e := t.entries[id]
+	if e == nil || e.status != Quarantined {
+		return Notice{}, false
+	}
+	e.failedTrials = 0
+	e.version++
+	t.stale = true
+	t.scheduleQuarantine(now, id, e, t.cfg.QuarantineDuration)
+	return t.notice(now, id, e), true
+}
--- a/quarantine/view.go
+++ b/quarantine/view.go
@@ -8,15 +8,21 @@
 
 // View is an immutable snapshot of the statuses in a Table.
 type View struct {
-	// statuses has every content with a counted crash, including those with status Normal.
+	// statuses has every key with a counted crash, including those with status Normal.
 	statuses map[Key]Status
+	// contents and parts are the numbers of keys of each kind.
+	contents, parts int
 }
 
-// Empty reports whether the view has no contents, so that no lookup is needed.
-func (v *View) Empty() bool { return v == nil || len(v.statuses) == 0 }
+// HasContents and HasParts report whether the view has keys of a kind, so that a lookup is
+// needed.
+func (v *View) HasContents() bool { return v != nil && v.contents > 0 }
 
-// HasCrashes reports whether crashes are counted against the content, so that a success
-// must be reported.
+// HasParts is described at HasContents.
+func (v *View) HasParts() bool { return v != nil && v.parts > 0 }
+
+// HasCrashes reports whether crashes are counted against the key, so that a success must be
+// reported.
 func (v *View) HasCrashes(id Key) bool {
 	if v == nil {
 		return false
@@ -25,7 +31,7 @@
 	return found
 }
 
-// Status returns the status of a content.
+// Status returns the status of a key.
 func (v *View) Status(id Key) Status {
 	if v == nil {
 		return Normal
@@ -55,7 +61,7 @@
 	t.view, t.digest = &View{statuses: map[Key]Status{}}, 0
 	for id, e := range t.entries {
 		if e.crashes > 0 {
-			t.view.statuses[id] = e.status
+			t.view.add(id, e.status)
 		}
 		if e.replicated() {
 			t.digest ^= e.digest(id)
@@ -63,9 +69,21 @@
 	}
 }
 
+func (v *View) add(id Key, status Status) {
+	v.statuses[id] = status
+	if id.Part {
+		v.parts++
+	} else {
+		v.contents++
+	}
+}
+
 func (e *entry) digest(id Key) uint16 {
 	raw := binary.LittleEndian.AppendUint64(nil, id.Hash)
 	raw = binary.LittleEndian.AppendUint32(raw, e.version)
 	raw = append(raw, byte(e.status))
+	if id.Part {
+		raw = append(raw, PartTeam...)
+	}
 	return uint16(xxhash.Sum64(append(raw, id.Team...)))
 }
