--- a/cmd/aspenswitchctl/main.go
+++ b/cmd/aspenswitchctl/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -86,10 +87,19 @@
 	add(wait, withClient(client, func(c *ctl.Client) error { return c.Wait(os.Stdout, *platform, *ready, *timeout) }))
 	dump := fleet.Command("dump", "Print the whole state of each router as JSON.")
 	add(dump, withClient(client, func(c *ctl.Client) error { return c.Dump(os.Stdout) }))
-	release := fleet.Command("release", "End the quarantine of a request content at all routers on the users' platform.")
-	team := release.Flag("team", "Team that sends the requests.").Required().String()
-	content := release.Arg("content", "Hash of the content, as shown in logs and dumps.").Required().String()
-	add(release, withClient(client, func(c *ctl.Client) error { return c.Release(os.Stdout, *team, *content) }))
+	release := fleet.Command("release", "End the quarantine of a request content at all routers on the users' platform, or try a quarantined part of prompts again.")
+	team := release.Flag("team", "Team that sends the requests with the content.").String()
+	part := release.Flag("part", "ID of the part, as shown in logs and dumps, instead of a content.").String()
+	content := release.Arg("content", "Hash of the content, as shown in logs and dumps.").String()
+	add(release, withClient(client, func(c *ctl.Client) error {
+		switch {
+		case *part != "" && *content == "" && *team == "":
+			return c.ReleasePart(os.Stdout, *part)
+		case *part == "" && *content != "" && *team != "":
+			return c.Release(os.Stdout, *team, *content)
+		}
+		return errors.New("release: either --part ID, or --team TEAM and a content")
+	}))
 	drain := fleet.Command("drain", "Start a graceful shutdown of each given router.")
 	add(drain, func() error { return ctl.NewClient(*admins, *token).Drain(os.Stdout) })
 }
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -105,7 +105,7 @@
 		}
 	}
 	for _, l := range lines {
-		if l.field("event") == "quarantine" && sameContent(l, requestLines) {
+		if l.field("event") == "quarantine" && sameKey(l, requestLines) || l.field("event") == "upstream_broke" && blamesPart(l, requestLines) {
 			related = append(related, l)
 		}
 	}
@@ -113,11 +113,24 @@
 	return related
 }
 
-// sameContent reports whether a line has the same team and content as one of
+// sameKey reports whether a line has the same part, or the same team and content, as one of
 // requestLines.
-func sameContent(l logLine, requestLines []logLine) bool {
+func sameKey(l logLine, requestLines []logLine) bool {
 	return slices.ContainsFunc(requestLines, func(o logLine) bool {
-		return o.field("content") != "" && o.field("content") == l.field("content") && o.field("team") == l.field("team")
+		return o.field("part") != "" && o.field("part") == l.field("part") ||
+			o.field("content") != "" && o.field("content") == l.field("content") && o.field("team") == l.field("team")
+	})
+}
+
+// blamesPart reports whether a line is about another request whose upstream ended before it had
+// started to answer, and whose prompt has the part for which one of requestLines was rejected.
+func blamesPart(l logLine, requestLines []logLine) bool {
+	if l.field("answer_started") == "true" {
+		return false
+	}
+	return slices.ContainsFunc(requestLines, func(o logLine) bool {
+		part := o.field("part")
+		return part != "" && o.field("request") != l.field("request") && slices.Contains(strings.Split(l.field("parts"), ","), part)
 	})
 }
 
--- a/ctl/explain_test.go
+++ b/ctl/explain_test.go
@@ -56,3 +56,23 @@
 	g.Expect(lines).To(HaveLen(2))
 	g.Expect(lines[0]).To(ContainSubstring("status=quarantined"))
 }
+
+const partLog = `
+{"level":"warn","process":"r2","event":"upstream_broke","request":"x1","team":"schools","content":"1","upstream":"u1","parts":"5a,bad,1","answer_started":false,"time":999000,"message":"upstream closed the connection while handling a request"}
+{"level":"warn","process":"r2","event":"upstream_broke","request":"x2","team":"schools","content":"2","upstream":"u1","parts":"5a,bad,2","answer_started":true,"time":999000,"message":"upstream closed the connection while handling a request"}
+{"level":"warn","process":"r2","event":"upstream_broke","request":"x3","team":"schools","content":"3","upstream":"u1","parts":"5a,3","answer_started":false,"time":999000,"message":"upstream closed the connection while handling a request"}
+{"level":"warn","process":"r2","event":"quarantine","part":"bad","status":"quarantined","crashes":4,"time":1000000,"message":"quarantine status of a content or a part changed"}
+{"level":"warn","process":"r2","event":"quarantine","part":"5a","status":"quarantined","crashes":4,"time":1000000,"message":"quarantine status of a content or a part changed"}
+{"level":"warn","process":"r1","event":"failed","request":"abc","team":"homes","part":"bad","cause":"quarantined","took_ms":1,"time":1300000,"message":"request"}
+`
+
+// Guards against output that omits why a part of a rejected request's prompt is in quarantine.
+func TestExplainShowsQuarantineOfAPart(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	g.Expect(ctl.Explain(&out, "abc", strings.NewReader(partLog))).To(Succeed())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	g.Expect(lines).To(HaveLen(3))
+	g.Expect(lines[0]).To(ContainSubstring("request=x1"))
+	g.Expect(lines[1]).To(ContainSubstring("part=bad"))
+}
--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -135,16 +135,25 @@
 // Release ends the quarantine of a team's content at all routers. It tries the routers in
 // order until one succeeds, which notifies the others.
 func (c *Client) Release(out io.Writer, team, content string) error {
-	params := url.Values{"team": {team}, "content": {content}}
+	return c.release(out, url.Values{"team": {team}, "content": {content}}, "released")
+}
+
+// ReleasePart makes the routers try a quarantined part of prompts again: if the next answer to it
+// starts, its quarantine ends at all routers.
+func (c *Client) ReleasePart(out io.Writer, part string) error {
+	return c.release(out, url.Values{"part": {part}}, "the next request with part "+part+" is sent as a trial")
+}
+
+func (c *Client) release(out io.Writer, key url.Values, result string) error {
 	var lastErr error
 	for _, base := range c.baseURLs {
-		resp, err := c.do(http.MethodPost, base+"/quarantine/release?"+params.Encode())
+		resp, err := c.do(http.MethodPost, base+"/quarantine/release?"+key.Encode())
 		if err != nil {
 			lastErr = err
 			continue
 		}
 		_ = resp.Body.Close()
-		_, err = fmt.Fprintf(out, "%s: released\n", base)
+		_, err = fmt.Fprintf(out, "%s: %s\n", base, result)
 		return Error.Wrap(err)
 	}
 	return lastErr
--- a/ctl/fleet_test.go
+++ b/ctl/fleet_test.go
@@ -30,6 +30,8 @@
 	warming   int
 	epoch     int
 	versions  []map[string]any
+	// quarantine lists the quarantined and suspect keys.
+	quarantine []map[string]any
 }
 
 func (f *fakeRouter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
@@ -40,7 +42,7 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{
 		"ready": f.ready, "configVersion": f.version,
 		"node": map[string]any{"failureDomain": "east", "hub": f.pending > 0, "ageMs": f.ageMs, "pending": f.pending, "members": members,
-			"router": 1, "evacuated": f.evacuated, "epoch": f.epoch, "versions": f.versions, "groups": []any{
+			"router": 1, "evacuated": f.evacuated, "epoch": f.epoch, "versions": f.versions, "quarantine": f.quarantine, "groups": []any{
 				map[string]any{"home": 1, "state": map[string]any{"warming": f.warming}},
 				map[string]any{"home": 2, "state": map[string]any{"warming": 9}},
 			}},
@@ -203,3 +205,19 @@
 	g.Expect(out.String()).To(ContainSubstring("http://127.0.0.2:" + baseURL.Port()))
 	g.Expect(ctl.NewClient([]string{"http://127.0.0.1:1"}, "").Discover()).NotTo(Succeed())
 }
+
+// Guards against an overview that omits what the fleet no longer sends, or lists what it still sends.
+func TestStatusListsWhatIsInQuarantine(t *testing.T) {
+	g := NewWithT(t)
+	part := map[string]any{"part": "bad0", "status": "quarantined", "crashes": 4}
+	held := []map[string]any{
+		part, {"team": "schools", "content": "ab12", "status": "quarantined", "crashes": 3},
+		{"team": "schools", "content": "cd34", "status": "suspect", "crashes": 2},
+	}
+	bases := startRouters(t, &fakeRouter{ready: true, version: 1, quarantine: held}, &fakeRouter{ready: true, version: 1, quarantine: []map[string]any{part}})
+	var out bytes.Buffer
+	g.Expect(ctl.NewClient(bases, "").Status(&out, true, ctl.Table)).To(Succeed())
+	g.Expect(out.String()).To(MatchRegexp(`part bad0 +any +4 +2`))
+	g.Expect(out.String()).To(MatchRegexp(`content ab12 +schools +3 +1`))
+	g.Expect(out.String()).NotTo(ContainSubstring("cd34"))
+}
--- a/ctl/overview.go
+++ b/ctl/overview.go
@@ -34,6 +34,8 @@
 	Epoch int64 `json:"epoch"`
 	// Software lists the software versions of the upstreams in the router's state.
 	Software []SoftwareVersion `json:"software,omitempty"`
+	// Quarantine lists the contents and parts in quarantine at the router.
+	Quarantine []QuarantinedKey `json:"quarantine,omitempty"`
 	// Error is the error of querying the router, empty if it answered.
 	Error string `json:"error,omitempty"`
 }
@@ -69,9 +71,11 @@
 	// configuration has them. Epoch is the highest one of all routers.
 	Software []SoftwareVersion `json:"software,omitempty"`
 	Epoch    int64             `json:"epoch"`
-	Summary  []Summary         `json:"summary"`
-	Outliers []Outlier         `json:"outliers"`
-	Routers  []RouterStatus    `json:"routers"`
+	// Quarantine lists the contents and parts in quarantine at any router.
+	Quarantine []Quarantined  `json:"quarantine,omitempty"`
+	Summary    []Summary      `json:"summary"`
+	Outliers   []Outlier      `json:"outliers"`
+	Routers    []RouterStatus `json:"routers"`
 }
 
 // Summary aggregates the routers of a failure domain that have the same role.
@@ -104,7 +108,7 @@
 
 // newOverview aggregates the states of routers.
 func newOverview(routers []RouterStatus) Overview {
-	o := Overview{Routers: routers, Evacuated: mostCommonEvacuated(routers)}
+	o := Overview{Routers: routers, Evacuated: mostCommonEvacuated(routers), Quarantine: quarantinedKeys(routers)}
 	version, peers, waiting := typicalValues(routers)
 	for _, r := range routers {
 		o.Epoch = max(o.Epoch, r.Epoch)
--- a/ctl/platform.go
+++ b/ctl/platform.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -32,7 +33,8 @@
 			Registered int    `json:"registered"`
 			Ready      int    `json:"ready"`
 		} `json:"versions"`
-		Groups []struct {
+		Quarantine []QuarantinedKey `json:"quarantine"`
+		Groups     []struct {
 			Home  uint64 `json:"home"`
 			State struct {
 				Warming int `json:"warming"`
@@ -47,10 +49,15 @@
 		Version: strconv.FormatInt(d.ConfigVersion, 10), Peers: len(d.Node.Members),
 		Waiting: d.Node.Pending, Running: d.Node.InFlight, ViewAge: time.Duration(d.Node.AgeMs) * time.Millisecond,
 		Evacuated: d.Node.Evacuated, Warming: d.warming(),
-		Epoch: d.Node.Epoch, Software: d.software(),
+		Epoch: d.Node.Epoch, Software: d.software(), Quarantine: d.quarantined(),
 	}
 }
 
+// quarantined returns the keys in quarantine at the router.
+func (d *platformDump) quarantined() []QuarantinedKey {
+	return slices.DeleteFunc(d.Node.Quarantine, func(k QuarantinedKey) bool { return k.Status != statusQuarantined })
+}
+
 // software returns the software versions of the upstreams in the router's state.
 func (d *platformDump) software() []SoftwareVersion {
 	var versions []SoftwareVersion
--- a/ctl/print.go
+++ b/ctl/print.go
@@ -50,6 +50,7 @@
 	for _, v := range o.Software {
 		fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", v.Service, cmp.Or(v.Version, "unknown"), v.Registered, v.Ready)
 	}
+	printQuarantined(w, o.Quarantine)
 	if len(o.Outliers) > 0 {
 		fmt.Fprintln(w, "\nrouter\tdomain\trole\tdiffers")
 	}
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -214,19 +214,28 @@
 	return e
 }
 
-// releaseQuarantine handles requests to end the quarantine of a team's content at all routers.
+// releaseQuarantine handles requests to end the quarantine of a team's content, or of a part, at all
+// routers.
 func (d *FleetDaemon) releaseQuarantine(c echo.Context) error {
-	id, err := quarantine.ParseContentKey(c.QueryParam("team"), c.QueryParam("content"))
+	key, err := parseQuarantineKey(c)
 	if err != nil {
 		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 	}
-	if d.node.Quarantine().Status(id) == quarantine.Normal {
-		return echo.NewHTTPError(http.StatusNotFound, "content "+id.String()+" of team "+strconv.Quote(id.Team)+" is neither suspect nor in quarantine")
+	if d.node.Quarantine().Status(key) == quarantine.Normal {
+		return echo.NewHTTPError(http.StatusNotFound, key.Name()+" is neither suspect nor in quarantine")
 	}
-	d.node.Release(id)
+	d.node.Release(key)
 	return c.NoContent(http.StatusNoContent)
 }
 
+// parseQuarantineKey returns the key in a request's parameters: part, or team and content.
+func parseQuarantineKey(c echo.Context) (quarantine.Key, error) {
+	if part := c.QueryParam("part"); part != "" {
+		return quarantine.ParsePartKey(part)
+	}
+	return quarantine.ParseContentKey(c.QueryParam("team"), c.QueryParam("content"))
+}
+
 // fleetDump is the state of the process that the control listener returns.
 type fleetDump struct {
 	Ready         bool       `json:"ready"`
