quarantine, fleet, gateway: a request with several quarantined keys is tried

Three crashing parts had stopped every upstream in turn; the shared first part and the streams' common content were both quarantined, and a request with two quarantined keys was never a trial. Now it is one if a trial of each key is due; the hubs are asked in one order at all routers, so that no two requests hold each a part of what both need.

--- a/gateway/deps.go
+++ b/gateway/deps.go
@@ -56,9 +56,9 @@
 	ReportSuccess(content quarantine.Key, from dispatch.Incarnation)
 	// ReportStarted reports that an upstream has started to answer a prompt with these parts.
 	ReportStarted(parts []dispatch.Part, from dispatch.Incarnation)
-	// RequestTrial reports whether a request with a quarantined key may be sent as a trial, to
-	// find out whether the key still crashes upstreams.
-	RequestTrial(ctx context.Context, key quarantine.Key) bool
+	// RequestTrial reports whether a request with quarantined keys may be sent as a trial, to find
+	// out whether they still crash upstreams.
+	RequestTrial(ctx context.Context, keys []quarantine.Key) bool
 	// Quarantine returns the current statuses of keys; nil means that all are normal.
 	Quarantine() *quarantine.View
 	// Routers returns the largest number of live routers seen at any time since the start of
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/quarantine"
@@ -30,85 +31,64 @@
 	return keys
 }
 
-// held is what makes a request suspect or quarantined.
-type held struct {
-	// status is the most severe status of the request's keys, key the first key that has it, and
-	// others the number of other keys that have it.
-	status quarantine.Status
-	key    quarantine.Key
-	others int
-}
-
-func (h *held) add(key quarantine.Key, status quarantine.Status) {
-	switch {
-	case status == quarantine.Normal || status < h.status:
-	case status > h.status:
-		*h = held{status: status, key: key}
-	case key != h.key:
-		h.others++
-	}
-}
-
-// quarantineStatus returns the status of a request. The content is hashed only while some content
-// has crashes.
-func (s *Server) quarantineStatus(r *request) held {
-	var h held
+// quarantineStatus returns the most severe status of a request's keys, and the keys that are in
+// quarantine. The content is hashed only while some content has crashes.
+func (s *Server) quarantineStatus(r *request) (status quarantine.Status, quarantined []quarantine.Key) {
 	view := s.placer.Quarantine()
+	add := func(key quarantine.Key) {
+		of := view.Status(key)
+		status = max(status, of)
+		if of == quarantine.Quarantined && !slices.Contains(quarantined, key) {
+			quarantined = append(quarantined, key)
+		}
+	}
 	if view.HasContents() {
-		key := r.ensureContentKey()
-		h.add(key, view.Status(key))
+		add(r.ensureContentKey())
 	}
 	if view.HasParts() {
 		for _, part := range r.sharedParts() {
-			key := quarantine.NewPartKey(part.ID)
-			h.add(key, view.Status(key))
+			add(quarantine.NewPartKey(part.ID))
 		}
 	}
-	return h
+	return status, quarantined
 }
 
 // refuseQuarantined rejects a request whose content or a part of whose prompt is in quarantine,
 // unless it may be sent as a trial. It answers 502 without Retry-After, so that callers don't
 // repeat non-repeatable requests; the body states that the request was not run.
 func (s *Server) refuseQuarantined(r *request) *refusal {
-	h := s.quarantineStatus(r)
-	if h.status != quarantine.Quarantined {
-		return nil
-	}
-	if s.mayTry(r, h) {
+	_, keys := s.quarantineStatus(r)
+	if len(keys) == 0 || s.mayTry(r, keys) {
 		return nil
 	}
 	s.stats.quarantined.Inc(1)
 	message := "upstreams crashed while they ran this request; it isn't sent any more and was not run"
-	if h.key.Part {
-		r.record.part = h.key.String()
+	if keys[0].Part {
+		r.record.part = keys[0].String()
 		message = "upstreams crashed while they ran prompts with the part " + r.record.part + "; the request isn't sent and was not run"
 	} else {
-		r.record.content = h.key.String()
+		r.record.content = keys[0].String()
 	}
 	return &refusal{status: http.StatusBadGateway, outcome: retry.NotRun, code: "quarantined", message: message}
 }
 
-// mayTry reports whether a quarantined request may be sent as a trial. Only a first attempt can be
-// one, and only for a single key: the result would show nothing of the others.
-func (s *Server) mayTry(r *request, h held) bool {
-	if h.others > 0 {
-		return false
+// mayTry reports whether a request with quarantined keys may be sent as a trial of all of them.
+// Only a first attempt can be one.
+func (s *Server) mayTry(r *request, keys []quarantine.Key) bool {
+	if r.trialOf == nil && len(r.tried) == 0 && s.placer.RequestTrial(r.ctx, keys) {
+		r.trialOf = keys
 	}
-	if r.trialOf != nil {
-		return *r.trialOf == h.key
-	}
-	if len(r.tried) > 0 || !s.placer.RequestTrial(r.ctx, h.key) {
-		return false
-	}
-	r.trialOf = &h.key
-	return true
+	return r.trialOf != nil && !slices.ContainsFunc(keys, func(k quarantine.Key) bool { return !slices.Contains(r.trialOf, k) })
 }
 
 // isSuspect reports whether a request must not be retried because upstreams crashed while
 // handling it: maxCrashesPerRequest of them, or any if its status isn't Normal.
 func (s *Server) isSuspect(r *request) bool {
-	return r.crashes >= maxCrashesPerRequest || r.crashes > 0 && s.quarantineStatus(r).status != quarantine.Normal
+	if r.crashes == 0 || r.crashes >= maxCrashesPerRequest {
+		return r.crashes > 0
+	}
+	status, _ := s.quarantineStatus(r)
+	return status != quarantine.Normal
 }
 
 // maxCrashesPerRequest prevents the retries of a single request from crashing more upstreams.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -53,8 +53,8 @@
 	// software version that began it, "" if unknown: a stream goes on at this version only.
 	began   bool
 	version string
-	// trialOf is the quarantined key with which the request may be sent all the same.
-	trialOf *quarantine.Key
+	// trialOf are the quarantined keys with which the request may be sent as a trial.
+	trialOf []quarantine.Key
 	// crashes is how many upstreams closed the connection while handling the request.
 	crashes int
 	// tried are the IDs of the upstreams to exclude from further placements.
--- a/quarantine/config.go
+++ b/quarantine/config.go
@@ -49,8 +49,10 @@
 		},
 		Part: Policy{
 			QuarantineAfter: 4, MaxDoublings: 2, BurstWindow: 100 * time.Millisecond,
-			TrialDelays:       []time.Duration{time.Second, 10 * time.Second, 5 * time.Minute, time.Hour, 6 * time.Hour},
-			ProvenTrialDelays: []time.Duration{time.Second, 4 * time.Second, 15 * time.Second, time.Minute},
+			TrialDelays: []time.Duration{time.Second, 10 * time.Second, 5 * time.Minute, time.Hour, 6 * time.Hour},
+			// The first one comes before that of a part that crashed the same upstreams, which would
+			// interrupt it.
+			ProvenTrialDelays: []time.Duration{300 * time.Millisecond, time.Second, 4 * time.Second, 15 * time.Second, time.Minute},
 		},
 		EntryTTL:           5 * time.Minute,
 		QuarantineDuration: 2 * time.Hour,
--- a/quarantine/key.go
+++ b/quarantine/key.go
@@ -1,8 +1,10 @@
 package quarantine
 
 import (
+	"cmp"
 	"encoding/binary"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
@@ -63,6 +65,17 @@
 	return NewPartKey(n), nil
 }
 
+// Compare orders contents before parts, then by team and hash.
+func (k Key) Compare(o Key) int {
+	if k.Part != o.Part {
+		if o.Part {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(strings.Compare(k.Team, o.Team), cmp.Compare(k.Hash, o.Hash))
+}
+
 // String returns the hash in hexadecimal, without the team.
 func (k Key) String() string { return strconv.FormatUint(k.Hash, 16) }
 
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -1,9 +1,7 @@
 package quarantine
 
 import (
-	"cmp"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -235,23 +233,10 @@
 			all = append(all, t.Get(now, id))
 		}
 	}
-	slices.SortFunc(all, func(a, b Entry) int {
-		return cmp.Or(compareBool(a.ID.Part, b.ID.Part), strings.Compare(a.ID.Team, b.ID.Team), cmp.Compare(a.ID.Hash, b.ID.Hash))
-	})
+	slices.SortFunc(all, func(a, b Entry) int { return a.ID.Compare(b.ID) })
 	return all
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
 func (t *Table) notice(now time.Duration, id Key, e *entry) Notice {
 	return Notice{ID: id, Status: e.status, Version: e.version, Left: e.expires - now, FailedTrials: e.failedTrials}
 }
