fleet, gateway: a router that has started waits for what its peers have in quarantine

A router that starts has no quarantine until its peers' notices come, some milliseconds after its first heartbeat, and sends what crashes upstreams until then; in a soak plan with a killed and a restarted router two crashes followed within 13 ms of each start.

--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -33,6 +33,7 @@
 	m.lastContact, m.silent = now, false
 	n.updateHubs(now)
 	n.confirmState(m, hb)
+	n.quarantine.start.compare(now, n.quarantine.table.Digest(), hb.QuarantineDigest)
 	n.repairQuarantine(now, m, hb.QuarantineDigest)
 	n.contactNewPeers(now, hb.Peers)
 	if hb.ReplyRequested {
--- a/fleet/parts_test.go
+++ b/fleet/parts_test.go
@@ -87,6 +87,33 @@
 	})
 }
 
+// Guards against requests that a router sends after its start before it has what others have in quarantine,
+// and against requests that wait where nothing is.
+func TestRequestsWaitForTheQuarantineAfterTheStart(t *testing.T) {
+	for _, crashes := range []int{0, 5} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			s := &source{revision: 1, version: 1}
+			c := startCluster(t, 5, s)
+			crashWithParts(c.all, 0, crashes)
+			time.Sleep(propagationTime)
+			c.run(5, s)
+			started := c.all[5]
+			for len(started.node.Dump().Members) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			asked := time.Now()
+			started.node.AwaitQuarantine(t.Context())
+			g.Expect(time.Since(asked)).To(BeNumerically("<", 100*time.Millisecond))
+			want := quarantine.Normal
+			if crashes > 0 {
+				want = quarantine.Quarantined
+			}
+			g.Expect(started.node.Quarantine().Status(badPart)).To(Equal(want))
+		})
+	}
+}
+
 // Guards against trials of a part that together are more than three later than the first seconds, and
 // against a release that sends it to more than one upstream.
 func TestTrialsOfAPartAreLimitedAcrossRouters(t *testing.T) {
--- a/fleet/quarantine.go
+++ b/fleet/quarantine.go
@@ -26,6 +26,7 @@
 	notices []quarantine.Notice
 	// pendingTrials has the trial requests awaiting the hub's answer, at most one per key.
 	pendingTrials map[quarantine.Key]*pendingTrial
+	start         quarantineStart
 	expiredAt     boottime.Time
 
 	// mu guards the fields below it.
@@ -281,6 +282,9 @@
 	if changed {
 		n.publishQuarantine()
 	}
+	if len(update.Notices) > 0 {
+		n.quarantine.start.end()
+	}
 }
 
 // repairQuarantine resends this router's notices to a peer whose digest differs. It guards
@@ -302,6 +306,7 @@
 		n.broadcastNotices()
 	}
 	n.expirePendingTrials(now)
+	n.quarantine.start.expire(now)
 	if n.quarantine.outdated {
 		n.publishQuarantine()
 	}
--- a/gateway/deps.go
+++ b/gateway/deps.go
@@ -59,6 +59,9 @@
 	// RequestTrial reports whether a request with quarantined keys may be sent as a trial, to find
 	// out whether they still crash upstreams.
 	RequestTrial(ctx context.Context, keys []quarantine.Key) bool
+	// AwaitQuarantine waits, after the start of this router, until it has the statuses that its peers
+	// have.
+	AwaitQuarantine(ctx context.Context)
 	// Quarantine returns the current statuses of keys; nil means that all are normal.
 	Quarantine() *quarantine.View
 	// Routers returns the largest number of live routers seen at any time since the start of
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -130,6 +130,8 @@
 	return append([]dispatch.Outcome(nil), p.outcomes...)
 }
 
+func (p *fakePlacer) AwaitQuarantine(context.Context) {}
+
 func (p *fakePlacer) RequestTrial(context.Context, []quarantine.Key) bool {
 	return p.grantTrial.Swap(false)
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -57,6 +57,7 @@
 // unless it may be sent as a trial. It answers 502 without Retry-After, so that callers don't
 // repeat non-repeatable requests; the body states that the request was not run.
 func (s *Server) refuseQuarantined(r *request) *refusal {
+	s.placer.AwaitQuarantine(r.ctx)
 	_, keys := s.quarantineStatus(r)
 	if len(keys) == 0 || s.mayTry(r, keys) {
 		return nil
