quarantine, fleet, gateway: a lost trial doesn't keep a quarantine

A trial whose request was not sent is returned to the hub (an otherwise unused combination of the trial message's flags); one without a result counts as failed, after 5 s for a part, so that callers who leave before the crash don't have it sent again and again. A content that was quarantined while a part crashed upstreams is tried 0.5 s after that part's quarantine, since each of its crashes interrupted others.

Tests: gateway TestTrialThatIsNotSentIsReturned, fleet TestReturnedTrialIsGrantedAgain, quarantine TestTrialWithoutAResultCountsAsFailed, TestContentIsTriedOnceAPartExplainsItsCrashes.

--- a/fleet/parts_test.go
+++ b/fleet/parts_test.go
@@ -175,6 +175,22 @@
 	})
 }
 
+// Guards against a quarantine that goes on because a trial was granted to a request that was not sent.
+func TestReturnedTrialIsGrantedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		all := start(t, 7, &source{revision: 1, version: 1})
+		crashWithParts(all, 0, 5)
+		time.Sleep(2 * time.Second)
+		for _, m := range all {
+			g.Expect(m.node.RequestTrial(t.Context(), []quarantine.Key{badPart})).To(BeTrue())
+			g.Expect(all[0].node.RequestTrial(t.Context(), []quarantine.Key{badPart})).To(BeFalse())
+			m.node.ReturnTrial([]quarantine.Key{badPart})
+			time.Sleep(propagationTime)
+		}
+	})
+}
+
 // Guards against messages about parts exceeding their share of the control traffic.
 func TestTrafficAboutPartsIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/fleet/trial.go
+++ b/fleet/trial.go
@@ -42,6 +42,19 @@
 	return false
 }
 
+// ReturnTrial implements gateway.Placer.
+func (n *Node) ReturnTrial(keys []quarantine.Key) {
+	n.post(callEvent{do: func(now boottime.Time) {
+		for _, key := range keys {
+			if hub := n.hubFor(now, quarantineHubKey(key)); hub != nil {
+				n.sendTrialMessage(hub, trialMessage{Team: messageTeam(key), Hash: key.Hash, Granted: true})
+			} else {
+				n.quarantine.table.ReturnTrial(key)
+			}
+		}
+	}})
+}
+
 // handleTrial asks the hubs of the keys for a trial, unless none is due for one of them.
 func (n *Node) handleTrial(now boottime.Time, e trialEvent) {
 	due := true
@@ -83,6 +96,10 @@
 // request that waits for it.
 func (n *Node) handleTrialMessage(now boottime.Time, from *member, m *trialMessage) {
 	key := newKey(m.Team, m.Hash)
+	if m.returned() {
+		n.quarantine.table.ReturnTrial(key)
+		return
+	}
 	if !m.Answer {
 		granted := n.quarantine.table.GrantTrial(time.Duration(now), key)
 		n.sendTrialMessage(from, trialMessage{Team: m.Team, Hash: m.Hash, Answer: true, Granted: granted})
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -53,6 +53,8 @@
 	crashes int
 	// started has the parts of prompts that were reported as started.
 	started []uint64
+	// returned has the keys of trials that weren't sent.
+	returned []quarantine.Key
 	// grantTrial is set if the next trial is granted; granting it resets the flag.
 	grantTrial atomic.Bool
 	// leaving are the upstreams that were reported as leaving.
@@ -130,6 +132,18 @@
 	return append([]dispatch.Outcome(nil), p.outcomes...)
 }
 
+func (p *fakePlacer) ReturnTrial(keys []quarantine.Key) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.returned = append(p.returned, keys...)
+}
+
+func (p *fakePlacer) returnedTrials() []quarantine.Key {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]quarantine.Key(nil), p.returned...)
+}
+
 func (p *fakePlacer) AwaitQuarantine(context.Context) {}
 
 func (p *fakePlacer) RequestTrial(context.Context, []quarantine.Key) bool {
--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -69,6 +69,19 @@
 	}
 }
 
+// Guards against trials without a result, for which others wait, of requests that no upstream got.
+func TestTrialThatIsNotSentIsReturned(t *testing.T) {
+	for name, upstream := range map[string]script{"refused": nil, "rejected": status(503, "X-Not-Run: 1\r\n"), "sent": ending{framing: eventstream.Chunked, eol: "\n"}.script(1, 3)} {
+		g := NewWithT(t)
+		r := newHarness(t, map[string]script{"u1": upstream})
+		r.placer.crashPart(0xbad)
+		r.placer.grantTrial.Store(true)
+		_, _, err := r.call("/stream/", withParts("bad", "1"))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Eventually(r.placer.returnedTrials).Should(HaveLen(map[string]int{"refused": 1, "rejected": 1}[name]), name)
+	}
+}
+
 // Guards against sending a trial with a key that was quarantined after the trial was granted.
 func TestTrialEndsWithAnotherQuarantine(t *testing.T) {
 	g := NewWithT(t)
--- a/quarantine/config.go
+++ b/quarantine/config.go
@@ -11,9 +11,6 @@
 	// QuarantineDuration is how long a key stays in quarantine after its last crash, or after
 	// the last request with it (see Table.Touch).
 	QuarantineDuration time.Duration
-	// TrialTimeout is how long a granted trial may remain without a result before another
-	// may be granted.
-	TrialTimeout time.Duration
 	// MaxEntries and MaxPerTeam limit the number of keys in the table. A single crash can
 	// interrupt on the order of a hundred requests of one team.
 	MaxEntries, MaxPerTeam int
@@ -38,6 +35,9 @@
 	// ProvenTrialDelays replace TrialDelays for a key that has been harmless before. Empty
 	// means that there is no difference.
 	ProvenTrialDelays []time.Duration
+	// TrialTimeout is how long a granted trial may remain without a result. That of a content is
+	// its complete response, that of a part the start of an answer.
+	TrialTimeout time.Duration
 }
 
 // DefaultConfig returns the default configuration.
@@ -45,7 +45,8 @@
 	return Config{
 		Content: Policy{
 			SuspectAfter: 2, QuarantineAfter: 3,
-			TrialDelays: []time.Duration{time.Second, 2 * time.Second, 20 * time.Second, 200 * time.Second, 30 * time.Minute},
+			TrialDelays:  []time.Duration{time.Second, 2 * time.Second, 20 * time.Second, 200 * time.Second, 30 * time.Minute},
+			TrialTimeout: 15 * time.Second,
 		},
 		Part: Policy{
 			QuarantineAfter: 4, MaxDoublings: 2, BurstWindow: 100 * time.Millisecond,
@@ -53,10 +54,10 @@
 			// The first one comes before that of a part that crashed the same upstreams, which would
 			// interrupt it.
 			ProvenTrialDelays: []time.Duration{300 * time.Millisecond, time.Second, 4 * time.Second, 15 * time.Second, time.Minute},
+			TrialTimeout:      5 * time.Second,
 		},
 		EntryTTL:           5 * time.Minute,
 		QuarantineDuration: 2 * time.Hour,
-		TrialTimeout:       15 * time.Second,
 		MaxEntries:         2048, MaxPerTeam: 256,
 	}
 }
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -88,6 +88,25 @@
 	}
 }
 
+// Guards against trials whose callers leave before the crash, and are sent again at once.
+func TestTrialWithoutAResultCountsAsFailed(t *testing.T) {
+	g := NewWithT(t)
+	cfg := quarantine.DefaultConfig()
+	table := quarantine.NewTable(cfg)
+	now := recordCrashes(table, part, start, 1, 4) - second
+	trials := 0
+	for until := now + 2*time.Minute; now < until; now += second / 10 {
+		if table.GrantTrial(now, part) {
+			trials++
+		}
+	}
+	g.Expect(trials).To(BeNumerically("<=", 3))
+	g.Expect(table.GrantTrial(now+time.Hour, part)).To(BeTrue())
+	g.Expect(table.GrantTrial(now+time.Hour, part)).To(BeFalse())
+	table.ReturnTrial(part)
+	g.Expect(table.GrantTrial(now+time.Hour, part)).To(BeTrue(), "the one before was not sent")
+}
+
 // Guards against forgetting a crashing part while requests with it come, and against keeping it for ever.
 func TestPartStaysInQuarantineWhileItIsRequested(t *testing.T) {
 	g := NewWithT(t)
@@ -127,6 +146,31 @@
 	}
 }
 
+// Guards against refusing a content for twenty seconds that was interrupted by the crashes of a part.
+func TestContentIsTriedOnceAPartExplainsItsCrashes(t *testing.T) {
+	g := NewWithT(t)
+	cfg := quarantine.DefaultConfig()
+	observing, other := quarantine.NewTable(cfg), quarantine.NewTable(cfg)
+	content, old := newContentKey(1), newContentKey(2)
+	now := recordCrashes(observing, old, start, 50, 3) + time.Minute
+	now = recordCrashes(observing, content, now, 1, 3)
+	for i := range 2 {
+		now += cfg.Content.TrialDelays[i]
+		g.Expect(observing.GrantTrial(now, content)).To(BeTrue())
+		notice, _ := observing.RecordCrash(now, quarantine.Crash{ID: content, Upstream: uint32(60 + i), Sent: now})
+		other.Apply(now, notice)
+	}
+	g.Expect(observing.TrialDue(now+second, content)).To(BeFalse())
+	crashed := recordCrashes(observing, part, now, 100, 3)
+	notice, _ := observing.RecordCrash(crashed, newCrash(part, 104, crashed))
+	other.Apply(crashed, notice)
+	for _, table := range []*quarantine.Table{observing, other} {
+		g.Expect(table.TrialDue(crashed, content)).To(BeFalse(), "the upstreams start again")
+		g.Expect(table.TrialDue(crashed+second, content)).To(BeTrue())
+	}
+	g.Expect(observing.TrialDue(crashed+second, old)).To(BeTrue(), "its trial was due already")
+}
+
 // Guards against a flood of parts that hides the crashing one, takes memory, or displaces contents and
 // the parts of other teams.
 func TestCrashingPartIsFoundAmongTenThousand(t *testing.T) {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -122,8 +122,8 @@
 	table, id := quarantine.NewTable(cfg), newContentKey(1)
 	now := recordCrashes(table, id, start, 1, 3) + cfg.Content.TrialDelays[0]
 	g.Expect(table.GrantTrial(now, id)).To(BeTrue())
-	g.Expect(table.GrantTrial(now+cfg.TrialTimeout, id)).To(BeTrue(), "the first trial has timed out")
-	notice, changed := table.Clear(now+cfg.TrialTimeout, id)
+	g.Expect(table.GrantTrial(now+cfg.Content.TrialTimeout, id)).To(BeTrue(), "the first trial has timed out")
+	notice, changed := table.Clear(now+cfg.Content.TrialTimeout, id)
 	g.Expect(changed).To(BeTrue())
 	g.Expect(notice.Status).To(Equal(quarantine.Normal))
 	g.Expect(table.View().Status(id)).To(Equal(quarantine.Normal))
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -6,10 +6,29 @@
 // is pending afterwards.
 func (t *Table) scheduleQuarantine(now time.Duration, id Key, e *entry, left time.Duration) {
 	e.expires = now + left
+	e.heldAt = now
 	e.trialGrantedAt = 0
 	e.nextTrialAt = now + t.cfg.policy(id).trialDelay(e)
 }
 
+const (
+	// explainedWithin is how long before the quarantine of a part the quarantine of a content, or its
+	// last failed trial, may have been due to the part.
+	explainedWithin = 10 * time.Second
+	// explainedTrialDelay leaves time for the upstreams that the part crashed to start again.
+	explainedTrialDelay = 500 * time.Millisecond
+)
+
+// partQuarantined makes the trials of contents due soon that were quarantined while a part that is in
+// quarantine now crashed upstreams: each of its crashes interrupted other requests as well.
+func (t *Table) partQuarantined(now time.Duration) {
+	for id, e := range t.entries {
+		if !id.Part && e.status == Quarantined && now-e.heldAt <= explainedWithin {
+			e.nextTrialAt = min(e.nextTrialAt, now+explainedTrialDelay)
+		}
+	}
+}
+
 // TrialDue reports whether a trial may be granted: a request with a quarantined key that is
 // sent to find out whether the key still crashes upstreams.
 //
@@ -17,22 +36,43 @@
 // interrupted by unrelated crashes would be refused until its quarantine expires.
 func (t *Table) TrialDue(now time.Duration, id Key) bool {
 	e := t.entries[id]
-	if e == nil || e.status != Quarantined || now < e.nextTrialAt {
-		return false
-	}
-	return e.trialGrantedAt == 0 || now >= e.trialGrantedAt+t.cfg.TrialTimeout
+	return e != nil && e.status == Quarantined && now >= e.nextTrialAt && !t.trialPending(now, id, e)
+}
+
+// trialPending reports whether a trial was granted whose result may still come.
+func (t *Table) trialPending(now time.Duration, id Key, e *entry) bool {
+	return e.trialGrantedAt != 0 && now < e.trialGrantedAt+t.cfg.policy(id).TrialTimeout
 }
 
 // GrantTrial grants a trial if one is due, and reports whether it did. Only the hub of a
 // content may call it, so that the routers don't send trials concurrently.
+//
+// A trial without a result counts as failed: its caller may have left before the crash.
 func (t *Table) GrantTrial(now time.Duration, id Key) bool {
-	if !t.TrialDue(now, id) {
+	e := t.entries[id]
+	if e == nil || e.status != Quarantined || t.trialPending(now, id, e) {
+		return false
+	}
+	if e.trialGrantedAt != 0 {
+		e.failedTrials++
+		e.nextTrialAt = e.trialGrantedAt + t.cfg.policy(id).trialDelay(e)
+		e.trialGrantedAt = 0
+	}
+	if now < e.nextTrialAt {
 		return false
 	}
-	t.entries[id].trialGrantedAt = now
+	e.trialGrantedAt = now
 	return true
 }
 
+// ReturnTrial makes a trial due again whose request was not sent. Only the hub of a key may call
+// it.
+func (t *Table) ReturnTrial(id Key) {
+	if e := t.entries[id]; e != nil && e.status == Quarantined {
+		e.trialGrantedAt = 0
+	}
+}
+
 // recordFailedTrial records a crash during a quarantine, and returns a notice with the number
 // of failed trials. It ignores crashes while no trial is pending and crashes of requests that
 // were sent before the trial was granted: routers may have sent those before they received
