quarantine: contents aren't blamed by upstreams that close connections at once

Soak: content that all callers share was quarantined after three crashes within a millisecond at one router; 217 requests were refused. Its requests went to three upstreams that were gone and whose proxies accept a connection and close it, one after the other, each sent after the break before. Crashes count at 50 ms intervals at least now, like those of parts at 100 ms. quarantine TestCrashesThatDoNotCount has the case; it fails without the interval.

--- a/quarantine/config.go
+++ b/quarantine/config.go
@@ -25,10 +25,12 @@
 	// MaxDoublings limits how often QuarantineAfter is doubled. It is doubled each time a
 	// quarantine turns out to be wrong.
 	MaxDoublings int
-	// BurstWindow is the time after a counted crash in which others aren't counted: the loss
-	// of a failure domain crashes many upstreams at once. With 0, requests that were sent
-	// before the last counted crash aren't counted.
+	// BurstWindow is the time after a counted crash in which others aren't counted. The loss of
+	// a failure domain crashes many upstreams at once, and the proxies of upstreams that are
+	// gone close connections at once, one after the other.
 	BurstWindow time.Duration
+	// SentAfterLast makes a crash count only if its request was sent after the last counted one.
+	SentAfterLast bool
 	// TrialDelays are the delays from the start of a quarantine to its first trial, and from
 	// each failed trial to the next. The last delay repeats.
 	TrialDelays []time.Duration
@@ -44,7 +46,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Content: Policy{
-			SuspectAfter: 2, QuarantineAfter: 3,
+			SuspectAfter: 2, QuarantineAfter: 3, BurstWindow: 50 * time.Millisecond, SentAfterLast: true,
 			TrialDelays:  []time.Duration{time.Second, 2 * time.Second, 20 * time.Second, 200 * time.Second, 30 * time.Minute},
 			TrialTimeout: 15 * time.Second,
 		},
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -83,7 +83,7 @@
 		e.lastCrashNumber = number
 	}
 	policy := t.cfg.policy(c.ID)
-	if c.Sent < e.clearedAt || policy.BurstWindow == 0 && c.Sent < e.lastCrash {
+	if c.Sent < e.clearedAt || policy.SentAfterLast && c.Sent < e.lastCrash {
 		return Notice{}, false
 	}
 	if e.status == Quarantined {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -64,6 +64,12 @@
 				table.RecordCrash(now, newCrash(id, uint32(i), now))
 			}
 		},
+		"requests to upstreams that close connections at once": func(table *quarantine.Table, id quarantine.Key) {
+			for i := range 20 {
+				now := start + time.Duration(i)*time.Millisecond
+				table.RecordCrash(now, quarantine.Crash{ID: id, Upstream: uint32(i), Sent: now})
+			}
+		},
 		"crashes with successes in between": func(table *quarantine.Table, id quarantine.Key) {
 			for i := range 5 {
 				now := start + time.Duration(i)*second
