quarantine, fleet, gateway: contents that were harmless before are tried as parts are

Instead a content of which a router has seen a complete response within ten minutes is tried after 1, 4, 15, 60 s, like such a part; a new one as before.

--- a/fleet/quarantine.go
+++ b/fleet/quarantine.go
@@ -50,8 +50,7 @@
 type (
 	// crashEvent is a request that was interrupted because its upstream closed the connection.
 	crashEvent struct {
-		keys     []quarantine.Key
-		team     string
+		request  quarantine.Interruption
 		upstream uint32
 		sent     time.Duration
 	}
@@ -62,8 +61,8 @@
 )
 
 // ReportCrash implements gateway.Placer.
-func (n *Node) ReportCrash(keys []quarantine.Key, team string, at dispatch.Incarnation, ran time.Duration) {
-	n.post(crashEvent{keys: keys, team: team, upstream: incarnationHash(at), sent: time.Duration(n.now().Add(-ran))})
+func (n *Node) ReportCrash(request quarantine.Interruption, at dispatch.Incarnation, ran time.Duration) {
+	n.post(crashEvent{request: request, upstream: incarnationHash(at), sent: time.Duration(n.now().Add(-ran))})
 }
 
 // ReportSuccess implements gateway.Placer.
@@ -110,7 +109,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if !key.Part {
-		return q.successes.SucceededWithin(now, key, quarantine.SuccessWindow), false
+		return q.successes.SucceededWithin(now, key, quarantine.SuccessWindow), q.successes.SucceededWithin(now, key, quarantine.ProvenWindow)
 	}
 	return q.started.SucceededWithin(now, key, quarantine.PartSuccessWindow), q.started.SucceededWithin(now, key, quarantine.ProvenWindow)
 }
@@ -160,15 +159,18 @@
 
 // handleCrash records a crash that this router has observed, and reports it to the hubs of its
 // keys, which count the crashes observed by all routers. It ignores requests sent to broken
-// upstreams.
+// upstreams, but for the keys of a trial: these would wait for its result, and it isn't known
+// whether the upstream was still there.
 func (n *Node) handleCrash(now boottime.Time, e crashEvent) {
+	keys := e.request.Keys
 	if n.quarantine.sentToBrokenUpstream(e.sent, e.upstream) {
-		return
+		keys = e.request.TrialOf
+	} else {
+		n.reportBroken(now, e.upstream)
 	}
-	n.reportBroken(now, e.upstream)
 	updates := map[*member]*quarantineUpdate{}
-	for _, key := range e.keys {
-		n.recordCrash(now, quarantine.Crash{ID: key, Team: e.team, Upstream: e.upstream, Sent: e.sent})
+	for _, key := range keys {
+		n.recordCrash(now, quarantine.Crash{ID: key, Team: e.request.Team, Upstream: e.upstream, Sent: e.sent})
 		hub := n.hubFor(now, quarantineHubKey(key))
 		if hub == nil {
 			continue
--- a/fleet/quarantine_message.go
+++ b/fleet/quarantine_message.go
@@ -32,7 +32,7 @@
 func newCrashReport(key quarantine.Key, e crashEvent, now time.Duration) crashReport {
 	team := messageTeam(key)
 	if key.Part {
-		team += e.team
+		team += e.request.Team
 	}
 	return crashReport{Team: team, Hash: key.Hash, Upstream: e.upstream, RanMs: millis(now - e.sent)}
 }
--- a/gateway/broken_conn.go
+++ b/gateway/broken_conn.go
@@ -30,7 +30,7 @@
 	}
 	contentKey := r.ensureContentKey()
 	r.crashes++
-	s.placer.ReportCrash(r.crashKeys(), r.teamName(), r.sentTo, time.Since(r.sentAt))
+	s.placer.ReportCrash(r.interruption(), r.sentTo, time.Since(r.sentAt))
 	r.record.content = contentKey.String()
 	s.log.Warn("upstream_broke", func(e *obs.Event) {
 		e.Str("request", r.id).Str("route", r.record.route).Str("team", contentKey.Team).Stringer("content", contentKey).
--- a/gateway/deps.go
+++ b/gateway/deps.go
@@ -49,9 +49,8 @@
 	// began, within window before the request. attempt is "" if the caller names none.
 	StreamVersion(ctx context.Context, service, attempt string, window time.Duration) resumption.Decision
 	// ReportCrash reports that an upstream closed the connection after it had been handling
-	// a request of a team for the time ran. keys are the request's content and, if its answer
-	// had not started, the parts that its prompt shares with others.
-	ReportCrash(keys []quarantine.Key, team string, upstream dispatch.Incarnation, ran time.Duration)
+	// a request for the time ran.
+	ReportCrash(request quarantine.Interruption, upstream dispatch.Incarnation, ran time.Duration)
 	// ReportSuccess reports that a request received a complete response from an upstream.
 	ReportSuccess(content quarantine.Key, from dispatch.Incarnation)
 	// ReportStarted reports that an upstream has started to answer a prompt with these parts.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -18,17 +18,18 @@
 	return r.parts[:len(r.parts)-1]
 }
 
-// crashKeys returns what may have made the request crash its upstream: its content and, unless its
-// answer had started, the shared parts of its prompt.
-func (r *request) crashKeys() []quarantine.Key {
+// interruption describes the request for a report that its upstream closed the connection. What
+// may have made it crash the upstream are its content and, unless its answer had started, the
+// shared parts of its prompt.
+func (r *request) interruption() quarantine.Interruption {
 	keys := []quarantine.Key{r.ensureContentKey()}
-	if r.answerStarted {
-		return keys
-	}
-	for _, part := range r.sharedParts() {
-		keys = append(keys, quarantine.NewPartKey(part.ID))
+	if !r.answerStarted {
+		for _, part := range r.sharedParts() {
+			keys = append(keys, quarantine.NewPartKey(part.ID))
+		}
 	}
-	return keys
+	trialOf := slices.DeleteFunc(slices.Clone(r.trialOf), func(k quarantine.Key) bool { return !slices.Contains(keys, k) })
+	return quarantine.Interruption{Keys: keys, TrialOf: trialOf, Team: r.teamName()}
 }
 
 // quarantineStatus returns the most severe status of a request's keys, and the keys that are in
--- a/quarantine/config.go
+++ b/quarantine/config.go
@@ -47,8 +47,9 @@
 	return Config{
 		Content: Policy{
 			SuspectAfter: 2, QuarantineAfter: 3, BurstWindow: 50 * time.Millisecond, SentAfterLast: true,
-			TrialDelays:  []time.Duration{time.Second, 2 * time.Second, 20 * time.Second, 200 * time.Second, 30 * time.Minute},
-			TrialTimeout: 15 * time.Second,
+			TrialDelays:       []time.Duration{time.Second, 2 * time.Second, 20 * time.Second, 200 * time.Second, 30 * time.Minute},
+			ProvenTrialDelays: []time.Duration{time.Second, 4 * time.Second, 15 * time.Second, time.Minute},
+			TrialTimeout:      15 * time.Second,
 		},
 		Part: Policy{
 			QuarantineAfter: 4, MaxDoublings: 2, BurstWindow: 100 * time.Millisecond,
--- a/quarantine/status.go
+++ b/quarantine/status.go
@@ -39,6 +39,14 @@
 	Sent time.Duration
 }
 
+// Interruption is a request that was interrupted because its upstream closed the connection.
+type Interruption struct {
+	// Keys are what may have made it crash the upstream. TrialOf are those of them of which it was a
+	// trial.
+	Keys, TrialOf []Key
+	Team          string
+}
+
 // Notice informs other routers of the status of a content.
 type Notice struct {
 	ID     Key
--- a/quarantine/successes.go
+++ b/quarantine/successes.go
@@ -21,7 +21,7 @@
 	// PartSuccessWindow is the same for a part. Its quarantine can follow the first crash within
 	// half a second, and a success before that shows nothing.
 	PartSuccessWindow = 500 * time.Millisecond
-	// ProvenWindow is how long a success counts as evidence that a part was harmless before it was
+	// ProvenWindow is how long a success counts as evidence that a key was harmless before it was
 	// quarantined.
 	ProvenWindow = 10 * time.Minute
 )
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -41,8 +41,6 @@
 	// the quarantine.
 	wrong  int
 	proven bool
-	// heldAt is when the quarantine began or its last trial failed.
-	heldAt time.Duration
 	// failedTrials is the number of failed trials in the current quarantine; the next trial
 	// is due at nextTrialAt.
 	failedTrials int
@@ -111,9 +109,6 @@
 	case e.crashes >= policy.threshold(e.wrong):
 		e.status = Quarantined
 		t.scheduleQuarantine(now, id, e, t.cfg.QuarantineDuration)
-		if id.Part {
-			t.partQuarantined(now)
-		}
 	case policy.SuspectAfter > 0 && e.crashes >= policy.SuspectAfter:
 		e.status = Suspect
 		e.expires = now + t.cfg.EntryTTL
@@ -191,9 +186,6 @@
 		e.reset(now)
 	}
 	e.status, e.expires = n.Status, now+left
-	if n.ID.Part && n.Status == Quarantined && before != Quarantined {
-		t.partQuarantined(now)
-	}
 	return e.status != before
 }
 
