quarantine: shared keys are tried often once a new one explains the crashes

But a key that is in quarantine beside one that was never harmless is hardly the cause. It is tried after 0.3, 1, 1, 2, 2, 2, 4, 8, 15, 60 s now; without such a neighbour as before. The delay is computed when it is asked for, since the neighbour may be found later.

--- a/fleet/quarantine.go
+++ b/fleet/quarantine.go
@@ -217,7 +217,7 @@
 	if recently {
 		n.clearSuspicion(now, successEvent{key: key, reason: successReason})
 	} else if before {
-		n.quarantine.table.SetProven(time.Duration(now), key)
+		n.quarantine.table.SetProven(key)
 	}
 }
 
--- a/quarantine/config.go
+++ b/quarantine/config.go
@@ -34,30 +34,38 @@
 	// TrialDelays are the delays from the start of a quarantine to its first trial, and from
 	// each failed trial to the next. The last delay repeats.
 	TrialDelays []time.Duration
-	// ProvenTrialDelays replace TrialDelays for a key that has been harmless before. Empty
-	// means that there is no difference.
-	ProvenTrialDelays []time.Duration
+	// ProvenTrialDelays replace TrialDelays for a key that was harmless before, and
+	// ExplainedTrialDelays if a key that was not is in quarantine beside it: that one explains
+	// the crashes. Empty means that there is no difference.
+	ProvenTrialDelays, ExplainedTrialDelays []time.Duration
 	// TrialTimeout is how long a granted trial may remain without a result. That of a content is
 	// its complete response, that of a part the start of an answer.
 	TrialTimeout time.Duration
 }
 
+// explainedTrialDelays begin with a trial before that of the key that explains the crashes, which
+// would interrupt it.
+var explainedTrialDelays = []time.Duration{
+	300 * time.Millisecond, time.Second, time.Second, 2 * time.Second, 2 * time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second,
+	15 * time.Second, time.Minute,
+}
+
 // DefaultConfig returns the default configuration.
 func DefaultConfig() Config {
 	return Config{
 		Content: Policy{
 			SuspectAfter: 2, QuarantineAfter: 3, BurstWindow: 50 * time.Millisecond, SentAfterLast: true,
-			TrialDelays:       []time.Duration{time.Second, 2 * time.Second, 20 * time.Second, 200 * time.Second, 30 * time.Minute},
-			ProvenTrialDelays: []time.Duration{time.Second, 4 * time.Second, 15 * time.Second, time.Minute},
-			TrialTimeout:      15 * time.Second,
+			TrialDelays:          []time.Duration{time.Second, 2 * time.Second, 20 * time.Second, 200 * time.Second, 30 * time.Minute},
+			ProvenTrialDelays:    []time.Duration{time.Second, 4 * time.Second, 15 * time.Second, time.Minute},
+			ExplainedTrialDelays: explainedTrialDelays,
+			TrialTimeout:         15 * time.Second,
 		},
 		Part: Policy{
 			QuarantineAfter: 4, MaxDoublings: 2, BurstWindow: 100 * time.Millisecond,
-			TrialDelays: []time.Duration{time.Second, 10 * time.Second, 5 * time.Minute, time.Hour, 6 * time.Hour},
-			// The first one comes before that of a part that crashed the same upstreams, which would
-			// interrupt it.
-			ProvenTrialDelays: []time.Duration{300 * time.Millisecond, time.Second, 4 * time.Second, 15 * time.Second, time.Minute},
-			TrialTimeout:      5 * time.Second,
+			TrialDelays:          []time.Duration{time.Second, 10 * time.Second, 5 * time.Minute, time.Hour, 6 * time.Hour},
+			ProvenTrialDelays:    []time.Duration{300 * time.Millisecond, time.Second, 4 * time.Second, 15 * time.Second, time.Minute},
+			ExplainedTrialDelays: explainedTrialDelays,
+			TrialTimeout:         5 * time.Second,
 		},
 		EntryTTL:           5 * time.Minute,
 		QuarantineDuration: 2 * time.Hour,
@@ -75,12 +83,3 @@
 // threshold returns the number of crashes that quarantine a key after it was wrongly
 // quarantined the given number of times.
 func (p *Policy) threshold(wrong int) int { return p.QuarantineAfter << min(wrong, p.MaxDoublings) }
-
-// trialDelay returns the delay to the next trial.
-func (p *Policy) trialDelay(e *entry) time.Duration {
-	delays := p.TrialDelays
-	if e.proven && len(p.ProvenTrialDelays) > 0 {
-		delays = p.ProvenTrialDelays
-	}
-	return delays[min(e.failedTrials, len(delays)-1)]
-}
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -60,7 +60,7 @@
 		table := quarantine.NewTable(quarantine.DefaultConfig())
 		now := recordCrashes(table, key, start, 1, 4) - second
 		if proven {
-			table.SetProven(now, key)
+			table.SetProven(key)
 		}
 		const contact, day = 3 * second, 110 * second
 		trials, late := 0, 0
@@ -84,7 +84,7 @@
 		g := NewWithT(t)
 		table := quarantine.NewTable(quarantine.DefaultConfig())
 		now := recordCrashes(table, key, start, 1, 4) - second
-		table.SetProven(now, key)
+		table.SetProven(key)
 		for i := range 10 {
 			now += time.Minute
 			g.Expect(table.GrantTrial(now, key)).To(BeTrue())
@@ -112,6 +112,28 @@
 	g.Expect(table.GrantTrial(now+time.Hour, part)).To(BeTrue(), "the one before was not sent")
 }
 
+// Guards against refusing for minutes what many requests share once the part is known that crashed the
+// upstreams of their trials too.
+func TestProvenKeyIsTriedOftenBesideTheOneThatCrashes(t *testing.T) {
+	g := NewWithT(t)
+	table := quarantine.NewTable(quarantine.DefaultConfig())
+	shared := quarantine.NewPartKey(8)
+	recordCrashes(table, shared, start, 1, 4)
+	now := recordCrashes(table, part, start, 1, 4) - second
+	table.SetProven(shared)
+	trials := map[quarantine.Key]int{}
+	for until := now + 15*second; now < until; now += second / 10 {
+		for _, key := range []quarantine.Key{shared, part} {
+			if table.GrantTrial(now, key) {
+				trials[key]++
+				table.RecordCrash(now, quarantine.Crash{ID: key, Upstream: uint32(100 + len(trials)), Sent: now})
+			}
+		}
+	}
+	g.Expect(trials[shared]).To(BeNumerically(">=", 6))
+	g.Expect(trials[part]).To(Equal(2))
+}
+
 // Guards against forgetting a crashing part while requests with it come, and against keeping it for ever.
 func TestPartStaysInQuarantineWhileItIsRequested(t *testing.T) {
 	g := NewWithT(t)
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -17,7 +17,11 @@
 	owners  map[owner]*ownerState
 	view    *View
 	digest  uint16
-	// stale is set if the view and the digest must be recomputed from the entries.
+	// newlyQuarantinedAt is the latest quarantinedAt of the keys in quarantine that were not
+	// harmless before, 0 if there is none.
+	newlyQuarantinedAt time.Duration
+	// stale is set if the view, the digest and newlyQuarantinedAt must be recomputed from the
+	// entries.
 	stale bool
 }
 
@@ -41,10 +45,11 @@
 	// the quarantine.
 	wrong  int
 	proven bool
-	// failedTrials is the number of failed trials in the current quarantine; the next trial
-	// is due at nextTrialAt.
-	failedTrials int
-	nextTrialAt  time.Duration
+	// quarantinedAt is when the current quarantine began. failedTrials is the number of its failed
+	// trials; the delay to the next one counts from trialDelayFrom.
+	quarantinedAt  time.Duration
+	failedTrials   int
+	trialDelayFrom time.Duration
 	// trialGrantedAt is when the pending trial was granted, or 0 if none is pending.
 	trialGrantedAt time.Duration
 	// expires is when the quarantine ends or, outside quarantine, when the entry is removed.
@@ -107,8 +112,8 @@
 	before, policy := e.status, t.cfg.policy(id)
 	switch {
 	case e.crashes >= policy.threshold(e.wrong):
-		e.status = Quarantined
-		t.scheduleQuarantine(now, id, e, t.cfg.QuarantineDuration)
+		e.status, e.quarantinedAt = Quarantined, now
+		t.scheduleQuarantine(now, e, t.cfg.QuarantineDuration)
 	case policy.SuspectAfter > 0 && e.crashes >= policy.SuspectAfter:
 		e.status = Suspect
 		e.expires = now + t.cfg.EntryTTL
@@ -173,7 +178,10 @@
 	case Quarantined:
 		e.crashes = max(e.crashes, t.cfg.policy(n.ID).QuarantineAfter)
 		e.failedTrials = max(n.FailedTrials, 0)
-		t.scheduleQuarantine(now, n.ID, e, left)
+		if before != Quarantined {
+			e.quarantinedAt = now
+		}
+		t.scheduleQuarantine(now, e, left)
 	case Suspect:
 		e.crashes = max(e.crashes, t.cfg.policy(n.ID).SuspectAfter)
 		// Prevents counting a crash twice: one that is recorded here later may already be
@@ -199,10 +207,10 @@
 
 // SetProven records that a quarantined key was harmless before: its trials come at shorter
 // intervals.
-func (t *Table) SetProven(now time.Duration, id Key) {
-	if e := t.entries[id]; e != nil && e.status == Quarantined && !e.proven {
+func (t *Table) SetProven(id Key) {
+	if e := t.entries[id]; e != nil && e.status == Quarantined {
 		e.proven = true
-		e.nextTrialAt = min(e.nextTrialAt, now+t.cfg.policy(id).trialDelay(e))
+		t.stale = true
 	}
 }
 
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -2,12 +2,36 @@
 
 import "time"
 
-// scheduleQuarantine sets when a quarantine expires and when its next trial is due. No trial
-// is pending afterwards.
-func (t *Table) scheduleQuarantine(now time.Duration, id Key, e *entry, left time.Duration) {
+// scheduleQuarantine sets when a quarantine expires and from when the delay to its next trial
+// counts. No trial is pending afterwards.
+func (t *Table) scheduleQuarantine(now time.Duration, e *entry, left time.Duration) {
 	e.expires = now + left
 	e.trialGrantedAt = 0
-	e.nextTrialAt = now + t.cfg.policy(id).trialDelay(e)
+	e.trialDelayFrom = now
+}
+
+// explainedWithin is how long before the quarantine of a key that of another one explains it: the
+// upstreams that the other one crashed are back by then.
+const explainedWithin = 10 * time.Second
+
+// nextTrial returns when the next trial of a quarantined key is due.
+func (t *Table) nextTrial(id Key, e *entry) time.Duration {
+	policy := t.cfg.policy(id)
+	delays := policy.TrialDelays
+	switch {
+	case e.proven && t.explained(e) && len(policy.ExplainedTrialDelays) > 0:
+		delays = policy.ExplainedTrialDelays
+	case e.proven && len(policy.ProvenTrialDelays) > 0:
+		delays = policy.ProvenTrialDelays
+	}
+	return e.trialDelayFrom + delays[min(e.failedTrials, len(delays)-1)]
+}
+
+// explained reports whether a key that was not harmless before was quarantined shortly before a key
+// that was, or since.
+func (t *Table) explained(e *entry) bool {
+	t.refresh()
+	return t.newlyQuarantinedAt > 0 && t.newlyQuarantinedAt >= e.quarantinedAt-explainedWithin
 }
 
 // TrialDue reports whether a trial may be granted: a request with a quarantined key that is
@@ -17,7 +41,7 @@
 // interrupted by unrelated crashes would be refused until its quarantine expires.
 func (t *Table) TrialDue(now time.Duration, id Key) bool {
 	e := t.entries[id]
-	return e != nil && e.status == Quarantined && now >= e.nextTrialAt && !t.trialPending(now, id, e)
+	return e != nil && e.status == Quarantined && !t.trialPending(now, id, e) && now >= t.nextTrial(id, e)
 }
 
 // trialPending reports whether a trial was granted whose result may still come.
@@ -25,8 +49,8 @@
 	return e.trialGrantedAt != 0 && now < e.trialGrantedAt+t.cfg.policy(id).TrialTimeout
 }
 
-// GrantTrial grants a trial if one is due, and reports whether it did. Only the hub of a
-// content may call it, so that the routers don't send trials concurrently.
+// GrantTrial grants a trial if one is due, and reports whether it did. Only the hub of a key may
+// call it, so that the routers don't send trials concurrently.
 //
 // A trial without a result counts as failed: its caller may have left before the crash.
 func (t *Table) GrantTrial(now time.Duration, id Key) bool {
@@ -36,10 +60,10 @@
 	}
 	if e.trialGrantedAt != 0 {
 		e.failedTrials++
-		e.nextTrialAt = e.trialGrantedAt + t.cfg.policy(id).trialDelay(e)
+		e.trialDelayFrom = e.trialGrantedAt
 		e.trialGrantedAt = 0
 	}
-	if now < e.nextTrialAt {
+	if now < t.nextTrial(id, e) {
 		return false
 	}
 	e.trialGrantedAt = now
@@ -67,7 +91,7 @@
 	e.version++
 	e.lastCrash = now
 	t.stale = true
-	t.scheduleQuarantine(now, c.ID, e, t.cfg.QuarantineDuration)
+	t.scheduleQuarantine(now, e, t.cfg.QuarantineDuration)
 	return t.notice(now, c.ID, e), true
 }
 
@@ -81,6 +105,6 @@
 	e.failedTrials = 0
 	e.version++
 	t.stale = true
-	t.scheduleQuarantine(now, id, e, t.cfg.QuarantineDuration)
+	t.scheduleQuarantine(now, e, t.cfg.QuarantineDuration)
 	return t.notice(now, id, e), true
 }
--- a/quarantine/view.go
+++ b/quarantine/view.go
@@ -52,13 +52,13 @@
 	return t.digest
 }
 
-// refresh recomputes the view and the digest if they are stale.
+// refresh recomputes what depends on all entries if it is stale.
 func (t *Table) refresh() {
 	if !t.stale {
 		return
 	}
 	t.stale = false
-	t.view, t.digest = &View{statuses: map[Key]Status{}}, 0
+	t.view, t.digest, t.newlyQuarantinedAt = &View{statuses: map[Key]Status{}}, 0, 0
 	for id, e := range t.entries {
 		if e.crashes > 0 {
 			t.view.add(id, e.status)
@@ -66,6 +66,9 @@
 		if e.replicated() {
 			t.digest ^= e.digest(id)
 		}
+		if e.status == Quarantined && !e.proven {
+			t.newlyQuarantinedAt = max(t.newlyQuarantinedAt, e.quarantinedAt)
+		}
 	}
 }
 
