--- a/fleet/message.go
+++ b/fleet/message.go
@@ -230,7 +230,7 @@
 }
 
 // trialMessage asks the hub responsible for the key (see hubFor) to grant a trial or, if
-// Answer is set, carries the hub's answer. With Granted alone it returns a trial that was not sent.
+// Answer is set, carries the hub's answer. With Granted alone it reports that a trial has ended without a result.
 type trialMessage struct {
 	_       struct{} `cbor:",toarray"`
 	Team    string
@@ -239,7 +239,7 @@
 	Granted bool
 }
 
-func (m *trialMessage) returned() bool { return m.Granted && !m.Answer }
+func (m *trialMessage) ends() bool { return m.Granted && !m.Answer }
 
 // successReport reports that a key is harmless.
 type successReport struct {
--- a/fleet/trial.go
+++ b/fleet/trial.go
@@ -42,14 +42,14 @@
 	return false
 }
 
-// ReturnTrial implements gateway.Placer.
-func (n *Node) ReturnTrial(keys []quarantine.Key) {
+// EndTrial implements gateway.Placer.
+func (n *Node) EndTrial(keys []quarantine.Key) {
 	n.post(callEvent{do: func(now boottime.Time) {
 		for _, key := range keys {
 			if hub := n.hubFor(now, quarantineHubKey(key)); hub != nil {
 				n.sendTrialMessage(hub, trialMessage{Team: messageTeam(key), Hash: key.Hash, Granted: true})
 			} else {
-				n.quarantine.table.ReturnTrial(key)
+				n.quarantine.table.EndTrial(time.Duration(now), key)
 			}
 		}
 	}})
@@ -96,8 +96,8 @@
 // request that waits for it.
 func (n *Node) handleTrialMessage(now boottime.Time, from *member, m *trialMessage) {
 	key := newKey(m.Team, m.Hash)
-	if m.returned() {
-		n.quarantine.table.ReturnTrial(key)
+	if m.ends() {
+		n.quarantine.table.EndTrial(time.Duration(now), key)
 		return
 	}
 	if !m.Answer {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -55,7 +55,6 @@
 
 // handleRejection handles the response of an upstream that didn't run the request.
 func (s *Server) handleRejection(r *request, resp *upstream.Response) (result, dispatch.Outcome) {
-	r.reached = false
 	r.record.cause = "upstream rejected the request with " + strconv.Itoa(resp.Status)
 	// Reading the body to its end allows the connection to be reused.
 	_, _ = io.CopyN(io.Discard, resp, maxBufferedBody)
--- a/gateway/broken_conn.go
+++ b/gateway/broken_conn.go
@@ -30,6 +30,7 @@
 	}
 	contentKey := r.ensureContentKey()
 	r.crashes++
+	r.trialResult = true
 	s.placer.ReportCrash(r.interruption(), r.sentTo, time.Since(r.sentAt))
 	r.record.content = contentKey.String()
 	s.log.Warn("upstream_broke", func(e *obs.Event) {
--- a/gateway/deps.go
+++ b/gateway/deps.go
@@ -58,8 +58,8 @@
 	// RequestTrial reports whether a request with quarantined keys may be sent as a trial, to find
 	// out whether they still crash upstreams.
 	RequestTrial(ctx context.Context, keys []quarantine.Key) bool
-	// ReturnTrial reports that a request was not sent that might have been as a trial.
-	ReturnTrial(keys []quarantine.Key)
+	// EndTrial reports that a request has ended without a result that might be sent as a trial.
+	EndTrial(keys []quarantine.Key)
 	// AwaitQuarantine waits, after the start of this router, until it has the statuses that its peers
 	// have.
 	AwaitQuarantine(ctx context.Context)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -99,6 +99,7 @@
 // reportSuccess reports a complete response. It is reported even if no content has crashes
 // yet: a recent success clears content that many callers share when upstreams crash.
 func (s *Server) reportSuccess(r *request) {
+	r.trialResult = true
 	s.placer.ReportSuccess(r.ensureContentKey(), r.sentTo)
 	s.reportStarted(r)
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -47,8 +47,8 @@
 	// is set once its upstream has started to answer.
 	events        int64
 	answerStarted bool
-	// reached is set once an upstream may have received the request and has not rejected it.
-	reached bool
+	// trialResult is set once a crash or a success was reported of a trial.
+	trialResult bool
 	// sentVersion is the software version of that upstream, "" if unknown.
 	sentVersion string
 	// began is set once the caller has a part of a stream that may be resumed. version is the
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -39,7 +39,6 @@
 		r.record.copyFrom = from.ID
 	}
 	a, err := s.pool.Do(ctx, call)
-	r.reached = !upstream.NotSent(err)
 	if err != nil {
 		return s.handleSendError(ctx, r, t, id, time.Since(sentAt), err)
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -213,8 +213,8 @@
 	if refused == nil {
 		refused, truncated = s.serve(w, r)
 	}
-	if r.trialOf != nil && !r.reached {
-		s.placer.ReturnTrial(r.trialOf)
+	if r.trialOf != nil && !r.trialResult {
+		s.placer.EndTrial(r.trialOf)
 	}
 	if refused != nil {
 		if refused.outcome == retry.NotRun {
