--- a/fleet/message.go
+++ b/fleet/message.go
@@ -260,12 +260,13 @@
 
 // statusNotice is the encoding of a quarantine.Notice.
 type statusNotice struct {
-	_            struct{} `cbor:",toarray"`
-	Team         string
-	Hash         uint64
-	Status       quarantine.Status
-	Version      uint32
-	LeftS        int32
+	_       struct{} `cbor:",toarray"`
+	Team    string
+	Hash    uint64
+	Status  quarantine.Status
+	Version uint32
+	LeftS   int32
+	// FailedTrials includes provenFlag.
 	FailedTrials uint8
 }
 
--- a/fleet/parts_test.go
+++ b/fleet/parts_test.go
@@ -191,6 +191,23 @@
 	})
 }
 
+// Guards against refusing for minutes what many requests share because the hub of the key has started since.
+func TestHubLearnsThatAKeyWasHarmlessBefore(t *testing.T) {
+	for witness := range 6 {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			all := start(t, 6, &source{revision: 1, version: 1})
+			startAnswers(all[witness:witness+1], time.Second)
+			time.Sleep(time.Second)
+			crashWithParts(all, 0, 5)
+			trials := requestTrials(all, sharedPart, 20*time.Second, func(m *member) {
+				m.node.ReportCrash(quarantine.Interruption{Keys: []quarantine.Key{sharedPart}}, dispatch.Incarnation{ID: fmt.Sprint("t", time.Now())}, 0)
+			})
+			g.Expect(trials).To(BeNumerically(">=", 6))
+		})
+	}
+}
+
 // Guards against waiting for the result of a trial whose upstream counted as broken before.
 func TestTrialAtABrokenUpstreamHasAResult(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/fleet/quarantine.go
+++ b/fleet/quarantine.go
@@ -214,10 +214,31 @@
 		return
 	}
 	recently, before := n.quarantine.succeeded(time.Duration(now), key)
-	if recently {
+	switch {
+	case recently:
 		n.clearSuspicion(now, successEvent{key: key, reason: successReason})
-	} else if before {
-		n.quarantine.table.SetProven(key)
+	case before:
+		if notice, changed := n.quarantine.table.SetProven(time.Duration(now), key); changed {
+			n.reportProven(now, notice)
+		}
+	}
+}
+
+// reportProven reports to the hub of a key, or to all members if this router is the hub, that the key
+// was harmless before: the hub may have started since, or serve no requests with it.
+func (n *Node) reportProven(now boottime.Time, notice quarantine.Notice) {
+	if hub := n.hubFor(now, quarantineHubKey(notice.ID)); hub != nil {
+		n.sendNotices(hub, []quarantine.Notice{notice})
+		return
+	}
+	n.quarantine.notices = append(n.quarantine.notices, notice)
+}
+
+// applyProven records that a peer has seen that a key was harmless before its quarantine.
+func (n *Node) applyProven(now boottime.Time, key quarantine.Key) {
+	notice, changed := n.quarantine.table.SetProven(time.Duration(now), key)
+	if changed && n.hubFor(now, quarantineHubKey(key)) == nil {
+		n.quarantine.notices = append(n.quarantine.notices, notice)
 	}
 }
 
@@ -280,6 +301,9 @@
 			n.logQuarantine(now, notice.ID, "notice received from a peer")
 			n.clearIfSucceeded(now, notice.ID)
 		}
+		if notice.Proven {
+			n.applyProven(now, notice.ID)
+		}
 	}
 	if changed {
 		n.publishQuarantine()
--- a/fleet/quarantine_message.go
+++ b/fleet/quarantine_message.go
@@ -50,16 +50,23 @@
 
 func (r *successReport) key() quarantine.Key { return newKey(r.Team, r.Hash) }
 
+// provenFlag in statusNotice.FailedTrials encodes quarantine.Notice.Proven.
+const provenFlag = 1 << 7
+
 func newStatusNotice(n quarantine.Notice) statusNotice {
-	return statusNotice{
+	s := statusNotice{
 		Team: messageTeam(n.ID), Hash: n.ID.Hash, Status: n.Status, Version: n.Version, LeftS: int32(math.Ceil(n.Left.Seconds())),
-		FailedTrials: uint8(min(n.FailedTrials, math.MaxUint8)),
+		FailedTrials: uint8(min(n.FailedTrials, provenFlag-1)),
+	}
+	if n.Proven {
+		s.FailedTrials |= provenFlag
 	}
+	return s
 }
 
 func (s *statusNotice) notice() quarantine.Notice {
 	return quarantine.Notice{
 		ID: newKey(s.Team, s.Hash), Status: s.Status, Version: s.Version,
-		Left: time.Duration(s.LeftS) * time.Second, FailedTrials: int(s.FailedTrials),
+		Left: time.Duration(s.LeftS) * time.Second, FailedTrials: int(s.FailedTrials &^ provenFlag), Proven: s.FailedTrials&provenFlag != 0,
 	}
 }
--- a/quarantine/part_simulation_test.go
+++ b/quarantine/part_simulation_test.go
@@ -333,7 +333,7 @@
 	case s.started[router].SucceededWithin(s.now, n.ID, quarantine.PartSuccessWindow):
 		s.clear(router, n.ID)
 	case s.started[router].SucceededWithin(s.now, n.ID, quarantine.ProvenWindow):
-		s.tables[router].SetProven(n.ID)
+		s.tables[router].SetProven(s.now, n.ID)
 	}
 }
 
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -60,7 +60,7 @@
 		table := quarantine.NewTable(quarantine.DefaultConfig())
 		now := recordCrashes(table, key, start, 1, 4) - second
 		if proven {
-			table.SetProven(key)
+			table.SetProven(now, key)
 		}
 		const contact, day = 3 * second, 110 * second
 		trials, late := 0, 0
@@ -84,7 +84,7 @@
 		g := NewWithT(t)
 		table := quarantine.NewTable(quarantine.DefaultConfig())
 		now := recordCrashes(table, key, start, 1, 4) - second
-		table.SetProven(key)
+		table.SetProven(now, key)
 		for i := range 10 {
 			now += time.Minute
 			g.Expect(table.GrantTrial(now, key)).To(BeTrue())
@@ -116,7 +116,7 @@
 	shared := quarantine.NewPartKey(8)
 	recordCrashes(table, shared, start, 1, 4)
 	now := recordCrashes(table, part, start, 1, 4) - second
-	table.SetProven(shared)
+	table.SetProven(now, shared)
 	trials := map[quarantine.Key]int{}
 	for until := now + 100*second; now < until; now += second / 10 {
 		for _, key := range []quarantine.Key{shared, part} {
@@ -138,7 +138,7 @@
 	shared := quarantine.NewPartKey(8)
 	recordCrashes(table, shared, start, 1, 4)
 	now := recordCrashes(table, part, start, 1, 4) - second
-	table.SetProven(shared)
+	table.SetProven(now, shared)
 	trials := map[quarantine.Key]int{}
 	for until := now + 15*second; now < until; now += second / 10 {
 		for _, key := range []quarantine.Key{shared, part} {
--- a/quarantine/status.go
+++ b/quarantine/status.go
@@ -58,6 +58,8 @@
 	Left time.Duration
 	// FailedTrials is the number of failed trials in the current quarantine.
 	FailedTrials int
+	// Proven is set if a router has seen that the key was harmless before the quarantine.
+	Proven bool
 }
 
 // Entry describes the state of a content in a Table.
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -206,12 +206,15 @@
 }
 
 // SetProven records that a quarantined key was harmless before: its trials come at shorter
-// intervals.
-func (t *Table) SetProven(id Key) {
-	if e := t.entries[id]; e != nil && e.status == Quarantined {
-		e.proven = true
-		t.stale = true
+// intervals. It returns a notice for the other routers if that was not known.
+func (t *Table) SetProven(now time.Duration, id Key) (Notice, bool) {
+	e := t.entries[id]
+	if e == nil || e.status != Quarantined || e.proven {
+		return Notice{}, false
 	}
+	e.proven = true
+	t.stale = true
+	return t.notice(now, id, e), true
 }
 
 // Expire removes expired entries, including those in quarantine.
@@ -246,7 +249,7 @@
 }
 
 func (t *Table) notice(now time.Duration, id Key, e *entry) Notice {
-	return Notice{ID: id, Status: e.status, Version: e.version, Left: e.expires - now, FailedTrials: e.failedTrials}
+	return Notice{ID: id, Status: e.status, Version: e.version, Left: e.expires - now, FailedTrials: e.failedTrials, Proven: e.proven}
 }
 
 // Notices returns the notices that bring a router up to date after a start or a network
