fleet: a trial that is granted for a part of a request's keys is ended

The grants are given back now, also one that comes after the request was rejected. fleet TestTrialThatIsGrantedInPartIsEnded fails without.

--- a/fleet/parts_test.go
+++ b/fleet/parts_test.go
@@ -208,6 +208,21 @@
 	}
 }
 
+// Guards against a trial that is granted for one key of a request, refused for another, and kept.
+func TestTrialThatIsGrantedInPartIsEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		all := start(t, 7, &source{revision: 1, version: 1})
+		startAnswers(all, time.Second)
+		crashWithParts(all, 0, 5)
+		time.Sleep(2 * time.Second)
+		g.Expect(all[1].node.RequestTrial(t.Context(), []quarantine.Key{badPart})).To(BeTrue())
+		g.Expect(all[2].node.RequestTrial(t.Context(), []quarantine.Key{sharedPart, badPart})).To(BeFalse())
+		time.Sleep(2 * time.Second)
+		g.Expect(all[3].node.RequestTrial(t.Context(), []quarantine.Key{sharedPart})).To(BeTrue())
+	})
+}
+
 // Guards against waiting for the result of a trial whose upstream counted as broken before.
 func TestTrialAtABrokenUpstreamHasAResult(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/fleet/quarantine.go
+++ b/fleet/quarantine.go
@@ -25,7 +25,7 @@
 	// notices have not been sent to the members yet.
 	notices []quarantine.Notice
 	// pendingTrials has the trial requests awaiting the hub's answer, at most one per key.
-	pendingTrials map[quarantine.Key]*pendingTrial
+	pendingTrials map[quarantine.Key]*trialRequest
 	start         quarantineStart
 	expiredAt     boottime.Time
 
--- a/fleet/trial.go
+++ b/fleet/trial.go
@@ -16,11 +16,14 @@
 	answer chan bool
 }
 
-// pendingTrial is a request that waits for a hub's answer about a key; keys are those that follow.
-type pendingTrial struct {
-	keys   []quarantine.Key
-	answer chan bool
-	since  boottime.Time
+// trialRequest is a request that may be sent as a trial once the hubs of all keys have granted it.
+type trialRequest struct {
+	keys []quarantine.Key
+	// granted is the number of keys, from the first, for which it was.
+	granted int
+	answer  chan bool
+	// askedAt is when the hub of the next key was asked.
+	askedAt boottime.Time
 }
 
 // trialAnswerTimeout is how long a request waits for a hub's answer. It is checked at each tick;
@@ -44,15 +47,18 @@
 
 // EndTrial implements gateway.Placer.
 func (n *Node) EndTrial(keys []quarantine.Key) {
-	n.post(callEvent{do: func(now boottime.Time) {
-		for _, key := range keys {
-			if hub := n.hubFor(now, quarantineHubKey(key)); hub != nil {
-				n.sendTrialMessage(hub, trialMessage{Team: messageTeam(key), Hash: key.Hash, Granted: true})
-			} else {
-				n.quarantine.table.EndTrial(time.Duration(now), key)
-			}
+	n.post(callEvent{do: func(now boottime.Time) { n.endTrial(now, keys) }})
+}
+
+// endTrial reports to the hubs of the keys that a trial ends without a result.
+func (n *Node) endTrial(now boottime.Time, keys []quarantine.Key) {
+	for _, key := range keys {
+		if hub := n.hubFor(now, quarantineHubKey(key)); hub != nil {
+			n.sendTrialMessage(hub, trialMessage{Team: messageTeam(key), Hash: key.Hash, Granted: true})
+		} else {
+			n.quarantine.table.EndTrial(time.Duration(now), key)
 		}
-	}})
+	}
 }
 
 // handleTrial asks the hubs of the keys for a trial, unless none is due for one of them.
@@ -66,30 +72,36 @@
 		e.answer <- false
 		return
 	}
-	n.requestNextTrial(now, e.keys, e.answer)
+	n.requestNextTrial(now, &trialRequest{keys: e.keys, answer: e.answer})
 }
 
-// requestNextTrial decides on a trial of the first key if this router is its hub, and goes on with
-// the next one. Otherwise it asks the hub, unless another request already waits for its answer.
-func (n *Node) requestNextTrial(now boottime.Time, keys []quarantine.Key, answer chan bool) {
-	for i, key := range keys {
-		hub := n.hubFor(now, quarantineHubKey(key))
-		if hub == nil {
-			if !n.quarantine.table.GrantTrial(time.Duration(now), key) {
-				answer <- false
+// requestNextTrial decides on a trial of the next key if this router is its hub, and goes on with
+// the one after it. Otherwise it asks the hub, unless another request already waits for its answer.
+func (n *Node) requestNextTrial(now boottime.Time, r *trialRequest) {
+	for ; r.granted < len(r.keys); r.granted++ {
+		key := r.keys[r.granted]
+		if hub := n.hubFor(now, quarantineHubKey(key)); hub != nil {
+			if n.quarantine.pendingTrials[key] != nil {
+				n.refuseTrial(now, r)
 				return
 			}
-			continue
+			r.askedAt = now
+			n.quarantine.pendingTrials[key] = r
+			n.sendTrialMessage(hub, trialMessage{Team: messageTeam(key), Hash: key.Hash})
+			return
 		}
-		if n.quarantine.pendingTrials[key] != nil {
-			answer <- false
+		if !n.quarantine.table.GrantTrial(time.Duration(now), key) {
+			n.refuseTrial(now, r)
 			return
 		}
-		n.quarantine.pendingTrials[key] = &pendingTrial{keys: keys[i+1:], answer: answer, since: now}
-		n.sendTrialMessage(hub, trialMessage{Team: messageTeam(key), Hash: key.Hash})
-		return
 	}
-	answer <- true
+	r.answer <- true
+}
+
+// refuseTrial rejects a request, and ends the trials that were granted for its other keys.
+func (n *Node) refuseTrial(now boottime.Time, r *trialRequest) {
+	n.endTrial(now, r.keys[:r.granted])
+	r.answer <- false
 }
 
 // handleTrialMessage decides on a trial that a peer asks for, or passes the hub's answer to the
@@ -105,16 +117,20 @@
 		n.sendTrialMessage(from, trialMessage{Team: m.Team, Hash: m.Hash, Answer: true, Granted: granted})
 		return
 	}
-	p := n.quarantine.pendingTrials[key]
-	if p == nil {
+	r := n.quarantine.pendingTrials[key]
+	if r == nil {
+		if m.Granted {
+			n.endTrial(now, []quarantine.Key{key}) // the answer came too late
+		}
 		return
 	}
 	delete(n.quarantine.pendingTrials, key)
 	if !m.Granted {
-		p.answer <- false
+		n.refuseTrial(now, r)
 		return
 	}
-	n.requestNextTrial(now, p.keys, p.answer)
+	r.granted++
+	n.requestNextTrial(now, r)
 }
 
 func (n *Node) sendTrialMessage(to *member, m trialMessage) {
@@ -123,10 +139,10 @@
 
 // expirePendingTrials rejects the requests that a hub hasn't answered in time.
 func (n *Node) expirePendingTrials(now boottime.Time) {
-	for key, p := range n.quarantine.pendingTrials {
-		if now.Sub(p.since) >= trialAnswerTimeout {
+	for key, r := range n.quarantine.pendingTrials {
+		if now.Sub(r.askedAt) >= trialAnswerTimeout {
 			delete(n.quarantine.pendingTrials, key)
-			p.answer <- false
+			n.refuseTrial(now, r)
 		}
 	}
 }
