soak: parts of prompts that crash upstreams, beside all other faults

The fault crashing-part sends requests with one part that crashes each upstream which starts to answer them, no two alike, at any router; the part stands first, in the middle or last but one. Streams of ordinary callers share their first and second parts. Checks: such a part is sent three times at most later than 3 s after its fifth crash; only parts under which four upstreams failed are rejected; sound streams start at least half as often as without faults from 6 s after the fifth crash. Drawn from a random stream of their own.

An upstream that a request crashes no longer counts as serving in the check of continued streams: its crash was not recorded there (traced in the first plan of TestCrashingPartsAreHeldAndNoOthers, where 20 streams were continued within 40 ms of the crash of the last of six upstreams).

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"regexp"
 	"strings"
 	"time"
 
@@ -157,6 +158,9 @@
 		ID: fmt.Sprintf("c%d-%d", c.number, c.sent), Kind: kind, Prefix: prefixes[kind], Key: fixedKey,
 		Router: c.router.number, Incarnation: c.incarnation,
 	}
+	if kind == ResumableStream {
+		req.Parts = c.sharedParts() + "," + fmt.Sprintf("%x%x", c.number+1, c.sent)
+	}
 	if kind == Added {
 		if len(added) == 0 {
 			req.Kind, req.Prefix = Repeatable, prefixes[Repeatable]
@@ -186,6 +190,9 @@
 	out.Header.Set(n.RequestID, req.ID)
 	out.Header.Set(n.APIKey, req.Key)
 	out.Header.Set(n.Deadline, fmt.Sprint(req.Kind.timeout().Milliseconds()))
+	if req.Parts != "" {
+		out.Header.Set(n.Parts, strings.ReplaceAll(req.Parts, ",", ":10,")+":10")
+	}
 	if req.Continues != "" {
 		out.Header.Set(n.Resumes, req.Continues)
 		out.Header.Set("Last-Event-Id", fmt.Sprint(req.After))
@@ -208,12 +215,18 @@
 	req.Complete = err == nil
 	req.LeavingNotice = resp.Header.Get(platform.HTTPHeaders().Leaving) != ""
 	req.Quarantined = strings.Contains(string(body), `"code":"quarantined"`)
+	if found := quarantinedPart.FindStringSubmatch(string(body)); req.Quarantined && found != nil {
+		req.QuarantinedPart = found[1]
+	}
 	if resp.StatusCode/100 == 2 {
 		req.Defect = checkSuccess(req, resp.Header, string(body))
 	}
 	return !resp.Close
 }
 
+// quarantinedPart finds the part for which a request was rejected.
+var quarantinedPart = regexp.MustCompile(`the part ([0-9a-f]+);`)
+
 // isConnError reports whether an error is a closed or reset connection or a timeout.
 func isConnError(err error) bool {
 	var network net.Error
--- a/soak/check.go
+++ b/soak/check.go
@@ -30,11 +30,14 @@
 		c.noCut(req)
 		c.wrongDenial(req)
 		c.quarantined(req)
+		c.quarantinedPart(req)
 	}
 	// Invariants of the whole history.
 	c.atMostOnce()
 	c.retries()
 	c.crashLimit()
+	c.partLimit()
+	c.soundBesideParts()
 	c.leavingNotices()
 	c.retryAfter()
 	c.warmUps()
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -116,6 +116,34 @@
 				h.Crashes = append(h.Crashes, Crash{URI: crashing.uri(), Upstream: "u9-1", At: 5 * second})
 			}
 		},
+		"parts that crash upstreams are held": func(h *History) {
+			for i := range countedPartCrashes {
+				h.Crashes = append(h.Crashes, Crash{Part: "bad1", Upstream: fmt.Sprint("u9-", i), At: 5*second + time.Duration(i)})
+			}
+			for i := range maxLatePartSends + 1 {
+				bad := atMostOnceRequest(func(r *Request) {
+					r.Kind, r.Prefix, r.Parts, r.ID, r.Status = CrashingPart, prefixes[CrashingPart], "a1,bad1,c", string(rune('p'+i)), http.StatusBadGateway
+				})
+				h.Requests = append(h.Requests, bad)
+				h.Runs = append(h.Runs, Run{Request: bad.ID, Upstream: "u9-1", Service: services[1], Began: 9 * second, Ended: 9 * second})
+			}
+		},
+		"only parts that crash upstreams are held": func(h *History) {
+			h.Requests = append(h.Requests, atMostOnceRequest(func(r *Request) {
+				r.Kind, r.Status, r.Quarantined, r.QuarantinedPart, r.Parts = ResumableStream, http.StatusBadGateway, true, "a1", "a1,c"
+			}))
+		},
+		"sound requests start beside crashing parts": func(h *History) {
+			sound := func(id string, sent time.Duration, events int) {
+				h.Requests = append(h.Requests, Request{ID: id, Kind: ResumableStream, Prefix: prefixes[ResumableStream], Key: fixedKey, Sent: sent, Ended: sent + second/2, Events: events, Status: http.StatusBadGateway, Complete: true})
+			}
+			for i := range minSoundRequests {
+				sound(fmt.Sprint("calm", i), second, streamEvents)
+				sound(fmt.Sprint("beside", i), 17*second, streamEvents*(i%3/2))
+			}
+			h.Crashes = append(h.Crashes, Crash{Part: "bad1", Upstream: "u9-1", At: 10 * second})
+			h.FaultIntervals = []FaultInterval{{Kind: PartRequests, From: 9 * second, To: 19 * second}}
+		},
 		"only what crashes upstreams is held": func(h *History) {
 			h.Requests = append(h.Requests, atMostOnceRequest(func(r *Request) { r.Status, r.Quarantined = http.StatusBadGateway, true }))
 		},
--- a/soak/check_upstreams.go
+++ b/soak/check_upstreams.go
@@ -39,7 +39,7 @@
 // quarantined: a request is rejected as quarantined only after requests of its team with the same
 // content got no complete response from quarantineAfter different upstream incarnations.
 func (c *checker) quarantined(req Request) {
-	if !req.Quarantined || req.Kind == Crashing {
+	if !req.Quarantined || req.QuarantinedPart != "" || req.Kind == Crashing || req.Kind == CrashingPart {
 		return
 	}
 	failedUpstreams := map[string]bool{}
--- a/soak/config.go
+++ b/soak/config.go
@@ -38,13 +38,15 @@
 	RestoreFaults bool
 	// FramingFaults adds faults drawn from the framingFaults table to the plan.
 	FramingFaults bool
-	Bounds        settings.Bounds
+	// PartFaults adds faults drawn from the partFaults table to the plan.
+	PartFaults bool
+	Bounds     settings.Bounds
 }
 
 // DefaultConfig returns the configuration of a run of about 20 seconds with five routers.
 func DefaultConfig() Config {
 	return Config{
-		Duration: 15 * time.Second, Settle: 8 * time.Second, Routers: 5, Upstreams: 3, Callers: 24, Faults: 1.2, UpstreamFaults: true, WarmUpFaults: true, VersionFaults: true, RestoreFaults: true, FramingFaults: true,
+		Duration: 15 * time.Second, Settle: 8 * time.Second, Routers: 5, Upstreams: 3, Callers: 24, Faults: 1.2, UpstreamFaults: true, WarmUpFaults: true, VersionFaults: true, RestoreFaults: true, FramingFaults: true, PartFaults: true,
 		Bounds: settings.Bounds{
 			RevokeMs: 5000, ApplyMs: 2000, LeaveMs: 2000, GraceS: 4,
 			RetryRatio: 0.2, RetryAllowance: 40, RetryWindowS: 10, ShareWindowS: 4,
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -41,15 +41,22 @@
 	if !strings.Contains(r.RequestURI, crashPathPrefix) {
 		return false
 	}
-	e.rec.Add(func(h *History) {
-		h.Crashes = append(h.Crashes, Crash{URI: r.RequestURI, Upstream: id, At: e.rec.Now()})
-	})
+	e.recordCrash(id, Crash{URI: r.RequestURI, Upstream: id})
+	return true
+}
+
+// recordCrash records the crash of an upstream by a request, and restarts it.
+func (e *endpoint) recordCrash(id string, crash Crash) {
+	crash.At = e.rec.Now()
+	e.rec.Add(func(h *History) { h.Crashes = append(h.Crashes, crash) })
 	if e.beginReplacement() {
+		e.mu.Lock()
+		e.recordServing(false)
+		e.mu.Unlock()
 		go func() {
 			time.Sleep(crashDeregisterDelay)
 			e.op.deregister(id)
 			e.restart()
 		}()
 	}
-	return true
 }
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -56,6 +56,9 @@
 	// CrashingRequest repeatedly sends a request that crashes every upstream that runs it,
 	// through any router.
 	CrashingRequest FaultKind = "crashing-request"
+	// PartRequests repeatedly sends requests with a part of a prompt that crashes every upstream
+	// which starts to answer it. The other parts are those of ordinary requests.
+	PartRequests FaultKind = "crashing-part"
 	// UpstreamNotice is a leave that is announced only by the leaving notice in responses.
 	UpstreamNotice FaultKind = "upstream-notice"
 	// UpstreamRetryAfter makes an upstream, or all upstreams of a service, respond with 503
--- a/soak/history.go
+++ b/soak/history.go
@@ -35,6 +35,8 @@
 	Key         string      `json:"key"`
 	Router      int         `json:"router"`
 	Incarnation int         `json:"incarnation"`
+	// Parts are the IDs of the prompt's parts, separated by commas.
+	Parts string `json:"parts,omitempty"`
 	// Content is the part of the path that identifies the content of a crashing request.
 	Content string `json:"content,omitempty"`
 	// Sent is when the last byte was written, Ended when the response or the
@@ -52,6 +54,8 @@
 	LeavingNotice bool `json:"notice,omitempty"`
 	// Quarantined is set if the router rejected the request for its content.
 	Quarantined bool `json:"quarantined,omitempty"`
+	// QuarantinedPart is the part of its prompt for which the router rejected it, if any.
+	QuarantinedPart string `json:"quarantinedPart,omitempty"`
 	// Continues is the attempt that began the stream which this request continues, After the last
 	// event that its caller has. Version is the software version of the events that were received,
 	// Events the number of the last complete one.
@@ -68,8 +72,11 @@
 
 // uri returns the path of the request.
 func (r Request) uri() string {
-	if r.Kind == Crashing {
+	switch r.Kind {
+	case Crashing:
 		return r.Prefix + crashPathPrefix + r.Content
+	case CrashingPart:
+		return r.Prefix + r.ID
 	}
 	return r.Prefix + "1"
 }
@@ -87,7 +94,9 @@
 
 // Crash is a crash of an upstream caused by a request.
 type Crash struct {
-	URI      string        `json:"uri"`
+	URI string `json:"uri"`
+	// Part is the part of the prompt that caused the crash, "" if the whole content did.
+	Part     string        `json:"part,omitempty"`
 	Upstream string        `json:"upstream"`
 	At       time.Duration `json:"at"`
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -90,7 +90,19 @@
 	{UpstreamCrash, 1, 500 * time.Millisecond, 2 * time.Second},
 }
 
+// partFaults has requests with a crashing part, beside faults that interrupt other requests. They are
+// drawn from a separate random stream.
+var partFaults = []weightedFault{
+	{PartRequests, 3, 6 * time.Second, 10 * time.Second},
+	{UpstreamCrash, 2, 500 * time.Millisecond, 2 * time.Second},
+	{RouterKill, 1, 100 * time.Millisecond, time.Second},
+}
+
 const (
+	// partFaultRate is the mean number of faults per second drawn from partFaults.
+	partFaultRate = 0.2
+	// partRandomStream is the random stream for partFaults.
+	partRandomStream = 1 << 37
 	// framingFaultRate is the mean number of faults per second drawn from framingFaults.
 	framingFaultRate = 0.3
 	// framingRandomStream is the random stream for framingFaults.
@@ -136,6 +148,9 @@
 	if cfg.FramingFaults {
 		plan = append(plan, drawFaults(rand.New(rand.NewPCG(cfg.Seed, framingRandomStream)), cfg, framingFaults, framingFaultRate)...)
 	}
+	if cfg.PartFaults {
+		plan = append(plan, drawFaults(rand.New(rand.NewPCG(cfg.Seed, partRandomStream)), cfg, partFaults, partFaultRate)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -26,7 +26,7 @@
 			}
 		}
 	})
-	for _, kinds := range [][]weightedFault{baseFaults, upstreamFaults, warmUpFaults, versionFaults, restoreFaults, framingFaults} {
+	for _, kinds := range [][]weightedFault{baseFaults, upstreamFaults, warmUpFaults, versionFaults, restoreFaults, framingFaults, partFaults} {
 		for _, w := range kinds {
 			NewWithT(t).Expect(seen).To(HaveKey(w.kind))
 		}
--- a/soak/regression.go
+++ b/soak/regression.go
@@ -20,6 +20,8 @@
 	RestoreFaults bool `json:"restoreFaults"`
 	// FramingFaults is Config.FramingFaults of the run that failed.
 	FramingFaults bool `json:"framingFaults"`
+	// PartFaults is Config.PartFaults of the run that failed.
+	PartFaults bool `json:"partFaults"`
 	// Cause is the cause of the violation.
 	Cause string `json:"cause"`
 }
@@ -27,7 +29,7 @@
 // Config returns base with the seed and the faults of the run that failed.
 func (r Regression) Config(base Config) Config {
 	base.Seed, base.Faults, base.UpstreamFaults, base.WarmUpFaults = r.Seed, r.Faults, r.UpstreamFaults, r.WarmUpFaults
-	base.VersionFaults, base.RestoreFaults, base.FramingFaults = r.VersionFaults, r.RestoreFaults, r.FramingFaults
+	base.VersionFaults, base.RestoreFaults, base.FramingFaults, base.PartFaults = r.VersionFaults, r.RestoreFaults, r.FramingFaults, r.PartFaults
 	return base
 }
 
--- a/soak/route.go
+++ b/soak/route.go
@@ -25,6 +25,9 @@
 	Added
 	// Crashing uses the route of Repeatable and crashes every upstream that runs it.
 	Crashing
+	// CrashingPart uses the route of ResumableStream and crashes every upstream that starts to
+	// answer it; no two requests are alike.
+	CrashingPart
 )
 
 const (
@@ -42,10 +45,12 @@
 
 // prefixes are the path prefixes of the kinds; each added route has its own.
 var prefixes = map[RequestKind]string{
-	Repeatable: "/look/", Crashing: "/look/", AtMostOnce: "/book/", ResumableStream: "/long/", AtMostOnceStream: "/feed/", Moving: "/move/",
+	Repeatable: "/look/", Crashing: "/look/", CrashingPart: "/long/", AtMostOnce: "/book/", ResumableStream: "/long/", AtMostOnceStream: "/feed/", Moving: "/move/",
 }
 
-func (k RequestKind) streaming() bool { return k == ResumableStream || k == AtMostOnceStream }
+func (k RequestKind) streaming() bool {
+	return k == ResumableStream || k == AtMostOnceStream || k == CrashingPart
+}
 
 // atMostOnce reports whether a request must run at most once.
 func (k RequestKind) atMostOnce() bool { return k == AtMostOnce || k == AtMostOnceStream }
@@ -67,10 +72,10 @@
 	case AtMostOnce:
 		r.Kind = routing.Unsafe
 	case ResumableStream:
-		r.Kind, r.Resumable = routing.Streaming, true
+		r.Kind, r.Resumable, r.Sticky = routing.Streaming, true, true
 	case AtMostOnceStream:
 		r.Kind = routing.Streaming
-	case Repeatable, Moving, Added, Crashing:
+	case Repeatable, Moving, Added, Crashing, CrashingPart:
 	}
 	return r
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -199,6 +199,39 @@
 	}
 }
 
+// Guards against a part that crashes upstream after upstream, and against refusing sound requests for
+// it, beside releases, restores of the platform, cuts and restarts.
+func TestCrashingPartsAreHeldAndNoOthers(t *testing.T) {
+	daemon := buildDaemon(t)
+	for slot, plan := range [][]soak.Fault{
+		{
+			{At: time.Second, Kind: soak.PartRequests, ActiveFor: 14 * time.Second, Variant: 1},
+			{At: 3 * time.Second, Kind: soak.ServiceRelease, Target: 3, ActiveFor: 4 * time.Second},
+			{At: 4 * time.Second, Kind: soak.RouterKill, Target: 1, ActiveFor: 500 * time.Millisecond},
+			{At: 6 * time.Second, Kind: soak.RouterStop, Target: 2, ActiveFor: 300 * time.Millisecond},
+		},
+		{
+			{At: time.Second, Kind: soak.PartRequests, ActiveFor: 14 * time.Second, Variant: 2},
+			{At: 2 * time.Second, Kind: soak.UpstreamUnframed, Target: 3, ActiveFor: 6 * time.Second},
+			{At: 2 * time.Second, Kind: soak.StoreRestore, ActiveFor: time.Second, Variant: 1},
+			{At: 3 * time.Second, Kind: soak.StorePartition, Target: 0, ActiveFor: 2 * time.Second},
+			{At: 5 * time.Second, Kind: soak.PartRequests, ActiveFor: 8 * time.Second, Variant: 3},
+		},
+		{
+			{At: 2 * time.Second, Kind: soak.PartRequests, ActiveFor: 13 * time.Second, Variant: 3},
+			{At: 2 * time.Second, Kind: soak.PartRequests, ActiveFor: 13 * time.Second, Variant: 4},
+		},
+	} {
+		t.Run(fmt.Sprint("plan ", slot), func(t *testing.T) {
+			t.Parallel()
+			cfg := soak.DefaultConfig()
+			cfg.Seed, cfg.Daemon, cfg.Slot, cfg.Duration, cfg.Upstreams = 1, daemon, slot+18, 16*time.Second, 6
+			r := executePlan(t, cfg, plan)
+			t.Logf("%d crashes by requests", len(r.History.Crashes))
+		})
+	}
+}
+
 // Guards against overloading an upstream that turns cold while the platform is unavailable.
 func TestUpstreamThatTurnsColdInAnOutage(t *testing.T) {
 	cfg := soak.Regression{Seed: 350005, Faults: 1.2, UpstreamFaults: true, WarmUpFaults: true}.Config(soak.DefaultConfig())
--- a/soak/upstreams.go
+++ b/soak/upstreams.go
@@ -59,7 +59,7 @@
 	r, err := standin.NewRunner(id, names, standin.RunnerOptions{
 		Work: work, FaultEvery: greyFaultEvery, Version: versionSuffix(e.version()),
 		OnStart:     func(request string) func(bool) { return e.rec.Began(request, id, service) },
-		ShouldCrash: func(r *http.Request) bool { return e.crashIfMarked(id, r) },
+		ShouldCrash: func(r *http.Request) bool { return e.crashIfMarked(id, r) || e.crashOnPart(id, r) },
 		OnReject:    func(request string, rest time.Duration) { e.recordRejection(id, request, rest) },
 	})
 	return r, Error.Wrap(err)
