--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -194,9 +194,16 @@
 // Guards against a flood of parts that hides the crashing one, takes memory, or displaces contents and
 // the parts of other teams.
 func TestCrashingPartIsFoundAmongTenThousand(t *testing.T) {
+	for seed := range uint64(6) {
+		findAmongTenThousand(t, seed)
+	}
+}
+
+func findAmongTenThousand(t *testing.T, seed uint64) {
+	t.Helper()
 	g := NewWithT(t)
 	cfg := quarantine.DefaultConfig()
-	table, rnd := quarantine.NewTable(cfg), rand.New(rand.NewPCG(1, 2))
+	table, rnd := quarantine.NewTable(cfg), rand.New(rand.NewPCG(seed, 2))
 	content, others := newContentKey(1), quarantine.NewPartKey(1)
 	now := recordCrashes(table, content, start, 1, 2)
 	table.RecordCrash(now, quarantine.Crash{ID: others, Team: "homes", Upstream: 1, Sent: now})
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -64,6 +64,12 @@
 				table.RecordCrash(now, newCrash(id, uint32(i), now))
 			}
 		},
+		"requests sent together to upstreams that end one after the other": func(table *quarantine.Table, id quarantine.Key) {
+			for i := range 5 {
+				now := start + time.Duration(i)*60*time.Millisecond
+				table.RecordCrash(now, quarantine.Crash{ID: id, Upstream: uint32(i), Sent: start - second})
+			}
+		},
 		"requests to upstreams that close connections at once": func(table *quarantine.Table, id quarantine.Key) {
 			for i := range 20 {
 				now := start + time.Duration(i)*time.Millisecond
