comments: records, receives, starts instead of figurative verbs

Change: they say records, receives, holds, has, expires, started, returned, crashing part. Comments only, and one private name of a simulation (culprit, now crashingPart). No statement of code changes.

--- a/abort/abort.go
+++ b/abort/abort.go
@@ -6,7 +6,7 @@
 	"net/http"
 )
 
-// Response ends the response to a request so that its caller can tell that it is incomplete. It
+// Response ends the response to a request so that its caller recognizes it as incomplete. It
 // must be the last call of a handler, and may panic.
 //
 // A chunked response lacks its last chunk if its connection is closed. A caller of HTTP/1.0 gets
--- a/callers/errors.go
+++ b/callers/errors.go
@@ -88,7 +88,7 @@
 	return unavailable("cancelled", "the caller left before the request ran", time.Second)
 }
 
-// handleError writes an error response, unless a response has already begun.
+// handleError writes an error response, unless a response has already started.
 func (s *Server) handleError(err error, c echo.Context) {
 	var e *apiError
 	if !errors.As(err, &e) {
--- a/daemon/rollout_test.go
+++ b/daemon/rollout_test.go
@@ -38,7 +38,7 @@
 		Eventually(f.versions, eventuallyTimeout, "20ms").Should(HaveEach(uint64(2)))
 	})
 
-	// The platform goes back to an older version, and a router restarts without state. No
+	// The platform returns to an older version, and a router restarts without state. No
 	// router must apply the older version.
 	It("never reverts beside a stale platform", func() {
 		f := newFleet()
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -18,7 +18,7 @@
 }
 
 // better reports whether a is the better choice, which is the one with the lower score. A
-// request that would be late where its parts are cached goes to another upstream if little
+// request that would be late where its parts are cached is sent to another upstream if little
 // prefill is repeated there. Otherwise it is refused, because the repeated prefill takes
 // the time of several other requests and evicts their cached parts.
 func better(a, b choice) bool {
@@ -78,7 +78,7 @@
 const fullEngineWait = 100 * time.Millisecond
 
 // queuedAhead returns the cost of the queued jobs that go before the job. Of two jobs with
-// equal priority, the queued one goes first.
+// equal priority, the queued one is sent first.
 func (c *Core) queuedAhead(u *upstream, j *job, cost, now time.Duration) time.Duration {
 	if len(u.queue) == 0 {
 		return 0
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -24,7 +24,7 @@
 	severalVersions bool
 	// warmUpGranted is set while this core may send to upstreams that are warming up.
 	warmUpGranted bool
-	// probesRequired is set while only probes tell whether upstreams are warming up.
+	// probesRequired is set while only probes show whether upstreams are warming up.
 	probesRequired bool
 }
 
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -179,7 +179,7 @@
 	g.Expect(run.served["thin"] * 2).To(BeNumerically(">=", run.served["dense"]))
 }
 
-// Guards against a new home that refuses everything because its accounts have just begun.
+// Guards against a new home that refuses everything because its accounts have just started.
 // All routers were replaced, so it has no record of caches and shares.
 func TestSharesOfANewHomeDoNotCollapse(t *testing.T) {
 	g := NewWithT(t)
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -4,7 +4,7 @@
 //
 // One router, the home, runs a Core for each group of upstreams it is responsible for.
 // Routers submit each request for the group to the home before they send it, and report
-// its first byte and completion. The request itself goes directly from the router that
+// its first byte and completion. The request itself is sent directly from the router that
 // received it to the upstream. The home thus tracks the backlog, the running requests and
 // the cached prompt parts of each upstream without load reports. Decisions are advisory:
 // the router that sends the request checks that the upstream may be used at all.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -52,7 +52,7 @@
 // continuesStream reports whether the job is a broken stream that must go on at one version.
 func (j *job) continuesStream() bool { return j.Version != "" }
 
-// before reports whether a goes to an upstream before b. The order is by priority, then by
+// before reports whether a is sent to an upstream before b. The order is by priority, then by
 // share status, then broken streams before requests that may go to any version, which may be
 // many more upstreams, then requests that can still meet their target before late ones. Teams
 // above their share are ordered by recent usage, the lowest first. The rest is ordered by
--- a/dispatch/prefill_fit.go
+++ b/dispatch/prefill_fit.go
@@ -40,7 +40,7 @@
 
 // observeFirstByte records a time to first byte, of any prompt.
 func (f *prefillFit) observeFirstByte(took time.Duration) {
-	const growth = 1.01 // forgets a shortest time after some hundred longer ones
+	const growth = 1.01 // replaces a shortest time after some hundred longer ones
 	f.shortest = time.Duration(growth * float64(f.shortest))
 	if f.shortest == 0 || took < f.shortest {
 		f.shortest = took
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -20,7 +20,7 @@
 	return u.prefillWait(now) < c.cfg.BacklogWindow
 }
 
-// readyAheadOf reports whether a queued job that is ready goes before j.
+// readyAheadOf reports whether a queued job that is ready is sent before j.
 func (c *Core) readyAheadOf(u *upstream, j *job, now time.Duration) bool {
 	for _, q := range u.queue {
 		if c.before(q, j, now) && c.ready(u, q, now) {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -16,7 +16,7 @@
 	// ID is the caller's ID of the request, for the log.
 	ID   string
 	Team string
-	// Priority orders requests; 0 goes first.
+	// Priority orders requests; 0 comes first.
 	Priority int
 	// Prompt and Output are numbers of tokens; Output is the maximum to be generated. Both
 	// are 0 for plain services.
@@ -58,7 +58,7 @@
 const (
 	// Wait: the request is queued and a later decision follows.
 	Wait Verdict = iota
-	// Send: the request goes to the upstream now.
+	// Send: the request is sent to the upstream now.
 	Send
 	// Refuse: the request can't be served in time.
 	Refuse
--- a/dispatch/version_test.go
+++ b/dispatch/version_test.go
@@ -20,7 +20,7 @@
 	return members
 }
 
-// Guards against a broken stream that goes on at an upstream of another or an unknown version.
+// Guards against a broken stream that continues at an upstream of another or an unknown version.
 func TestBrokenStreamIsOnlyPlacedAtItsVersion(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		versions := rapid.SliceOfN(rapid.SampledFrom([]string{"", "v1", "v2"}), 1, 6).Draw(rt, "versions")
--- a/dispatch/warmup.go
+++ b/dispatch/warmup.go
@@ -24,8 +24,8 @@
 	return c.takeDecisions()
 }
 
-// RequireProbes sets whether upstreams are used only as far as probes tell that they need no
-// warm-up. The home requires them while the published state is too old to tell.
+// RequireProbes sets whether upstreams are used only as far as probes show that they need no
+// warm-up. The home requires them while the published state is too old to show it.
 func (c *Core) RequireProbes(required bool) { c.probesRequired = required }
 
 // awaitsProbe reports whether no request may be sent to the upstream before a probe is answered.
--- a/eventstream/end.go
+++ b/eventstream/end.go
@@ -91,7 +91,7 @@
 // End returns nil if a stream that has ended is complete. cause is the read error, io.EOF if
 // the body ended regularly by its framing.
 //
-// No framing completes an event that has begun. A body that ends with its connection has no
+// No framing completes an event that has started. A body that ends with its connection has no
 // other sign of its end, so it must have an event; if it ends between two events, it counts as
 // complete, though its upstream may have ended there.
 func (s *Scanner) End(framing Framing, cause error) error {
--- a/fairness/report.go
+++ b/fairness/report.go
@@ -145,7 +145,7 @@
 	}
 }
 
-// WaitingReportOutdated reports whether the last reports say that teams wait
+// WaitingReportOutdated reports whether the last reports list teams as waiting
 // here while none does.
 func (a *Accounts) WaitingReportOutdated() bool {
 	reported := false
--- a/feed/config.go
+++ b/feed/config.go
@@ -21,7 +21,7 @@
 	// requests. Until then a revoked key may still be accepted.
 	MaxServingAge time.Duration
 	// JoinTime is how long a starting router waits before it reads the platform, so that it
-	// knows its peers and whether it is one of the readers.
+	// has found its peers and whether it is one of the readers.
 	JoinTime time.Duration
 	// FirstStateWait is the minimum time for which it then waits for the state of a peer if it
 	// isn't a reader, and half of the maximum. Within it the readers list the platform, and the
--- a/feed/read.go
+++ b/feed/read.go
@@ -120,7 +120,7 @@
 	for _, id := range f.upstreams.Missing(listed) {
 		f.removeUpstream(Change{DeletedUpstream: id, Revision: b.Revision})
 	}
-	// The log goes on with what differs from the state before. Otherwise each peer would fetch
+	// The log continues with what differs from the state before. Otherwise each peer would fetch
 	// the whole state after the platform has discarded its history, all at the same time.
 	if f.revision == 0 {
 		f.changes.reset(b.Revision)
--- a/fleet/ask.go
+++ b/fleet/ask.go
@@ -35,7 +35,7 @@
 const queuedRetryInterval = 250 * time.Millisecond
 
 // retryPlacements sends unanswered placement requests again and handles their timeouts, so
-// that no request waits for a home that is gone.
+// that no request waits for a home that has ended.
 func (n *Node) retryPlacements(now boottime.Time) {
 	for _, p := range n.pending {
 		if p.home == nil {
--- a/fleet/broken.go
+++ b/fleet/broken.go
@@ -11,7 +11,7 @@
 func brokenKey(upstream uint32) string { return "broken/" + strconv.FormatUint(uint64(upstream), 16) }
 
 // sentToBrokenUpstream reports whether the request was sent after its upstream was recorded as
-// broken. The proxy of an upstream that is gone accepts connections and closes them; without
+// broken. The proxy of an upstream that has ended accepts connections and closes them; without
 // this check, each request sent there would count as a crash of its content.
 func (q *quarantineState) sentToBrokenUpstream(sent time.Duration, upstream uint32) bool {
 	q.mu.Lock()
--- a/fleet/dump.go
+++ b/fleet/dump.go
@@ -32,7 +32,7 @@
 	Evacuated []string `json:"evacuated"`
 	// Versions lists the software versions of the upstreams, by service.
 	Versions []VersionDump `json:"versions"`
-	// Streams is the number of streams whose software version this router remembers.
+	// Streams is the number of streams whose software version this router has recorded.
 	Streams int          `json:"streams"`
 	Members []MemberDump `json:"members"`
 	Groups  []GroupDump  `json:"groups"`
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -25,16 +25,16 @@
 type streamMessageKind uint8
 
 const (
-	// streamBegan tells a router to remember where a stream began.
+	// streamBegan has a router record where a stream began.
 	streamBegan streamMessageKind = iota
-	// streamQuery asks a router whether it remembers a stream.
+	// streamQuery asks a router whether it has recorded a stream.
 	streamQuery
 	// streamKnown and streamNotKnown answer a streamQuery.
 	streamKnown
 	streamNotKnown
 )
 
-// streamMessage tells where a stream began, so that it can go on at the same software version. The
+// streamMessage contains where a stream began, so that it can continue at the same software version. The
 // origin is set with streamBegan and streamKnown.
 type streamMessage struct {
 	_               struct{} `cbor:",toarray"`
--- a/fleet/parts_test.go
+++ b/fleet/parts_test.go
@@ -176,7 +176,7 @@
 	})
 }
 
-// Guards against a quarantine that goes on because a trial was granted to a request that has ended.
+// Guards against a quarantine that continues because a trial was granted to a request that has ended.
 func TestEndedTrialIsGrantedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -37,7 +37,7 @@
 // it. If all states are stale, the platform is unavailable and the leaders don't change: if each
 // router made itself a reader instead, hundreds would call the platform in vain.
 //
-// The age of a router's state doesn't tell whether it reaches the platform, since peers renew it.
+// The age of a router's state doesn't show whether it reaches the platform, since peers renew it.
 // A reader whose calls fail would keep its role until all states are stale, give it up, receive a
 // recent state from its successor, and take the role back.
 func (c *leaderCandidate) preferredTo(other *leaderCandidate) bool {
@@ -87,7 +87,7 @@
 	candidates := n.leaderCandidates(now)
 	leaders := leadersInOrder(candidates)
 	isReader := readsAmong(leaders)
-	// A router that would be a reader if the platform answered it goes on reading, to learn when
+	// A router that would be a reader if the platform answered it continues to read, to detect when
 	// it does.
 	reads := isReader || readsAmong(leadersInOrder(withoutReachability(candidates)))
 	if n.readsPlatform.Swap(reads) != reads {
@@ -119,7 +119,7 @@
 
 // pollState asks the router from which this one receives the published state for the state's age.
 func (n *Node) pollState(now boottime.Time, source *member) {
-	// A router that hears nothing from any peer is cut off itself, whoever its source is.
+	// A router that receives nothing from any peer is cut off itself, whoever its source is.
 	cutOff := now.Sub(n.lastPeerContact) >= pollTimeout
 	if source.polledInVainSince != 0 && now.Sub(source.polledInVainSince) >= pollTimeout && !cutOff {
 		source.unresponsive = true
--- a/fleet/streams.go
+++ b/fleet/streams.go
@@ -10,10 +10,10 @@
 	"github.com/aspenswitch/aspenswitch/resumption"
 )
 
-// streamState is what this router knows about the software versions that began streams. It is owned
+// streamState is what this router has recorded about the software versions that began streams. It is owned
 // by the control goroutine.
 type streamState struct {
-	// origins has the streams that this router serves, and those that it remembers for others.
+	// origins has the streams that this router serves, and those that it has recorded for others.
 	origins *resumption.Table
 	history *resumption.History
 	pending map[*pendingContinuation]struct{}
@@ -33,7 +33,7 @@
 	streamBeganEvent struct {
 		id     resumption.StreamID
 		origin resumption.Origin
-		// sent is closed once other routers have been told.
+		// sent is closed once it has been sent to other routers.
 		sent chan struct{}
 	}
 	streamVersionEvent struct {
@@ -45,7 +45,7 @@
 )
 
 const (
-	// maxTellDelay is how long an event waits until this router has told others which version began
+	// maxTellDelay is how long an event waits until this router has sent to others which version began
 	// its stream. That takes microseconds unless the router is overloaded.
 	maxTellDelay = 20 * time.Millisecond
 	// queryRetryInterval is the time after which an unanswered query is sent again.
@@ -59,8 +59,8 @@
 	return streamState{origins: resumption.NewTable(), history: resumption.NewHistory(), pending: map[*pendingContinuation]struct{}{}}
 }
 
-// ReportStreamBegan implements gateway.Placer. It returns once the routers that remember the stream
-// have been told, or after maxTellDelay.
+// ReportStreamBegan implements gateway.Placer. It returns once it has been sent to the routers that
+// record the stream, or after maxTellDelay.
 func (n *Node) ReportStreamBegan(attempt string, origin resumption.Origin) {
 	e := streamBeganEvent{id: resumption.NewStreamID(attempt), origin: origin, sent: make(chan struct{})}
 	n.post(e)
@@ -90,7 +90,7 @@
 	}
 }
 
-// recordStream records a stream that this router serves, and tells the routers that remember it.
+// recordStream records a stream that this router serves, and sends the record to its holders.
 func (n *Node) recordStream(now boottime.Time, e streamBeganEvent) {
 	defer close(e.sent)
 	n.streams.origins.Record(time.Duration(now), e.id, e.origin)
@@ -101,7 +101,7 @@
 	}
 }
 
-// streamHolders returns the routers that remember a stream, by preference. This router may be one
+// streamHolders returns the routers that record a stream, by preference. This router may be one
 // of them.
 func (n *Node) streamHolders(now boottime.Time, id resumption.StreamID, count int) []uint64 {
 	candidates := make([]resumption.Candidate, 0, len(n.members)+1)
--- a/fleet/trial.go
+++ b/fleet/trial.go
@@ -75,7 +75,7 @@
 	n.requestNextTrial(now, &trialRequest{keys: e.keys, answer: e.answer})
 }
 
-// requestNextTrial decides on a trial of the next key if this router is its hub, and goes on with
+// requestNextTrial decides on a trial of the next key if this router is its hub, and continues with
 // the one after it. Otherwise it asks the hub, unless another request already waits for its answer.
 func (n *Node) requestNextTrial(now boottime.Time, r *trialRequest) {
 	for ; r.granted < len(r.keys); r.granted++ {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -60,7 +60,7 @@
 	_, _ = io.CopyN(io.Discard, resp, maxBufferedBody)
 	retryAfter := defaultRetryAfter
 	if r.record.upstreamRetryAfter > 0 {
-		// The upstream is now excluded, so the caller's next request goes to another one.
+		// The upstream is now excluded, so the caller's next request is sent to another one.
 		retryAfter = minRetryAfter
 	}
 	res := result{refused: notRun("upstream_full", "the upstream had no room; the request was not run", retryAfter)}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -14,7 +14,7 @@
 	ShutdownDelay time.Duration
 	// ForwardPeriod is how long a stopping server still forwards new requests. A response
 	// that starts later might be truncated at the end of the grace period, so the caller
-	// is told to retry, at another router, instead.
+	// is asked to retry, at another router, instead.
 	ForwardPeriod time.Duration
 	// GracePeriod is how long running responses may continue after Shutdown is called.
 	GracePeriod time.Duration
@@ -29,7 +29,7 @@
 	// can be reached.
 	MaxKeepAliveConns int
 	// MaxConns is the maximum number of callers' connections; further ones are refused
-	// and told to retry. It is above MaxKeepAliveConns, since responses close the
+	// and asked to retry. It is above MaxKeepAliveConns, since responses close the
 	// connections between the two limits and thereby free slots.
 	MaxConns int
 	// ListenBacklog is the maximum number of connections waiting to be accepted.
--- a/gateway/deps.go
+++ b/gateway/deps.go
@@ -45,7 +45,7 @@
 	// ReportStreamBegan reports where the stream of an attempt began, before its first event is
 	// sent to the caller.
 	ReportStreamBegan(attempt string, origin resumption.Origin)
-	// StreamVersion finds the software version at which a stream goes on that the named attempt
+	// StreamVersion finds the software version at which a stream continues that the named attempt
 	// began, within window before the request. attempt is "" if the caller names none.
 	StreamVersion(ctx context.Context, service, attempt string, window time.Duration) resumption.Decision
 	// ReportCrash reports that an upstream closed the connection after it had been handling
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -10,7 +10,7 @@
 )
 
 // boundedListener accepts new connections no faster than the process can handle them, and only
-// while there is memory for them. Callers that would have to wait too long are told to retry.
+// while there is memory for them. Callers that would have to wait too long are asked to retry.
 //
 // During a flood of new connections, each accepted one has goroutines, buffers and unread
 // bytes: the process of a small VM is killed for its memory use, and all its requests are
--- a/gateway/outcome_test.go
+++ b/gateway/outcome_test.go
@@ -20,7 +20,7 @@
 const hangDuration = 3 * time.Second
 
 // Guards against excluding a healthy upstream. The reported outcome decides whether it is used
-// further, and neither an expired short deadline nor a broken connection shows that it is gone.
+// further, and neither an expired short deadline nor a broken connection shows that it has left.
 // Without that distinction, two requests per second with short deadlines keep it out of use.
 func TestOutcomesReportedToThePlacer(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -20,10 +20,10 @@
 	// framing is how the last upstream's response marked the end of its body. streamEnd is where its
 	// stream ended, "" if it was complete.
 	framing, streamEnd string
-	// resumes is the attempt that the caller says it continues, resumedAfter the last event
+	// resumes is the attempt that the caller claims to continue, resumedAfter the last event
 	// that it or this router has of the stream.
 	resumes, resumedAfter string
-	// versionSource is who knew which software version began that stream, or why none is known.
+	// versionSource is where the software version that began that stream was recorded, or why it is unknown.
 	versionSource string
 	// copyFrom is the engine from which parts of the prompt were copied.
 	copyFrom string
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -146,7 +146,7 @@
 type content uint8
 
 const (
-	// untypedContent has no Content-Type. It is taken for events, since the route says so.
+	// untypedContent has no Content-Type. It is taken for events, since the route is for streams.
 	untypedContent content = iota
 	eventContent
 	otherContent
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -52,7 +52,7 @@
 	// sentVersion is the software version of that upstream, "" if unknown.
 	sentVersion string
 	// began is set once the caller has a part of a stream that may be resumed. version is the
-	// software version that began it, "" if unknown: a stream goes on at this version only.
+	// software version that began it, "" if unknown: a stream continues at this version only.
 	began   bool
 	version string
 	// trialOf are the quarantined keys with which the request may be sent as a trial.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -117,7 +117,7 @@
 
 // brokenConnOutcome returns the outcome of a connection that broke after the request was sent.
 // A reset means that the upstream was still running and may have closed only this connection;
-// if the upstream is gone, the next connection is refused.
+// if the upstream has ended, the next connection is refused.
 func brokenConnOutcome(err error) dispatch.Outcome {
 	if errors.Is(err, syscall.ETIMEDOUT) {
 		return dispatch.Unreachable
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -16,8 +16,8 @@
 	refused  tally.Counter
 	// quarantined counts requests that were rejected because their content or a part of their prompt is in quarantine.
 	quarantined tally.Counter
-	// unknownVersion counts continued streams that were refused since no router knew which software
-	// version had begun them.
+	// unknownVersion counts continued streams that were refused since no router had recorded which
+	// software version began them.
 	unknownVersion tally.Counter
 	// brokenStreams counts upstreams' streams that ended before they were complete, by framing.
 	brokenStreams map[eventstream.Framing]tally.Counter
--- a/gateway/stream_end_test.go
+++ b/gateway/stream_end_test.go
@@ -148,7 +148,7 @@
 	}
 }
 
-// Guards against a cut answer that looks complete to an HTTP/1.0 caller, which knows no chunks.
+// Guards against a cut answer that looks complete to an HTTP/1.0 caller, which gets no chunks.
 func TestCutAnswerIsResetForOldCallers(t *testing.T) {
 	g := NewWithT(t)
 	r := newHarness(t, map[string]script{"u1": ending{framing: eventstream.Connection, eol: "\n", partial: "id: 4"}.script(1, 3)})
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -25,7 +25,7 @@
 // again.
 const continuationMargin = 5 * time.Second
 
-// findVersion finds the software version at which a stream goes on that another attempt began.
+// findVersion finds the software version at which a stream continues that another attempt began.
 func (s *Server) findVersion(ctx context.Context, r *request) *refusal {
 	timeout := r.route.Timeout
 	if timeout <= 0 {
--- a/lab/engine.go
+++ b/lab/engine.go
@@ -44,7 +44,7 @@
 	generated    int
 	lastEventAt  time.Duration
 	longestPause time.Duration
-	// begun is set once the first chunk of the prompt has been prefilled.
+	// begun is true once the first chunk of the prompt has been prefilled.
 	begun     bool
 	cancelled bool
 	// prefilled is called when the prompt is prefilled, firstToken and done when the first and
--- a/lab/random_engines_test.go
+++ b/lab/random_engines_test.go
@@ -33,7 +33,7 @@
 }
 
 // Guards against a model of engines that fits only the configured kind: the worth served by a
-// home, relative to that of a core that knows the engines, over kinds and loads.
+// home, relative to that of a core that has the engines' parameters, over kinds and loads.
 func TestRandomEnginesAreUsed(t *testing.T) {
 	g := NewWithT(t)
 	var ratios []float64
--- a/quarantine/broken.go
+++ b/quarantine/broken.go
@@ -4,7 +4,7 @@
 
 const (
 	// BrokenTTL is how long an upstream incarnation counts as broken after it closed a
-	// connection. The platform removes an upstream that is gone from its list within this time.
+	// connection. The platform removes an upstream that has ended from its list within this time.
 	BrokenTTL = 5 * time.Second
 	// maxBrokenUpstreams limits the number of recorded upstreams. All are dropped when a new
 	// one would exceed it.
--- a/quarantine/config.go
+++ b/quarantine/config.go
@@ -26,8 +26,8 @@
 	// quarantine turns out to be wrong.
 	MaxDoublings int
 	// BurstWindow is the time after a counted crash in which others aren't counted. The loss of
-	// a failure domain crashes many upstreams at once, and the proxies of upstreams that are
-	// gone close connections at once, one after the other.
+	// a failure domain crashes many upstreams at once, and the proxies of upstreams that have
+	// ended close connections at once, one after the other.
 	BurstWindow time.Duration
 	// SentAfterLast makes a crash count only if its request was sent after the last counted one.
 	SentAfterLast bool
--- a/quarantine/part_simulation_test.go
+++ b/quarantine/part_simulation_test.go
@@ -20,8 +20,8 @@
 	sound, bad float64
 	// position is where the crashing part stands: 0 for the first.
 	position int
-	// culprits is the number of crashing parts; each bad request has one of them.
-	culprits int
+	// crashingParts is the number of crashing parts; each bad request has one of them.
+	crashingParts int
 	// firstOutput is the mean time from sending a request to its first output, duration that from
 	// there to its end.
 	firstOutput, duration time.Duration
@@ -150,18 +150,18 @@
 	}
 }
 
-// culprit returns the key of the n-th crashing part.
-func culprit(n int) quarantine.Key { return quarantine.NewPartKey(uint64(10 + n)) }
+// crashingPartKey returns the key of the n-th crashing part.
+func crashingPartKey(n int) quarantine.Key { return quarantine.NewPartKey(uint64(10 + n)) }
 
-func (s *partSimulation) isCulprit(k quarantine.Key) bool {
-	return k.Hash >= 10 && k.Hash < uint64(10+s.culprits)
+func (s *partSimulation) isCrashing(k quarantine.Key) bool {
+	return k.Hash >= 10 && k.Hash < uint64(10+s.crashingParts)
 }
 
 func (s *partSimulation) request(bad bool) {
 	r := &partRequest{keys: s.sharedParts(), bad: bad, router: s.rnd.IntN(s.routers), second: int((s.now - start) / second)}
 	if bad {
 		r.keys[0] = quarantine.NewPartKey(1)
-		r.keys[s.position] = culprit(s.rnd.IntN(max(s.culprits, 1)))
+		r.keys[s.position] = crashingPartKey(s.rnd.IntN(max(s.crashingParts, 1)))
 		for range s.extraParts {
 			s.requests++
 			r.keys = append(r.keys, quarantine.NewPartKey(uint64(1<<20+s.requests)))
@@ -310,7 +310,7 @@
 	if !changed {
 		return
 	}
-	if notice.Status == quarantine.Quarantined && notice.FailedTrials == 0 && !s.isCulprit(notice.ID) {
+	if notice.Status == quarantine.Quarantined && notice.FailedTrials == 0 && !s.isCrashing(notice.ID) {
 		s.wrongHolds++
 	}
 	s.noticed(router, notice)
@@ -369,22 +369,22 @@
 }
 
 var partLoads = map[string]partLoad{
-	"6 routers, 12 upstreams":        {routers: 6, upstreams: 12, sound: 120, bad: 17, position: 1, culprits: 1, firstOutput: 120 * time.Millisecond, duration: 400 * time.Millisecond, restart: 700 * time.Millisecond},
-	"culprit first":                  {routers: 6, upstreams: 12, sound: 120, bad: 17, position: 0, culprits: 1, firstOutput: 120 * time.Millisecond, duration: 400 * time.Millisecond, restart: 700 * time.Millisecond},
-	"culprit last but one":           {routers: 6, upstreams: 18, sound: 200, bad: 10, position: 2, culprits: 1, firstOutput: 300 * time.Millisecond, duration: 800 * time.Millisecond, restart: 3 * time.Second},
-	"few sound requests":             {routers: 3, upstreams: 12, sound: 8, bad: 17, position: 1, culprits: 1, firstOutput: 120 * time.Millisecond, duration: 200 * time.Millisecond, restart: 700 * time.Millisecond},
-	"slow engines":                   {routers: 6, upstreams: 18, sound: 60, bad: 5, position: 1, culprits: 1, firstOutput: 900 * time.Millisecond, duration: 2 * time.Second, restart: 3 * time.Second},
-	"one bad request in two seconds": {routers: 6, upstreams: 18, sound: 200, bad: 0.5, position: 1, culprits: 1, firstOutput: 300 * time.Millisecond, duration: 800 * time.Millisecond, restart: 3 * time.Second},
-	"two culprits":                   {routers: 6, upstreams: 18, sound: 200, bad: 17, position: 1, culprits: 2, firstOutput: 200 * time.Millisecond, duration: 600 * time.Millisecond, restart: time.Second},
-	"fifteen parts a request":        {routers: 6, upstreams: 18, sound: 200, bad: 17, position: 1, culprits: 1, extraParts: 12, firstOutput: 200 * time.Millisecond, duration: 600 * time.Millisecond, restart: time.Second},
-	"harmless before":                {routers: 6, upstreams: 18, sound: 200, bad: 10, position: 1, culprits: 1, changed: true, firstOutput: 200 * time.Millisecond, duration: 600 * time.Millisecond, restart: 2 * time.Second},
+	"6 routers, 12 upstreams":        {routers: 6, upstreams: 12, sound: 120, bad: 17, position: 1, crashingParts: 1, firstOutput: 120 * time.Millisecond, duration: 400 * time.Millisecond, restart: 700 * time.Millisecond},
+	"crashing part first":            {routers: 6, upstreams: 12, sound: 120, bad: 17, position: 0, crashingParts: 1, firstOutput: 120 * time.Millisecond, duration: 400 * time.Millisecond, restart: 700 * time.Millisecond},
+	"crashing part last but one":     {routers: 6, upstreams: 18, sound: 200, bad: 10, position: 2, crashingParts: 1, firstOutput: 300 * time.Millisecond, duration: 800 * time.Millisecond, restart: 3 * time.Second},
+	"few sound requests":             {routers: 3, upstreams: 12, sound: 8, bad: 17, position: 1, crashingParts: 1, firstOutput: 120 * time.Millisecond, duration: 200 * time.Millisecond, restart: 700 * time.Millisecond},
+	"slow engines":                   {routers: 6, upstreams: 18, sound: 60, bad: 5, position: 1, crashingParts: 1, firstOutput: 900 * time.Millisecond, duration: 2 * time.Second, restart: 3 * time.Second},
+	"one bad request in two seconds": {routers: 6, upstreams: 18, sound: 200, bad: 0.5, position: 1, crashingParts: 1, firstOutput: 300 * time.Millisecond, duration: 800 * time.Millisecond, restart: 3 * time.Second},
+	"two crashingParts":              {routers: 6, upstreams: 18, sound: 200, bad: 17, position: 1, crashingParts: 2, firstOutput: 200 * time.Millisecond, duration: 600 * time.Millisecond, restart: time.Second},
+	"fifteen parts a request":        {routers: 6, upstreams: 18, sound: 200, bad: 17, position: 1, crashingParts: 1, extraParts: 12, firstOutput: 200 * time.Millisecond, duration: 600 * time.Millisecond, restart: time.Second},
+	"harmless before":                {routers: 6, upstreams: 18, sound: 200, bad: 10, position: 1, crashingParts: 1, changed: true, firstOutput: 200 * time.Millisecond, duration: 600 * time.Millisecond, restart: 2 * time.Second},
 	"crashes for other reasons":      {routers: 6, upstreams: 18, sound: 200, otherCrashes: 4, firstOutput: 300 * time.Millisecond, duration: 800 * time.Millisecond, restart: 3 * time.Second},
 	"few requests, many crashes":     {routers: 3, upstreams: 12, sound: 10, otherCrashes: 10, firstOutput: 300 * time.Millisecond, duration: 500 * time.Millisecond, restart: time.Second},
-	"both":                           {routers: 6, upstreams: 18, sound: 200, bad: 8, otherCrashes: 3, position: 1, culprits: 1, firstOutput: 300 * time.Millisecond, duration: 800 * time.Millisecond, restart: 2 * time.Second},
-	"64 requests at an upstream":     {routers: 60, upstreams: 20, sound: 1500, bad: 17, position: 1, culprits: 1, firstOutput: 250 * time.Millisecond, duration: 600 * time.Millisecond, restart: 2 * time.Second},
-	"160 upstreams":                  {routers: 295, upstreams: 160, sound: 1500, bad: 30, position: 1, culprits: 1, firstOutput: 250 * time.Millisecond, duration: 600 * time.Millisecond, restart: 2 * time.Second},
-	"1168 routers":                   {routers: 1168, upstreams: 600, sound: 1500, bad: 30, position: 1, culprits: 1, firstOutput: 250 * time.Millisecond, duration: 600 * time.Millisecond, restart: 2 * time.Second},
-	"584 routers":                    {routers: 584, upstreams: 300, sound: 1500, bad: 30, position: 1, culprits: 1, firstOutput: 250 * time.Millisecond, duration: 600 * time.Millisecond, restart: 2 * time.Second},
+	"both":                           {routers: 6, upstreams: 18, sound: 200, bad: 8, otherCrashes: 3, position: 1, crashingParts: 1, firstOutput: 300 * time.Millisecond, duration: 800 * time.Millisecond, restart: 2 * time.Second},
+	"64 requests at an upstream":     {routers: 60, upstreams: 20, sound: 1500, bad: 17, position: 1, crashingParts: 1, firstOutput: 250 * time.Millisecond, duration: 600 * time.Millisecond, restart: 2 * time.Second},
+	"160 upstreams":                  {routers: 295, upstreams: 160, sound: 1500, bad: 30, position: 1, crashingParts: 1, firstOutput: 250 * time.Millisecond, duration: 600 * time.Millisecond, restart: 2 * time.Second},
+	"1168 routers":                   {routers: 1168, upstreams: 600, sound: 1500, bad: 30, position: 1, crashingParts: 1, firstOutput: 250 * time.Millisecond, duration: 600 * time.Millisecond, restart: 2 * time.Second},
+	"584 routers":                    {routers: 584, upstreams: 300, sound: 1500, bad: 30, position: 1, crashingParts: 1, firstOutput: 250 * time.Millisecond, duration: 600 * time.Millisecond, restart: 2 * time.Second},
 }
 
 // outageLoad has upstreams that crash every 0.3 s for ten seconds, whatever they run.
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -198,7 +198,7 @@
 }
 
 // Touch keeps a part in quarantine for another QuarantineDuration, since a request with it has
-// come. A content is forgotten meanwhile, as its requests may come for other reasons.
+// come. The counts of a content expire meanwhile, as its requests may come for other reasons.
 func (t *Table) Touch(now time.Duration, id Key) {
 	if e := t.entries[id]; e != nil && id.Part && e.status == Quarantined {
 		e.expires = max(e.expires, now+t.cfg.QuarantineDuration)
--- a/registry/epoch.go
+++ b/registry/epoch.go
@@ -7,9 +7,9 @@
 	"github.com/aspenswitch/aspenswitch/revision"
 )
 
-// copyHold is how long after a restore of the platform this router goes by what it knew before, where
-// the copy says otherwise. Until then operators and upstreams have written again what was lost, and
-// entries of upstreams that are gone have expired: an upstream is removed after three missed
+// copyHold is how long after a restore of the platform this router keeps what it had before, where
+// the copy differs. Until then operators and upstreams have written again what was lost, and
+// entries of upstreams that have ended have expired: an upstream is removed after three missed
 // heartbeats, which it sends every 1.2 s or less often.
 const copyHold = 10 * time.Second
 
@@ -17,14 +17,14 @@
 // state after it.
 //
 // The copy shows what was so some seconds ago. An upstream that was leaving then is still leaving, one
-// that was gone is still gone, and an evacuated failure domain still is. Each of them was acknowledged
+// that was removed stays removed, and an evacuated failure domain still is. Each of them was acknowledged
 // by the platform, and it may not be written again before requests reach the upstreams.
 func (r *Registry) BeginEpoch(now boottime.Time, first int64) {
 	r.epochStart, r.epochRevision = now, first
 	clear(r.withheld)
 }
 
-// holds reports whether what was known before the current epoch goes first.
+// holds reports whether what was known before the current epoch takes precedence.
 func (r *Registry) holds(now boottime.Time) bool {
 	return r.epochStart != 0 && now < r.epochStart.Add(copyHold)
 }
@@ -44,7 +44,7 @@
 }
 
 // keepKnown keeps what can't have changed since an entry of an earlier epoch: an upstream that leaves
-// goes on leaving, and a warm-up that was received goes on.
+// keeps leaving, and a warm-up that was received continues.
 func (u *Upstream) keepKnown(earlier *Upstream) {
 	if u.RestartOf(earlier) {
 		return
--- a/registry/evacuation.go
+++ b/registry/evacuation.go
@@ -21,7 +21,7 @@
 
 // ReplaceEvacuations records the complete list of failure domains that are being evacuated as of
 // a revision, with the revisions of the orders. Older evacuations that aren't in it count as
-// withdrawn, but for those of an earlier epoch as long as what was known before it goes first.
+// withdrawn, but for those of an earlier epoch as long as what was known before it takes precedence.
 func (r *Registry) ReplaceEvacuations(now boottime.Time, domains map[string]int64, at int64) {
 	for domain, orderRevision := range domains {
 		r.RecordEvacuation(now, domain, false, orderRevision)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -28,7 +28,7 @@
 	// epochRevision that state's revision; both are 0 before the first restore that it has seen.
 	epochStart    boottime.Time
 	epochRevision int64
-	// withheld has entries of that state whose upstreams are known to be gone.
+	// withheld has entries of that state whose upstreams are known to have been removed.
 	withheld map[string]Upstream
 	// lapsed has the times until which lapsed entries are used.
 	lapsed map[string]boottime.Time
--- a/resumption/history.go
+++ b/resumption/history.go
@@ -7,7 +7,7 @@
 	// as complete. An upstream serves longer than that between its registration and its removal: it
 	// drains for two seconds, or misses three heartbeats.
 	maxUnseen = 2 * time.Second
-	// maxWindow limits the time for which versions that are gone are remembered.
+	// maxWindow limits the time for which versions that have ended are recorded.
 	maxWindow = 2 * time.Minute
 )
 
@@ -64,21 +64,21 @@
 	h.confirmedAt, h.known = at, true
 }
 
-// Evidence is what the history tells about the version that began a stream.
+// Evidence is what the history shows about the version that began a stream.
 type Evidence uint8
 
 const (
-	// Several: more than one version, or an unknown one, can have begun it.
+	// Several: more than one version, or an unknown one, can have started it.
 	Several Evidence = iota
 	// Unconfirmed: only one version is known, and the state may be older than the stream.
 	Unconfirmed
-	// Sole: no other version can have begun it.
+	// Sole: no other version can have started it.
 	Sole
 )
 
-// SoleVersion returns the only version that can have begun a stream of a service. The stream began
+// SoleVersion returns the only version that can have started a stream of a service. The stream began
 // within window before it was continued, at continuedAt; any router, even one with a newer state
-// than this one, may have begun it. A state that was confirmed after continuedAt contains all versions
+// than this one, may have started it. A state that was confirmed after continuedAt contains all versions
 // of that time.
 func (h *History) SoleVersion(now time.Duration, service string, continuedAt, window time.Duration) (string, Evidence) {
 	list := h.current[service]
--- a/resumption/holders.go
+++ b/resumption/holders.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// Copies is the number of routers that remember a stream: the record is lost only if all of
+	// Copies is the number of routers that record a stream: the record is lost only if all of
 	// them, in as many failure domains if there are so many, and the router that serves it are.
 	Copies = 3
 	// Asked is the number of routers that are asked for a stream. It is larger than Copies, since
@@ -18,13 +18,13 @@
 	Asked = 2 * Copies
 )
 
-// Candidate is a router that may remember streams.
+// Candidate is a router that may record streams.
 type Candidate struct {
 	ID     uint64
 	Domain string
 }
 
-// Holders returns the routers that remember a stream, the first n in order of preference. Routers
+// Holders returns the routers that record a stream, the first n in order of preference. Routers
 // with the same candidates choose the same. Copies failure domains are chosen, if there are so many,
 // and routers within them in turn, both by rendezvous hashing (Thaler and Ravishankar 1998): a
 // router that joins or is lost shifts the choice within its failure domain only.
--- a/resumption/query.go
+++ b/resumption/query.go
@@ -13,7 +13,7 @@
 const (
 	// Wait: more may become known.
 	Wait Verdict = iota
-	// Continue: the stream goes on at the version.
+	// Continue: the stream continues at the version.
 	Continue
 	// Refuse: no version is known at which the stream may go on.
 	Refuse
@@ -23,7 +23,7 @@
 type Decision struct {
 	Verdict Verdict
 	Version string
-	// Source is who knew the version, or why none is known, for the log.
+	// Source is where the version was recorded, or why it is unknown, for the log.
 	Source string
 }
 
@@ -42,7 +42,7 @@
 	unanswered     map[uint64]bool
 }
 
-// NewQuery returns the query for a stream that the given routers may remember. confirmTimeout is the
+// NewQuery returns the query for a stream that the given routers may have recorded. confirmTimeout is the
 // time within which the state is usually confirmed again.
 func NewQuery(now time.Duration, id StreamID, service string, asked []uint64, confirmTimeout time.Duration) *Query {
 	q := &Query{ID: id, Service: service, AskedAt: now, confirmTimeout: confirmTimeout, unanswered: map[uint64]bool{}}
@@ -55,10 +55,10 @@
 // Unanswered reports whether a router was asked and hasn't answered.
 func (q *Query) Unanswered(router uint64) bool { return q.unanswered[router] }
 
-// NotKnown records that an asked router doesn't remember the stream, or can't be asked.
+// NotKnown records that an asked router has no record of the stream, or can't be asked.
 func (q *Query) NotKnown(router uint64) { delete(q.unanswered, router) }
 
-// Known records the origin of the stream, and who remembers it.
+// Known records the origin of the stream, and which router recorded it.
 func (q *Query) Known(origin Origin, source string) {
 	if q.origin != nil && *q.origin != origin {
 		origin.Version = ""
--- a/resumption/resumption_test.go
+++ b/resumption/resumption_test.go
@@ -114,7 +114,7 @@
 	from, to time.Duration
 }
 
-// Guards against continuing a stream at a version that may not have begun it, where this router sees the
+// Guards against continuing a stream at a version that may not have started it, where this router sees the
 // platform late and with pauses.
 func TestSoleVersionIsTheOneThatBeganTheStream(t *testing.T) {
 	const window = 8 * time.Second
--- a/resumption/size_test.go
+++ b/resumption/size_test.go
@@ -27,7 +27,7 @@
 	g.Expect(taken).To(BeNumerically("<=", 4<<20))
 }
 
-// BenchmarkHolders chooses the routers that remember a stream, in a fleet of 1,168.
+// BenchmarkHolders chooses the routers that record a stream, in a fleet of 1,168.
 func BenchmarkHolders(b *testing.B) {
 	all := candidates(1168, 5)
 	for i := range b.N {
--- a/resumption/table.go
+++ b/resumption/table.go
@@ -11,7 +11,7 @@
 	maxRecords = 1 << 15
 )
 
-// Table remembers the origins of streams. Streams are recorded once an upstream has begun to answer,
+// Table records the origins of streams. Streams are recorded once an upstream has started to answer,
 // so requests that are refused don't fill it; if it is full, the oldest records go, and their
 // streams can't be continued.
 type Table struct {
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -1,6 +1,6 @@
 // Package revision orders the states of a platform that may be restored from an older copy.
 //
-// The platform counts its changes. After a restore it goes on from the copy's counter, and numbers are
+// The platform counts its changes. After a restore it continues from the copy's counter, and numbers are
 // given out again; it then counts one more epoch. A state is newer than another one if its epoch is
 // higher, or its counter within the same epoch. Both are kept in one integer, so that revisions are
 // compared like numbers.
--- a/router/router.go
+++ b/router/router.go
@@ -150,7 +150,7 @@
 	return voting && r.wasListed.Load() && r.inForce.Load() != nil && !r.draining.Load()
 }
 
-// Draining reports whether a graceful shutdown has begun.
+// Draining reports whether a graceful shutdown has started.
 func (r *Router) Draining() bool { return r.draining.Load() }
 
 // Bundle returns the bundle in force, or nil if there is none yet.
--- a/sched/doc.go
+++ b/sched/doc.go
@@ -1,5 +1,5 @@
 // Package sched is the scheduling core of one router: it decides which waiting
-// request goes to which upstream, and which messages the routers exchange so
+// request is sent to which upstream, and which messages the routers exchange so
 // that the whole fleet serves its teams fairly.
 //
 // A Node combines the accounts and queues of package fairness, the slot leases
--- a/sched/message.go
+++ b/sched/message.go
@@ -25,7 +25,7 @@
 	Missed bool `json:"m,omitempty"`
 	// Joining requests a snapshot: the sender started without state.
 	Joining bool `json:"j,omitempty"`
-	// Draining announces that the sender has begun a graceful shutdown.
+	// Draining announces that the sender has started a graceful shutdown.
 	Draining bool       `json:"l,omitempty"`
 	Pools    []PoolSync `json:"p,omitempty"`
 }
--- a/sched/report.go
+++ b/sched/report.go
@@ -8,7 +8,7 @@
 	"github.com/aspenswitch/aspenswitch/fairness"
 )
 
-// requestSlots reports at once that a team has begun to wait, if this may get it
+// requestSlots reports at once that a team has started to wait, if this may get it
 // a slot: a peer may have an idle slot, or the team is so far behind that a
 // holder would give up a slot for it. Otherwise a slot that becomes idle here
 // serves as well, and the next regular report is soon enough.
@@ -48,7 +48,7 @@
 	}
 }
 
-// correctWaiting sends a report at once if the last one says that teams wait
+// correctWaiting sends a report at once if the last one lists teams as waiting
 // here while slots are idle: peers would not request such a slot, and their
 // requests would wait while it is idle.
 func (n *Node) correctWaiting(now time.Time, p *pool) {
--- a/soak/check_history.go
+++ b/soak/check_history.go
@@ -17,7 +17,7 @@
 }
 
 // configRollback: a process that has served a key accepts it until it is revoked. A process
-// that rejects it earlier has gone back to an older configuration, which no fault excuses.
+// that rejects it earlier has returned to an older configuration, which no fault excuses.
 func (c *checker) configRollback() {
 	type process struct {
 		router, incarnation int
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -207,7 +207,7 @@
 	g.Expect(violated(h)).NotTo(BeEmpty(), "a planned stop excuses nothing")
 }
 
-// Guards against a check that misses a stream which goes on at another version, or isn't continued.
+// Guards against a check that misses a stream which continues at another version, or isn't continued.
 func TestCheckFindsStreamsOfTwoVersions(t *testing.T) {
 	g := NewWithT(t)
 	stream := func(id, continues, version string, after, events int) Request {
--- a/soak/check_upstreams.go
+++ b/soak/check_upstreams.go
@@ -76,7 +76,7 @@
 	noticeTimes := map[source]time.Duration{}
 	for _, req := range c.h.Requests {
 		runs := c.runs[req.ID]
-		// A resumed stream keeps the headers of its first upstream, and the runs don't tell which
+		// A resumed stream keeps the headers of its first upstream, and the runs don't show which
 		// one that was.
 		if !req.LeavingNotice || len(runs) == 0 || req.Kind.streaming() && len(runs) > 1 {
 			continue
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -11,7 +11,7 @@
 const (
 	// restoreOutage is how long the store is unavailable when it is restored.
 	restoreOutage = 300 * time.Millisecond
-	// staleEntryLifetime is how long the copy's entries of upstreams that are gone stay published:
+	// staleEntryLifetime is how long the copy's entries of upstreams that have ended stay published:
 	// three heartbeats of 1.2 s.
 	staleEntryLifetime = 3600 * time.Millisecond
 )
@@ -58,7 +58,7 @@
 	return errors.Join(errs...)
 }
 
-// deleteStaleEntries deletes the entries of upstreams that are gone.
+// deleteStaleEntries deletes the entries of upstreams that have ended.
 func (o *operator) deleteStaleEntries() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -100,7 +100,7 @@
 	return fields[len(fields)-1], true
 }
 
-// streamVersions: a stream goes on at the software version that began it.
+// streamVersions: a stream continues at the software version that began it.
 func (c *checker) streamVersions() {
 	for _, req := range c.h.Requests {
 		if req.Continues == "" || req.Version == "" {
@@ -119,7 +119,7 @@
 	minServing = 2
 )
 
-// continuations: while two upstreams of its version serve, a broken stream goes on at least half as
+// continuations: while two upstreams of its version serve, a broken stream continues at least half as
 // often as a new one begins.
 func (c *checker) continuations() {
 	continued, served, begun, attempts := 0, 0, 0, 0
--- a/warmup/doc.go
+++ b/warmup/doc.go
@@ -15,9 +15,9 @@
 // a network partition or a change of homes, two routers may both act as the home. No more than
 // two grant at the same time, because a router only grants after it has been the home for
 // TakeoverDelay, and only while it receives messages from more than half of the routers that it
-// recently knew of. Routers that aren't the home never grant.
+// recently had contact with. Routers that aren't the home never grant.
 //
 // An upstream may have to warm up again at any moment, and while the platform can't be read no
-// entry tells. Then each home sends at most Policy.RequestsPerProbe requests between two probes
-// (see Probing), so that two of them stay within the bound before a probe tells.
+// entry shows. Then each home sends at most Policy.RequestsPerProbe requests between two probes
+// (see Probing), so that two of them stay within the bound before a probe shows it.
 package warmup
--- a/warmup/probing.go
+++ b/warmup/probing.go
@@ -1,9 +1,9 @@
 package warmup
 
-// Probing limits the requests that one home sends to an upstream of which only probes tell whether
+// Probing limits the requests that one home sends to an upstream of which only probes show whether
 // it has to warm up again. An answer that it needn't holds for the time up to that answer. If the
 // upstream turns cold at any later moment, the requests that then arrive were sent after that
-// probe, and there are at most Limit of them before the next answer tells.
+// probe, and there are at most Limit of them before the next answer shows it.
 type Probing struct {
 	// Limit is the number of requests that may be sent after the last probe that was answered
 	// was sent. A Probing with Limit 0 has no bound.
