lab: engines that crash on a part, and streams cut by a crash

Placement is what brings requests with one part to one engine, and the quarantine's own simulation picks upstreams at random.

Change: a fleet may have a part on which engines crash when they would generate the first token. A crash interrupts all requests on the engine and empties its cache; it is down for a while. Routers keep the real quarantine tables, with a hub for each key and the delay of messages between routers; eventstream decides whether a stream that was cut looks complete. aspenswitch-load lab writes a second table, with and without the quarantine.

Measured: go test ./lab -run Crash. No stream of three framings that is cut inside an event looks complete. A broken stream isn't resumed in the model.

--- a/cmd/aspenswitch-load/main.go
+++ b/cmd/aspenswitch-load/main.go
@@ -56,7 +56,11 @@
 	if err != nil {
 		return err
 	}
-	return lab.WriteTable(os.Stdout, sheet, seed)
+	if err := lab.WriteTable(os.Stdout, sheet, seed); err != nil {
+		return err
+	}
+	fmt.Println()
+	return lab.WriteCrashTable(os.Stdout, sheet, seed)
 }
 
 func runBench(quick bool, boundsFile, dir string) error {
--- a/lab/engine.go
+++ b/lab/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
@@ -27,6 +28,13 @@
 	// engine had cached.
 	prefilled, redundant int
 	peers                map[string]*engine
+	// down is set while the engine restarts after a crash. incarnation differs for each start of
+	// each engine.
+	down        bool
+	incarnation uint32
+	// crashesOn reports whether the engine crashes on a prompt, and crashed is called when it does.
+	crashesOn func(parts []dispatch.Part) bool
+	crashed   func()
 }
 
 type cachedPart struct {
@@ -47,9 +55,13 @@
 	// begun is true once the first chunk of the prompt has been prefilled.
 	begun     bool
 	cancelled bool
+	// incarnation is that of the engine which received the request.
+	incarnation uint32
 	// prefilled is called when the prompt is prefilled, firstToken and done when the first and
-	// the last token arrive.
-	prefilled, firstToken, done func()
+	// the last token arrive. received is called when the engine receives the request, unreachable
+	// instead if it is down, and interrupted if it crashes.
+	prefilled, firstToken, done        func()
+	received, unreachable, interrupted func()
 }
 
 func newEngine(id string, c *clock, model *EngineModel, speed float64) *engine {
@@ -74,6 +86,12 @@
 }
 
 func (e *engine) enqueue(s *sequence) {
+	if e.down {
+		e.clock.after(refusedConnectionDelay, s.unreachable)
+		return
+	}
+	s.incarnation = e.incarnation
+	s.received()
 	e.waiting = append(e.waiting, s)
 	if !e.busy {
 		e.step()
@@ -182,6 +200,12 @@
 
 // finishStep applies the results of a step; chunks holds the tokens prefilled per request.
 func (e *engine) finishStep(chunks []int) {
+	for i, s := range e.running {
+		if !s.cancelled && s.generated == 0 && s.unprefilled == chunks[i] && e.crashesOn(s.parts) {
+			e.crash()
+			return
+		}
+	}
 	running := e.running
 	e.running = nil
 	for i, s := range running {
@@ -205,6 +229,26 @@
 	e.step()
 }
 
+// crash interrupts all requests and empties the cache. The engine is down until restart.
+func (e *engine) crash() {
+	interrupted := slices.Concat(e.running, e.waiting)
+	e.running, e.waiting, e.busy = nil, nil, false
+	e.cached, e.tokens = map[uint64]*list.Element{}, 0
+	e.lru.Init()
+	e.down = true
+	e.crashed()
+	for _, s := range interrupted {
+		if !s.cancelled {
+			s.interrupted()
+		}
+	}
+}
+
+func (e *engine) restart() {
+	e.down = false
+	e.incarnation += uint32(len(e.peers))
+}
+
 // generateToken generates one token, which leaves the engine after its fixed delay. Every
 // Stride tokens form an event of the stream.
 func (e *engine) generateToken(s *sequence) {
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -25,6 +25,8 @@
 	Release *Release
 	// HomeReplacements are homes that are lost with all their state.
 	HomeReplacements []HomeReplacement
+	// CrashingPart, if not nil, is a prompt part on which engines crash.
+	CrashingPart *CrashingPart
 }
 
 // HomeReplacement replaces a home by one without any state.
--- a/lab/simulation.go
+++ b/lab/simulation.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/quarantine"
 )
 
 // simulation is one run of a load under a policy.
@@ -24,6 +25,8 @@
 	result     Result
 	earnings   *ledger
 	fairness   *fairnessMeter
+	// crash is nil unless the fleet has a CrashingPart.
+	crash *crashState
 	// seq is the number of the latest attempt.
 	seq uint64
 }
@@ -50,6 +53,10 @@
 	// awaitsDecision is set while an attempt is pending at a home.
 	awaitsDecision bool
 	ended          bool
+	// sends and unreachable count how often an engine received the request and got no answer to it,
+	// and how often an engine was down; trial are the keys that the attempt is a trial of.
+	sends, unreachable int
+	trial              []quarantine.Key
 }
 
 func (r *request) prompt() int {
@@ -77,15 +84,18 @@
 	// TrimmedFairnessRatio is the same with three of the largest requests subtracted from what
 	// is due, as users compute it.
 	TrimmedFairnessRatio float64
-	// OnTime, Late, Refused and TimedOut are fractions of the requests.
-	OnTime, Late, Refused, TimedOut float64
+	// OnTime, Late, Refused, TimedOut and Failed are fractions of the requests. Failed ones met
+	// engines that crashed.
+	OnTime, Late, Refused, TimedOut, Failed float64
 	// RedundantPrefill is the fraction of the prefilled tokens that were shared parts cached at
 	// another engine.
 	RedundantPrefill float64
 	// ContinuedBegun and NewBegun are the fractions of the continued streams and of the other
 	// requests that an engine began to answer.
 	ContinuedBegun, NewBegun float64
-	offered                  float64
+	// Crash is what a CrashingPart causes.
+	Crash   CrashResult
+	offered float64
 }
 
 // Simulate runs a load on a fleet under a policy. The same seed gives the same result.
@@ -101,6 +111,8 @@
 	for i := range f.Engines {
 		e := newEngine(fmt.Sprintf("e%d", i), sim.clock, model, model.Speeds[i%len(model.Speeds)])
 		e.peers = sim.engineByID
+		e.incarnation = uint32(i)
+		e.crashesOn, e.crashed = sim.hasCrashingPart, func() { sim.crashed(e) }
 		sim.engines = append(sim.engines, e)
 		sim.engineByID[e.id] = e
 	}
@@ -110,9 +122,16 @@
 	for _, stall := range f.RouterStalls {
 		sim.clock.after(stall.At, func() { sim.routers[stall.Router].stall(stall.Length) })
 	}
+	if f.CrashingPart != nil {
+		sim.crash = &crashState{CrashingPart: f.CrashingPart, quarantines: newRouterQuarantines(f.Routers)}
+	}
 	sim.policy = sim.newPolicy(p)
 	versions := rand.New(rand.NewPCG(l.Seed, versionStream))
+	crashing := rand.New(rand.NewPCG(l.Seed, crashingStream))
 	for i, a := range l.arrivals(f.Routers) {
+		if c := f.CrashingPart; c != nil && crashing.Float64() < c.Fraction {
+			a.class, a.session = c.Class, c.Session
+		}
 		if len(sim.routers) > 0 {
 			a.router = sim.pickRouter(a.team)
 		}
@@ -138,6 +157,9 @@
 	return team % len(s.routers)
 }
 
+// sessionPart is set in the IDs of the parts of sessions.
+const sessionPart = 1 << 20
+
 // parts returns a request's prompt parts: group, session and its own.
 func (s *simulation) parts(r *request, ownID uint64) []dispatch.Part {
 	c := s.class(r)
@@ -145,7 +167,7 @@
 	group := r.session % c.Groups
 	return []dispatch.Part{
 		{ID: base | uint64(group), Tokens: int(c.GroupTokens)},
-		{ID: base | 1<<20 | uint64(r.session), Tokens: int(c.SessionTokens)},
+		{ID: base | sessionPart | uint64(r.session), Tokens: int(c.SessionTokens)},
 		{ID: base | 1<<39 | ownID, Tokens: r.ownTokens},
 	}
 }
@@ -180,6 +202,7 @@
 	s.fairness.at(s.clock.now, r.team).requestedTokens += r.charge()
 	s.fairness.largestRequest = max(s.fairness.largestRequest, r.charge())
 	s.clock.after(s.class(r).deadline(), func() { s.expire(r) })
+	s.countOther(r)
 	s.attempt(r)
 }
 
@@ -190,6 +213,10 @@
 	r.attempts++
 	r.attemptAt = s.clock.now
 	s.requests[r.seq] = r
+	if s.inQuarantine(r) {
+		s.refuseQuarantined(r)
+		return
+	}
 	if len(s.routers) > 0 {
 		s.receive(r)
 		return
@@ -212,8 +239,16 @@
 		s.refused(r, d.RetryAfter)
 		return
 	}
+	if s.inQuarantine(r) {
+		s.policy.done(r, dispatch.NotSent, 0)
+		s.refuseQuarantined(r)
+		return
+	}
 	r.sentAt = s.clock.now
-	r.engineSequence = &sequence{parts: r.parts, prompt: r.prompt(), outputTokens: r.outputTokens}
+	q := &sequence{parts: r.parts, prompt: r.prompt(), outputTokens: r.outputTokens}
+	r.engineSequence = q
+	q.received, q.interrupted = func() { s.countSend(r) }, func() { s.interrupted(r, q) }
+	q.unreachable = func() { s.unreachable(r, q) }
 	informed := s.result.Policy == Omniscient
 	r.engineSequence.prefilled = func() {
 		if informed {
@@ -221,7 +256,11 @@
 		}
 	}
 	r.engineSequence.firstToken = func() {
+		if r.engineSequence != q {
+			return // the token's engine has crashed since
+		}
 		r.firstToken = s.clock.now
+		s.reportStarted(r)
 		cell := s.fairness.at(s.clock.now, r.team)
 		cell.startedTokens += r.charge()
 		cell.underserved = cell.underserved || r.firstToken-r.at > s.class(r).target()
@@ -239,6 +278,7 @@
 
 // refused ends a request, or schedules a retry after retryAfter.
 func (s *simulation) refused(r *request, retryAfter time.Duration) {
+	s.endTrial(r)
 	s.fairness.at(s.clock.now, r.team).underserved = true
 	if r.attempts <= s.load.MaxRetries {
 		s.clock.after(min(retryAfter, s.remaining(r)/retryDelayDivisor), func() {
@@ -273,6 +313,7 @@
 		return
 	}
 	r.ended = true
+	s.endTrial(r)
 	if r.engineSequence != nil {
 		r.engineSequence.cancelled = true
 	}
@@ -296,6 +337,7 @@
 	res := s.result
 	n := res.offered
 	res.OnTime, res.Late, res.Refused, res.TimedOut = res.OnTime/n, res.Late/n, res.Refused/n, res.TimedOut/n
+	res.Failed /= n
 	offered := make([]int, len(s.load.Sheet.Classes))
 	for _, r := range s.requests {
 		offered[r.class]++
@@ -312,6 +354,9 @@
 		prefilled += e.prefilled
 		redundant += e.redundant
 	}
+	if s.crash != nil {
+		res.Crash = s.crash.result
+	}
 	res.RedundantPrefill = float64(redundant) / float64(max(prefilled, 1))
 	return res
 }
