quarantine: a success before the first crash of a part releases nothing

Cause: a router that receives the quarantine of a part reports a success of the last 0.5 s, as evidence against it. Four crashes can be counted within 0.3 s, so that success may be older than all of them. A part that was harmless until 0.1 s before its first crash was released by it; its threshold doubled, and it was put in quarantine after 18 crashes.

Change: the window is the shortest time from the first counted crash to the quarantine, three intervals of 0.1 s, and is derived from the two constants. Weighed: the age of the success in the message, which would change an array whose length running routers check.

--- a/lab/crash_test.go
+++ b/lab/crash_test.go
@@ -59,3 +59,14 @@
 		})
 	}
 }
+
+// Guards against releasing a part that was harmless until shortly before its first crash.
+func TestPartThatWasHarmlessUntilItsFirstCrashStaysInQuarantine(t *testing.T) {
+	g := NewWithT(t)
+	sheet := lab.BuiltinSheet("vilaine-grown").PerHome(4)
+	f := sheet.Fleet()
+	f.CrashingPart = crashing()
+	f.CrashingPart.Class, f.CrashingPart.Session = 1, 5
+	r := lab.Simulate(lab.Load{Sheet: sheet, Scale: 0.6, Duration: 20 * time.Second, Seed: 5}, f, lab.Home)
+	g.Expect(r.Crash.SentLate).To(BeNumerically("<=", maxLateSends), "%+v", r.Crash)
+}
--- a/quarantine/config.go
+++ b/quarantine/config.go
@@ -43,6 +43,11 @@
 	TrialTimeout time.Duration
 }
 
+const (
+	partQuarantineAfter = 4
+	partBurstWindow     = 100 * time.Millisecond
+)
+
 // explainedTrialDelays begin with a trial before that of the key that explains the crashes, which
 // would interrupt it.
 var explainedTrialDelays = []time.Duration{
@@ -61,7 +66,7 @@
 			TrialTimeout:         15 * time.Second,
 		},
 		Part: Policy{
-			QuarantineAfter: 4, MaxDoublings: 2, BurstWindow: 100 * time.Millisecond,
+			QuarantineAfter: partQuarantineAfter, MaxDoublings: 2, BurstWindow: partBurstWindow,
 			TrialDelays:          []time.Duration{time.Second, 10 * time.Second, 5 * time.Minute, time.Hour, 6 * time.Hour},
 			ProvenTrialDelays:    []time.Duration{300 * time.Millisecond, time.Second, 4 * time.Second, 15 * time.Second, time.Minute},
 			ExplainedTrialDelays: explainedTrialDelays,
--- a/quarantine/successes.go
+++ b/quarantine/successes.go
@@ -18,9 +18,10 @@
 	MaxSuccesses = 2048
 	// SuccessWindow is how long a success counts as evidence that a content is harmless.
 	SuccessWindow = time.Second
-	// PartSuccessWindow is the same for a part. Its quarantine can follow the first crash within
-	// half a second, and a success before that shows nothing.
-	PartSuccessWindow = 500 * time.Millisecond
+	// PartSuccessWindow is the same for a part: the shortest time from the first counted crash to
+	// the quarantine. A success before that crash shows nothing, since a part can change from
+	// harmless to crashing.
+	PartSuccessWindow = (partQuarantineAfter - 1) * partBurstWindow
 	// ProvenWindow is how long a success counts as evidence that a key was harmless before it was
 	// quarantined.
 	ProvenWindow = 10 * time.Minute
