quarantine, ctl: comments name keys, one name

Cause: comments of the table still speak of contents where parts are meant too, and a function that finds crashes under prompts with a part is named by blame.

Change: comments of Table, Status, Notice and Entry say key; the reason why the quarantine of a content isn't prolonged by its requests; blamesPart is isCrashWithPart. No statement changes.

--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -105,7 +105,7 @@
 		}
 	}
 	for _, l := range lines {
-		if l.field("event") == "quarantine" && sameKey(l, requestLines) || l.field("event") == "upstream_broke" && blamesPart(l, requestLines) {
+		if l.field("event") == "quarantine" && sameKey(l, requestLines) || l.field("event") == "upstream_broke" && isCrashWithPart(l, requestLines) {
 			related = append(related, l)
 		}
 	}
@@ -122,9 +122,9 @@
 	})
 }
 
-// blamesPart reports whether a line is about another request whose upstream ended before it had
+// isCrashWithPart reports whether a line is about another request whose upstream ended before it had
 // started to answer, and whose prompt has the part for which one of requestLines was rejected.
-func blamesPart(l logLine, requestLines []logLine) bool {
+func isCrashWithPart(l logLine, requestLines []logLine) bool {
 	if l.field("answer_started") == "true" {
 		return false
 	}
--- a/quarantine/status.go
+++ b/quarantine/status.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Status determines how requests with a content are handled.
+// Status determines how requests with a key are handled.
 type Status uint8
 
 // Statuses in increasing order of severity.
@@ -47,7 +47,7 @@
 	Team          string
 }
 
-// Notice informs other routers of the status of a content.
+// Notice informs other routers of the status of a key.
 type Notice struct {
 	ID     Key
 	Status Status
@@ -62,7 +62,7 @@
 	Proven bool
 }
 
-// Entry describes the state of a content in a Table.
+// Entry describes the state of a key in a Table.
 type Entry struct {
 	ID      Key
 	Status  Status
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Table tracks crashes by content and derives the status of each. Every router keeps a
-// table of the crashes that it observes; the hub responsible for a content also receives
+// Table tracks crashes by key and derives the status of each. Every router keeps a
+// table of the crashes that it observes; the hub responsible for a key also receives
 // the crashes that other routers observe. Routers exchange status changes as notices. A
 // Table isn't safe for concurrent use.
 type Table struct {
@@ -62,7 +62,7 @@
 }
 
 // RecordCrash records a crash. It returns a notice for the other routers if the status of
-// the content has changed or a trial has failed.
+// the key has changed or a trial has failed.
 //
 // A crash interrupts every request on the upstream, so one crash doesn't show which request
 // caused it. Only consecutive crashes of different incarnations count, with no success in
@@ -155,7 +155,7 @@
 	*e = entry{team: e.team, version: e.version, expires: e.expires, clearedAt: now, wrong: e.wrong}
 }
 
-// Apply merges a notice from another router. It reports whether the status of the content
+// Apply merges a notice from another router. It reports whether the status of the key
 // has changed.
 func (t *Table) Apply(now time.Duration, n Notice) bool {
 	if n.Status > Quarantined {
@@ -198,7 +198,7 @@
 }
 
 // Touch keeps a part in quarantine for another QuarantineDuration, since a request with it has
-// come. The counts of a content expire meanwhile, as its requests may come for other reasons.
+// come. The quarantine of a content isn't prolonged: callers may repeat it for other reasons.
 func (t *Table) Touch(now time.Duration, id Key) {
 	if e := t.entries[id]; e != nil && id.Part && e.status == Quarantined {
 		e.expires = max(e.expires, now+t.cfg.QuarantineDuration)
@@ -226,7 +226,7 @@
 	}
 }
 
-// Get returns the state of a content.
+// Get returns the state of a key.
 func (t *Table) Get(now time.Duration, id Key) Entry {
 	e := t.entries[id]
 	if e == nil {
@@ -253,7 +253,7 @@
 }
 
 // Notices returns the notices that bring a router up to date after a start or a network
-// partition: those of contents in quarantine and of contents that were cleared.
+// partition: those of keys in quarantine and of keys that were cleared.
 func (t *Table) Notices(now time.Duration) []Notice {
 	var all []Notice
 	for id, e := range t.entries {
