feed: a follower reads again within 2.5 s of a read that failed

Cause: a follower, which reads the platform only because its state is too old, left reading to the designated readers for 4 to 8 s after two reads had failed. Readers that are alive and have no path announce nothing, and nobody takes their place, so a router with a path of its own read nothing meanwhile; a revoked key was served. Class: a wait supposes that another router has what this one lacks.

Change: it reads again 2 to 2.5 s after the start of a read that failed, within the contact time of 3 s, and after one failure instead of two, so that an outage of 4.5 s costs no more calls than before (TestOutageCostsFewCalls, 2 a follower). A longer one costs a call each 2.25 s a follower instead of 6 s.

The tests of feed and those of fleet on readers pass.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -247,7 +247,7 @@
 func (f *Feed) Run(ctx context.Context) {
 	go f.runExpiry(ctx)
 	f.awaitFirstState(ctx)
-	backoff, failures := f.cfg.BackoffMin, 0
+	backoff := f.cfg.BackoffMin
 	for ctx.Err() == nil {
 		if f.Snapshot() != nil && !f.isReader() && f.Age() < f.cfg.MaxFollowerAge {
 			sleep(ctx, f.cfg.MaxFollowerAge/8)
@@ -255,12 +255,12 @@
 		}
 		readAt := f.now()
 		if f.read(ctx) {
-			backoff, failures = f.cfg.BackoffMin, 0
+			backoff = f.cfg.BackoffMin
 			sleep(ctx, f.cfg.MinInterval-f.now().Sub(readAt))
 			continue
 		}
-		if failures++; failures >= maxFollowerFailures && f.isFollower() {
-			f.awaitPeerState(ctx)
+		if f.isFollower() {
+			f.awaitPeerState(ctx, readAt)
 			continue
 		}
 		sleep(ctx, backoff)
@@ -268,26 +268,23 @@
 	}
 }
 
-// maxFollowerFailures is the number of consecutive failed reads after which a follower,
-// which reads only because its state is too old, leaves reading to the designated
-// readers. A single read may be lost in the network; after two the platform is
-// unreachable for this router, and hundreds of routers that keep retrying would make
-// thousands of useless calls.
-const maxFollowerFailures = 2
-
-// followerBackoff is the minimum time until such a follower reads again, and half of the
-// maximum. It may be long: peers announce the platform's recovery within a second, and a
-// router that receives nothing from peers becomes a reader itself.
-const followerBackoff = 4 * time.Second
+// followerBackoff is the minimum time between two reads of a follower, which reads only because its
+// state is too old, if the first one fails; followerBackoffSpread is added at most. Hundreds of
+// routers that keep retrying would make thousands of useless calls. But the designated readers may be
+// alive and have no path to the platform, and a router that has one must follow it within 3 s.
+const (
+	followerBackoff       = 2 * time.Second
+	followerBackoffSpread = 500 * time.Millisecond
+)
 
 // isFollower reports whether this router receives its state from peers.
 func (f *Feed) isFollower() bool { return f.Snapshot() != nil && !f.isReader() }
 
 // awaitPeerState waits until peers have confirmed a recent state, this router becomes a
-// reader, or the backoff ends. The backoff is randomized: otherwise all followers would
-// call the platform at the same time once it recovers.
-func (f *Feed) awaitPeerState(ctx context.Context) {
-	deadline := f.now().Add(followerBackoff + rand.N(followerBackoff))
+// reader, or the backoff after a read at readAt ends. The backoff is randomized: otherwise all
+// followers would call the platform at the same time once it recovers.
+func (f *Feed) awaitPeerState(ctx context.Context, readAt boottime.Time) {
+	deadline := readAt.Add(followerBackoff + rand.N(followerBackoffSpread))
 	for ctx.Err() == nil && f.isFollower() && f.Age() >= f.cfg.MaxFollowerAge && f.now() < deadline {
 		sleep(ctx, f.cfg.MaxFollowerAge/8)
 	}
