lab: maySend grants a trial, its name says so

Cause: inQuarantine reported a state and granted a trial on the way; a reader of its callers sees no effect.

Change: maySend reports whether a request may be sent, also as a trial. No other change.

Measured: the laboratory's tests of crashes, of framings and of repeatable runs pass.

--- a/lab/quarantine.go
+++ b/lab/quarantine.go
@@ -35,23 +35,27 @@
 // hub returns the router that counts the crashes of a key.
 func (s *simulation) hub(key quarantine.Key) int { return int(key.Hash % uint64(s.fleet.Routers)) }
 
-// inQuarantine reports whether a part of a request is in quarantine and no trial of it is granted.
-func (s *simulation) inQuarantine(r *request) bool {
+// maySend reports whether no part of a request is in quarantine, or the request may be sent as a
+// trial of those that are.
+func (s *simulation) maySend(r *request) bool {
 	if s.crash == nil || s.crash.Disabled || len(r.trial) > 0 {
-		return false
+		return true
 	}
 	view := s.crash.quarantines[r.router].table.View()
-	var keys []quarantine.Key
+	var quarantined []quarantine.Key
 	for _, key := range r.partKeys() {
 		if view.Status(key) == quarantine.Quarantined {
-			keys = append(keys, key)
+			quarantined = append(quarantined, key)
 		}
 	}
-	if len(keys) > 0 && s.grantTrial(r, keys) {
-		r.trial = keys
+	if len(quarantined) == 0 {
+		return true
+	}
+	if !s.grantTrial(r, quarantined) {
 		return false
 	}
-	return len(keys) > 0
+	r.trial = quarantined
+	return true
 }
 
 // grantTrial grants a trial if one of each key is due.
--- a/lab/simulation.go
+++ b/lab/simulation.go
@@ -213,7 +213,7 @@
 	r.attempts++
 	r.attemptAt = s.clock.now
 	s.requests[r.seq] = r
-	if s.inQuarantine(r) {
+	if !s.maySend(r) {
 		s.refuseQuarantined(r)
 		return
 	}
@@ -239,7 +239,7 @@
 		s.refused(r, d.RetryAfter)
 		return
 	}
-	if s.inQuarantine(r) {
+	if !s.maySend(r) {
 		s.policy.done(r, dispatch.NotSent, 0)
 		s.refuseQuarantined(r)
 		return
