--- a/gateway/listener_internal_test.go
+++ b/gateway/listener_internal_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -129,3 +133,65 @@
 	g.Expect(q.sleepTime).To(BeNumerically("<=", q.runningTime+time.Duration(q.preemptions)*maxOperationTime))
 	g.Expect(q.sleepTime).To(BeNumerically(">=", q.runningTime), "half of the processor is left to other work")
 }
+
+// burstListener is a listener on loopback to which callers connect in bursts.
+type burstListener struct {
+	net.Listener
+	queue *listenQueue
+	// size is the number of callers in a burst, accepts the number of calls of Accept.
+	size    int64
+	accepts atomic.Int64
+}
+
+// Accept returns the first connection of a burst when another one is waiting.
+func (l *burstListener) Accept() (net.Conn, error) {
+	first := (l.accepts.Add(1)-1)%l.size == 0
+	c, err := l.Listener.Accept()
+	for first && err == nil && !l.queue.pending() {
+		time.Sleep(time.Millisecond)
+	}
+	return c, err
+}
+
+// Guards against refusing callers after an idle period, because the queue was not checked
+// while it was empty.
+func TestCallersAfterAnIdlePeriodAreServed(t *testing.T) {
+	g := NewWithT(t)
+	const callers, bursts, idle = 20, 5, 100 * time.Millisecond
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	queue, err := newListenQueue(tcp)
+	g.Expect(err).NotTo(HaveOccurred())
+	connections := &burstListener{Listener: tcp, queue: queue, size: callers}
+	var now, refused atomic.Int64
+	l := &boundedListener{
+		Listener: connections, queue: queue, backlog: 700, slots: make(chan struct{}, callers*bursts+1), done: make(chan struct{}),
+		clock: listenerClock{now: func() time.Duration { return time.Duration(now.Load()) }, yield: runtime.Gosched, sleep: time.Sleep},
+		log:   obs.NewLimitedLogger(zerolog.Nop(), 1), onRefused: func(n int, _ time.Duration) { refused.Add(int64(n)) },
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for burst := range int64(bursts) {
+		g.Eventually(connections.accepts.Load, 10*time.Second, time.Millisecond).Should(Equal(burst*callers + 1))
+		now.Add(int64(idle))
+		var wg sync.WaitGroup
+		var served atomic.Int64
+		for range callers {
+			wg.Go(func() {
+				resp, err := client.Get("http://" + tcp.Addr().String())
+				if err != nil {
+					return
+				}
+				_ = resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					served.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		g.Expect(served.Load()).To(BeNumerically("==", callers))
+	}
+	g.Expect(refused.Load()).To(BeZero())
+}
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -109,29 +109,6 @@
 	g.Expect(most).To(BeNumerically("<=", memory/2/(gateway.ConnBytes+gateway.UnreadBytes)))
 }
 
-// Guards against refusing callers after an idle period, because the queue was not checked
-// while it was empty.
-func TestCallersAfterAnIdlePeriodAreServed(t *testing.T) {
-	g := NewWithT(t)
-	r := newHarness(t, map[string]script{"u1": ok("done")})
-	const callers, idle = 20, 100 * time.Millisecond
-	for range 5 {
-		time.Sleep(idle)
-		var wg sync.WaitGroup
-		var served atomic.Int64
-		for range callers {
-			wg.Go(func() {
-				if resp, _, err := r.call("/unsafe/", nil); err == nil && resp.StatusCode == http.StatusOK {
-					served.Add(1)
-				}
-			})
-		}
-		wg.Wait()
-		g.Expect(served.Load()).To(BeNumerically("==", callers))
-	}
-	g.Expect(r.server.Load().RejectedConnections).To(BeZero())
-}
-
 // openUnlessRefused connects and sends the request. It returns the connection unless it was
 // refused, counts the refusals that have a response with Retry-After, and returns an error
 // if it could not connect.
