--- a/ctl/explain_test.go
+++ b/ctl/explain_test.go
@@ -25,9 +25,7 @@
 // upstreams that the request was not sent to.
 func TestExplainPrintsLinesRelatedToOneRequest(t *testing.T) {
 	g := NewWithT(t)
-	var out bytes.Buffer
-	g.Expect(ctl.Explain(&out, "abc", strings.NewReader(sampleLog))).To(Succeed())
-	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	lines := explain(g, "abc", sampleLog)
 	g.Expect(lines).To(HaveLen(4))
 	g.Expect(lines[0]).To(ContainSubstring("platform unreachable"))
 	g.Expect(lines[1]).To(ContainSubstring("upstream=u1"))
@@ -41,6 +39,13 @@
 	g.Expect(ctl.Explain(&out, "zzz", strings.NewReader(sampleLog))).NotTo(Succeed())
 }
 
+// explain returns the lines of the explanation of a request.
+func explain(g *WithT, request, log string) []string {
+	var out bytes.Buffer
+	g.Expect(ctl.Explain(&out, request, strings.NewReader(log))).To(Succeed())
+	return strings.Split(strings.TrimSpace(out.String()), "\n")
+}
+
 const quarantineLog = `
 {"level":"warn","process":"r2","event":"quarantine","team":"schools","content":"ab12","status":"quarantined","crashes":3,"time":1000000,"message":"quarantine status of a content changed"}
 {"level":"warn","process":"r2","event":"quarantine","team":"homes","content":"ab12","status":"suspect","crashes":2,"time":1000000,"message":"quarantine status of a content changed"}
@@ -50,9 +55,7 @@
 // Guards against output that omits why the content of a rejected request is in quarantine.
 func TestExplainShowsQuarantineOfRequestContent(t *testing.T) {
 	g := NewWithT(t)
-	var out bytes.Buffer
-	g.Expect(ctl.Explain(&out, "abc", strings.NewReader(quarantineLog))).To(Succeed())
-	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	lines := explain(g, "abc", quarantineLog)
 	g.Expect(lines).To(HaveLen(2))
 	g.Expect(lines[0]).To(ContainSubstring("status=quarantined"))
 }
@@ -69,9 +72,7 @@
 // Guards against output that omits why a part of a rejected request's prompt is in quarantine.
 func TestExplainShowsQuarantineOfAPart(t *testing.T) {
 	g := NewWithT(t)
-	var out bytes.Buffer
-	g.Expect(ctl.Explain(&out, "abc", strings.NewReader(partLog))).To(Succeed())
-	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	lines := explain(g, "abc", partLog)
 	g.Expect(lines).To(HaveLen(3))
 	g.Expect(lines[0]).To(ContainSubstring("request=x1"))
 	g.Expect(lines[1]).To(ContainSubstring("part=bad"))
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -176,6 +176,22 @@
 	}
 }
 
+// bytesPerSecond returns the mean control traffic that a router sends in 10 s, in which do runs.
+func (c *cluster) bytesPerSecond(do func()) float64 {
+	const measured = 10 * time.Second
+	sent := func() (sum int) {
+		for _, m := range c.all {
+			_, bytes := c.net.traffic(m.addr)
+			sum += bytes
+		}
+		return sum
+	}
+	before, started := sent(), time.Now()
+	do()
+	time.Sleep(measured - time.Since(started))
+	return float64(sent()-before) / float64(len(c.all)) / measured.Seconds()
+}
+
 // run starts the i-th router.
 func (c *cluster) run(i int, s *source) {
 	cfg := fleet.DefaultConfig()
--- a/fleet/parts_test.go
+++ b/fleet/parts_test.go
@@ -258,23 +258,8 @@
 		const routers, crashes, interrupted, parts = 16, 30, 8, 15
 		c.start(routers, &source{revision: 1, version: 1})
 		time.Sleep(10 * time.Second)
-		traffic := func(do func()) float64 {
-			sum := 0
-			before := make([]int, routers)
-			for i, m := range c.all {
-				_, before[i] = c.net.traffic(m.addr)
-			}
-			started := time.Now()
-			do()
-			time.Sleep(10*time.Second - time.Since(started))
-			for i, m := range c.all {
-				_, bytes := c.net.traffic(m.addr)
-				sum += bytes - before[i]
-			}
-			return float64(sum) / routers / 10
-		}
-		idle := traffic(func() {})
-		busy := traffic(func() {
+		idle := c.bytesPerSecond(func() {})
+		busy := c.bytesPerSecond(func() {
 			for crash := range crashes {
 				time.Sleep(300 * time.Millisecond)
 				for r := range interrupted {
--- a/fleet/quarantine_test.go
+++ b/fleet/quarantine_test.go
@@ -184,28 +184,13 @@
 		const routers, contents = 16, 20
 		c.start(routers, &source{revision: 1, version: 1})
 		time.Sleep(10 * time.Second)
-		bytesPerSecond := func(do func()) float64 {
-			sum := 0
-			before := make([]int, routers)
-			for i, m := range c.all {
-				_, before[i] = c.net.traffic(m.addr)
-			}
-			started := time.Now()
-			do()
-			time.Sleep(10*time.Second - time.Since(started))
-			for i, m := range c.all {
-				_, bytes := c.net.traffic(m.addr)
-				sum += bytes - before[i]
-			}
-			return float64(sum) / routers / 10
-		}
-		idle := bytesPerSecond(func() {})
-		busy := bytesPerSecond(func() {
+		idle := c.bytesPerSecond(func() {})
+		busy := c.bytesPerSecond(func() {
 			for i := range contents {
 				crashUpstreams(c.all, crashingContent(fmt.Sprint("team", i)), 3*i, 3)
 			}
 		})
-		quarantined := bytesPerSecond(func() {})
+		quarantined := c.bytesPerSecond(func() {})
 		t.Logf("bytes per second and router: idle %.0f, while %d contents are quarantined within 10 s %.0f, afterwards %.0f", idle, contents, busy, quarantined)
 		// A quarter of a router's control traffic limit.
 		const maxBytesPerSecond = 2000 / 4
--- a/lab/engine.go
+++ b/lab/engine.go
@@ -52,8 +52,8 @@
 	generated    int
 	lastEventAt  time.Duration
 	longestPause time.Duration
-	// begun is true once the first chunk of the prompt has been prefilled.
-	begun     bool
+	// started is true once the first chunk of the prompt has been prefilled.
+	started   bool
 	cancelled bool
 	// incarnation is that of the engine which received the request.
 	incarnation uint32
@@ -189,8 +189,8 @@
 		n := min(s.unprefilled, budget)
 		budget -= n
 		chunks[i] = n
-		if !s.begun {
-			s.begun = true
+		if !s.started {
+			s.started = true
 			ms += e.model.PromptWorkMs
 		}
 		ms += float64(n)/e.model.TokensPerMs + float64(n)*(float64(s.context)+float64(n)/2)*e.model.PairsMsPerM/1e6
--- a/lab/release.go
+++ b/lab/release.go
@@ -30,15 +30,15 @@
 
 // begunRatio returns the fraction of the requests of a version that an engine began to answer.
 func (s *simulation) begunRatio(version string) float64 {
-	all, begun := 0, 0
+	all, started := 0, 0
 	for _, r := range s.latestAttempts() {
 		if r.version != version {
 			continue
 		}
 		all++
 		if r.firstToken > 0 {
-			begun++
+			started++
 		}
 	}
-	return float64(begun) / float64(max(all, 1))
+	return float64(started) / float64(max(all, 1))
 }
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -108,15 +108,21 @@
 	g.Expect(trials).To(BeNumerically("<=", 3))
 }
 
+// quarantinedWithSharedPart returns a table in which part is in quarantine, and with it a part that the
+// same requests share and that is proven, and the time of the last crash.
+func quarantinedWithSharedPart() (table *quarantine.Table, shared quarantine.Key, now time.Duration) {
+	table, shared = quarantine.NewTable(quarantine.DefaultConfig()), quarantine.NewPartKey(8)
+	recordCrashes(table, shared, start, 1, 4)
+	now = recordCrashes(table, part, start, 1, 4) - second
+	table.SetProven(now, shared)
+	return table, shared, now
+}
+
 // Guards against waiting for the result of a trial whose request has ended, and against sending what may
 // crash upstreams again and again for callers that leave.
 func TestEndedTrialIsFollowedByAnother(t *testing.T) {
 	g := NewWithT(t)
-	table := quarantine.NewTable(quarantine.DefaultConfig())
-	shared := quarantine.NewPartKey(8)
-	recordCrashes(table, shared, start, 1, 4)
-	now := recordCrashes(table, part, start, 1, 4) - second
-	table.SetProven(now, shared)
+	table, shared, now := quarantinedWithSharedPart()
 	trials := map[quarantine.Key]int{}
 	for until := now + 100*second; now < until; now += second / 10 {
 		for _, key := range []quarantine.Key{shared, part} {
@@ -134,11 +140,7 @@
 // upstreams of their trials too.
 func TestProvenKeyIsTriedOftenBesideTheOneThatCrashes(t *testing.T) {
 	g := NewWithT(t)
-	table := quarantine.NewTable(quarantine.DefaultConfig())
-	shared := quarantine.NewPartKey(8)
-	recordCrashes(table, shared, start, 1, 4)
-	now := recordCrashes(table, part, start, 1, 4) - second
-	table.SetProven(now, shared)
+	table, shared, now := quarantinedWithSharedPart()
 	trials := map[quarantine.Key]int{}
 	for until := now + 15*second; now < until; now += second / 10 {
 		for _, key := range []quarantine.Key{shared, part} {
