soak: routers of an earlier release beside new ones; a seed that can't be run is printed

A run that could not start (addresses in use by orphans of a soak that was stopped) was counted as one without violations; it is printed as not run.

--- a/cmd/aspenswitch-soak/main.go
+++ b/cmd/aspenswitch-soak/main.go
@@ -20,6 +20,9 @@
 	app := kingpin.New("aspenswitch-soak", "Fault injection into router processes with seeded plans; loopback only.")
 	app.Version(version.String())
 	app.Flag("daemon", "Path of the router program.").Default("bin/aspenswitchd").StringVar(&cfg.Daemon)
+	app.Flag("earlier-daemon", "Path of the router program of an earlier release, which every second router runs until its first restart.").StringVar(&cfg.EarlierDaemon)
+	app.Flag("framing-faults", "Inject streams without length or chunks, whole or cut inside an event.").Default("true").BoolVar(&cfg.FramingFaults)
+	app.Flag("part-faults", "Inject requests with parts of prompts that crash upstreams.").Default("true").BoolVar(&cfg.PartFaults)
 	app.Flag("duration", "Duration of fault injection.").Default(cfg.Duration.String()).DurationVar(&cfg.Duration)
 	app.Flag("routers", "Router processes per run.").Default(fmt.Sprint(cfg.Routers)).IntVar(&cfg.Routers)
 	app.Flag("callers", "Callers per run.").Default(fmt.Sprint(cfg.Callers)).IntVar(&cfg.Callers)
@@ -74,6 +77,7 @@
 					failed++
 				}
 				if runErr != nil {
+					fmt.Printf("seed %d: not run: %v\n", runCfg.Seed, runErr)
 					err = runErr
 				}
 				mu.Unlock()
--- a/soak/config.go
+++ b/soak/config.go
@@ -15,6 +15,9 @@
 	Settle   time.Duration
 	// Daemon is the path of the router executable.
 	Daemon string
+	// EarlierDaemon is the path of the router executable of an earlier release, which every second
+	// router runs until its first restart; "" means that all run Daemon from the start.
+	EarlierDaemon string
 	// Dir is the directory for settings and logs.
 	Dir string
 	// Slot is the index of the run among concurrent runs of the process. It selects the
--- a/soak/router.go
+++ b/soak/router.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	r.cmd = exec.Command(r.cfg.Daemon, "platform", "--settings", r.settingsPath)
+	r.cmd = exec.Command(r.program(), "platform", "--settings", r.settingsPath)
 	r.cmd.Stdout, r.cmd.Stderr = log, log
 	// Without this setting the race detector sleeps for a second at exit, which exceeds the
 	// grace period.
@@ -125,6 +125,14 @@
 	return nil
 }
 
+// program returns the path of the executable of the current incarnation.
+func (r *router) program() string {
+	if r.cfg.EarlierDaemon != "" && r.incarnation == 1 && r.number%2 == 1 {
+		return r.cfg.EarlierDaemon
+	}
+	return r.cfg.Daemon
+}
+
 // watch waits for the process to exit and starts the next one.
 func (r *router) watch(cmd *exec.Cmd, log *os.File) {
 	err := cmd.Wait()
