--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/aspenswitch/aspenswitch/boottime"
+	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/feed"
 	"github.com/aspenswitch/aspenswitch/fleet"
 	"github.com/aspenswitch/aspenswitch/gateway"
@@ -96,6 +97,10 @@
 	cfg.StatePollInterval = cfg.MaxLeaderStateAge / 6
 	cfg.Regions, cfg.WarmUp = s.Regions, s.Bounds.WarmUp()
 	cfg.Engine.ShareWindow = time.Duration(s.Bounds.ShareWindowS * float64(time.Second))
+	features := dispatch.Features{
+		Locality: s.Placement.Locality, Reservations: s.Placement.Reservations, Handover: s.Placement.Handover, LoadReports: s.Placement.LoadReports,
+	}
+	cfg.Engine.Features, cfg.Plain.Features = features, features
 	return cfg
 }
 
@@ -238,18 +243,21 @@
 
 // fleetDump is the state of the process that the control listener returns.
 type fleetDump struct {
-	Ready         bool       `json:"ready"`
-	Stopping      bool       `json:"stopping"`
-	ConfigVersion int64      `json:"configVersion"`
-	PlatformCalls int64      `json:"platformCalls"`
-	Connections   int64      `json:"upstreamConnectionsOpened"`
-	Datagrams     int64      `json:"datagramsSent"`
-	Node          fleet.Dump `json:"node"`
+	Ready         bool  `json:"ready"`
+	Stopping      bool  `json:"stopping"`
+	ConfigVersion int64 `json:"configVersion"`
+	// Placement and Entry are the settings that enable decisions.
+	Placement     settings.Placement `json:"placement"`
+	Entry         settings.Entry     `json:"entry"`
+	PlatformCalls int64              `json:"platformCalls"`
+	Connections   int64              `json:"upstreamConnectionsOpened"`
+	Datagrams     int64              `json:"datagramsSent"`
+	Node          fleet.Dump         `json:"node"`
 }
 
 func (d *FleetDaemon) dump() fleetDump {
 	return fleetDump{
-		Ready: d.Ready(), Stopping: d.gateway.Stopping(), ConfigVersion: d.feed.Snapshot().ConfigVersion(),
+		Ready: d.Ready(), Stopping: d.gateway.Stopping(), ConfigVersion: d.feed.Snapshot().ConfigVersion(), Placement: d.settings.Placement, Entry: d.settings.Entry,
 		PlatformCalls: d.feed.Calls(), Connections: d.pool.Dials(), Datagrams: d.node.Datagrams(), Node: d.node.Dump(),
 	}
 }
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -7,6 +7,7 @@
 type Config struct {
 	// Engine is set for model engines, whose cost is counted in tokens.
 	Engine bool
+	Features
 	// PrefillTokensPerMs is an engine's prefill rate before it has been measured.
 	PrefillTokensPerMs float64
 	// AttentionPairsPerMs is the number of token pairs that attention processes per
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -36,6 +36,11 @@
 	// Version is the software version at which a broken stream must go on, "" if the request may
 	// run at any.
 	Version string
+	// Domain is the failure domain of the router that received the request, "" if unknown.
+	Domain string
+	// HandedOver is set if the home of another group had no room for the request. This core then
+	// decides on it for good.
+	HandedOver bool
 }
 
 // Usage is what a team got, in tokens.
@@ -88,6 +93,9 @@
 	Allowance float64
 	// Group is the index of the group of upstreams whose home decided.
 	Group int
+	// HandOver is set with Refuse if the group has no room and the request may be placed in
+	// another group.
+	HandOver bool
 	// RouterOverloaded is set if no reply of a home was processed because the submitting
 	// router is overloaded. Another router can take the request at once.
 	RouterOverloaded bool
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -25,7 +25,8 @@
 	// RequestsPerProbe is the number of requests that this core may send between two probes
 	// while probes are required, or 0 if the upstream can't be probed.
 	RequestsPerProbe int
-	Region           string
+	// Domain is the failure domain, Region the region that it belongs to.
+	Domain, Region string
 	// Version is the version of the upstream's software, "" if unknown.
 	Version string
 }
--- a/fleet/ask.go
+++ b/fleet/ask.go
@@ -129,9 +129,11 @@
 	return req
 }
 
-func (req *placeRequest) toDispatch(router uint64) dispatch.Request {
+// toDispatch returns the request as the home of a group decides on it. router and domain are those
+// of the router that received it from its caller.
+func (req *placeRequest) toDispatch(router uint64, domain string) dispatch.Request {
 	r := dispatch.Request{
-		Ticket: dispatch.Ticket{Router: router, Seq: req.Seq}, ID: req.ID, Team: req.Team, Priority: req.Priority,
+		Ticket: dispatch.Ticket{Router: router, Seq: req.Seq}, ID: req.ID, Team: req.Team, Priority: req.Priority, Domain: domain,
 		Prompt: req.Prompt, Output: req.Output, Target: duration(req.TargetMs), Timeout: duration(req.TimeoutMs),
 		CacheHint: req.CacheHint, Avoid: req.Avoid, Regions: req.Regions, Version: req.Version,
 	}
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -27,6 +27,8 @@
 		seq     uint64
 		outcome dispatch.Outcome
 		took    time.Duration
+		// load is what the upstream stated with the first byte of its response.
+		load dispatch.LoadReport
 	}
 	stateChangeEvent struct{}
 	leaveEvent       struct{}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -245,7 +245,7 @@
 				chosen = d.Upstream
 			}
 			g.Expect(d.Upstream).To(Equal(chosen))
-			m.node.Started("llm", ticket)
+			m.node.Started("llm", ticket, dispatch.LoadReport{})
 			m.node.Done("llm", ticket, dispatch.Served, time.Second)
 		}
 	})
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -89,7 +89,7 @@
 		if groupOfUpstream(u.ID, count) != key.index || n.availability.Leaving(time.Duration(now), incarnation(u)) {
 			continue
 		}
-		m := dispatch.Member{Incarnation: incarnation(u), Slots: slots(u), Region: n.cfg.Regions[u.FailureDomain], Version: u.Version}
+		m := dispatch.Member{Incarnation: incarnation(u), Slots: slots(u), Domain: u.FailureDomain, Region: n.cfg.Regions[u.FailureDomain], Version: u.Version}
 		if svc != nil && svc.WarmUp.Limited() {
 			m.WarmUntil = time.Duration(warmUntil(s.View, u, svc.WarmUp))
 			m.WarmUpDuration, m.WarmUpRate = svc.WarmUp.Duration, n.cfg.WarmUp.Rate(svc.WarmUp)
--- a/fleet/home.go
+++ b/fleet/home.go
@@ -10,7 +10,8 @@
 
 // handlePlaceRequest decides on a peer's request as the home of its group.
 func (n *Node) handlePlaceRequest(now boottime.Time, from uint64, req *placeRequest) {
-	if n.feed.Snapshot() == nil || n.members[from] == nil {
+	m := n.members[from]
+	if n.feed.Snapshot() == nil || m == nil {
 		return // the peer's request times out, and the peer asks this home's successor first
 	}
 	n.adoptPeerCount(req.Service, req.Group)
@@ -19,7 +20,7 @@
 	if g == nil {
 		return
 	}
-	n.deliver(now, key, g.core.Submit(time.Duration(now), req.toDispatch(from)))
+	n.deliver(now, key, g.core.Submit(time.Duration(now), req.toDispatch(from, m.domain)))
 }
 
 // logRefusal logs a refusal with the figures that it is based on.
@@ -81,7 +82,18 @@
 		n.deliver(now, key, g.core.Done(at, ticket, r.Outcome, duration(r.DurationMs)))
 	case reportInFlight:
 		if r.Request != nil {
-			g.core.AddInFlight(at, r.Request.toDispatch(from), dispatch.Incarnation{ID: r.Upstream, Started: r.Started}, r.ResponseStarted)
+			g.core.AddInFlight(at, r.Request.toDispatch(from, n.domainOf(from)), dispatch.Incarnation{ID: r.Upstream, Started: r.Started}, r.ResponseStarted)
 		}
 	}
 }
+
+// domainOf returns the failure domain of a router, "" if it isn't known.
+func (n *Node) domainOf(router uint64) string {
+	if router == n.self {
+		return n.cfg.Domain
+	}
+	if m := n.members[router]; m != nil {
+		return m.domain
+	}
+	return ""
+}
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -58,8 +58,8 @@
 }
 
 // Started implements gateway.Placer.
-func (n *Node) Started(_ string, t dispatch.Ticket) {
-	n.post(reportEvent{kind: reportStarted, seq: t.Seq})
+func (n *Node) Started(_ string, t dispatch.Ticket, load dispatch.LoadReport) {
+	n.post(reportEvent{kind: reportStarted, seq: t.Seq, load: load})
 }
 
 // Done implements gateway.Placer.
@@ -120,7 +120,7 @@
 		e.answer <- dispatch.Decision{Verdict: dispatch.Refuse, RetryAfter: time.Second}
 		return
 	}
-	e.request.CacheHint = n.sessionUpstream(s, e.request.Parts)
+	e.request.CacheHint, e.request.Domain = n.sessionUpstream(s, e.request.Parts), n.cfg.Domain
 	p := &pending{request: e.request, key: key, group: g, answer: e.answer, startedAt: now}
 	n.pending[e.request.Ticket.Seq] = p
 	p.timeoutAt = now.Add(n.cfg.PlacementTimeout)
--- a/fleet/place_codec_internal_test.go
+++ b/fleet/place_codec_internal_test.go
@@ -33,7 +33,7 @@
 	var received placeRequest
 	g.Expect(cbor.Unmarshal(raw, &received)).To(Succeed())
 	g.Expect(received).To(Equal(sent))
-	g.Expect(received.toDispatch(1).Version).To(Equal("v1.1"))
+	g.Expect(received.toDispatch(1, "a").Version).To(Equal("v1.1"))
 }
 
 // Guards against asking a group that has no upstream at which a broken stream can go on.
--- a/fleet/team_usage_test.go
+++ b/fleet/team_usage_test.go
@@ -65,7 +65,7 @@
 		return
 	}
 	time.Sleep(30 * time.Millisecond)
-	m.node.Started("llm", r.Ticket)
+	m.node.Started("llm", r.Ticket, dispatch.LoadReport{})
 	m.node.Done("llm", r.Ticket, dispatch.Served, 30*time.Millisecond)
 }
 
--- a/fleet/warmup_test.go
+++ b/fleet/warmup_test.go
@@ -138,7 +138,7 @@
 	f.sends[d.Upstream] = append(f.sends[d.Upstream], time.Since(f.startedAt))
 	f.mu.Unlock()
 	time.Sleep(prefillTime)
-	m.node.Started("llm", r.Ticket)
+	m.node.Started("llm", r.Ticket, dispatch.LoadReport{})
 	m.node.Done("llm", r.Ticket, dispatch.Served, prefillTime)
 }
 
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -97,7 +97,7 @@
 	return append([]dispatch.Request(nil), p.placed...)
 }
 
-func (p *fakePlacer) Started(string, dispatch.Ticket) {}
+func (p *fakePlacer) Started(string, dispatch.Ticket, dispatch.LoadReport) {}
 
 func (p *fakePlacer) Done(_ string, _ dispatch.Ticket, o dispatch.Outcome, _ time.Duration) {
 	p.mu.Lock()
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -54,7 +54,7 @@
 	r.record.attempts++
 	res, outcome := s.handleResponse(ctx, r, out, a, func() {
 		r.record.firstByte = time.Since(r.arrived)
-		s.placer.Started(r.service, t)
+		s.placer.Started(r.service, t, dispatch.LoadReport{})
 		s.teams.countStarted(r)
 	})
 	if outcome == dispatch.Served {
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -36,8 +36,10 @@
 	// MemoryMB is the process's memory limit in MB.
 	MemoryMB int `json:"memoryMB"`
 	// Files is the maximum number of open file descriptors.
-	Files  int    `json:"files"`
-	Bounds Bounds `json:"bounds"`
+	Files     int       `json:"files"`
+	Bounds    Bounds    `json:"bounds"`
+	Placement Placement `json:"placement"`
+	Entry     Entry     `json:"entry"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"logLevel"`
 	// LogLines is the maximum number of log lines per second of each kind.
@@ -54,6 +56,28 @@
 	Seeds []string `json:"seeds"`
 }
 
+// Placement enables decisions on where requests run. All routers of a fleet must have the same.
+type Placement struct {
+	// Locality prefers upstreams in the failure domain of the router that received a request. It
+	// has no effect on a service unless its failure domains are large enough.
+	Locality bool `json:"locality"`
+	// Reservations keeps room for refused requests until the time of their Retry-After.
+	Reservations bool `json:"reservations"`
+	// Handover lets another group of a service's upstreams serve requests for which their own has
+	// no room.
+	Handover bool `json:"handover"`
+	// LoadReports uses the load that upstreams state in their responses, if they state how fast
+	// their machines currently are.
+	LoadReports bool `json:"loadReports"`
+}
+
+// Entry holds the settings of a router as an entry point for callers.
+type Entry struct {
+	// LeaveWhenOverloaded lets a router leave the load balancer while it gets more connections than
+	// it can accept and other routers of its failure domain can accept them.
+	LeaveWhenOverloaded bool `json:"leaveWhenOverloaded"`
+}
+
 // Bounds holds the limits that the deployment requires its routers to keep.
 type Bounds struct {
 	// RevokeMs is how long requests with a revoked key may still be served; 0 means
