dispatch: sums of teams' accounts are comparable from a home's first request on

Cause: a team's usage within the share window (4 s) and its rate (1 s) are decaying sums. While a home collects its first seconds, the first has a fraction of what the same load gives later, the second nearly all of it. Ruled out: room at engines, the decrease of teams above their share, stale reports of other homes. A core without a request for two windows starts anew.

--- a/dispatch/account.go
+++ b/dispatch/account.go
@@ -6,7 +6,8 @@
 )
 
 // account is the demand and usage of a team in tokens. requested and served are sums that
-// decay over the share window; recent is what was served, with a decay over rateWindow.
+// decay over the share window; recent is what was served, with a decay over rateWindow. All
+// three are divided by the part of their window that has been collected, see span.
 type account struct {
 	requested, served, recent float64
 	updatedAt                 time.Duration
@@ -23,37 +24,36 @@
 }
 
 // decay brings the account up to now.
-func (a *account) decay(now, window time.Duration) {
+func (a *account) decay(now time.Duration, s span) {
 	if now <= a.updatedAt {
 		return
 	}
-	factor := math.Exp(-float64(now-a.updatedAt) / float64(window))
-	recentFactor := math.Exp(-float64(now-a.updatedAt) / float64(rateWindow))
+	factor := s.decay(a.updatedAt, now, s.window)
 	a.requested *= factor
 	a.served *= factor
-	a.recent *= recentFactor
-	a.remote = a.remoteReport.estimate(now, window)
+	a.recent *= s.decay(a.updatedAt, now, rateWindow)
+	a.remote = a.remoteReport.estimate(now, s.window)
 	a.updatedAt = now
 }
 
 // addRequested records tokens that a router requests.
-func (a *account) addRequested(now, window time.Duration, router uint64, tokens float64) {
-	a.requested += tokens
+func (a *account) addRequested(now time.Duration, s span, router uint64, tokens float64) {
+	a.requested += tokens / s.coverage(now, s.window)
 	a.requestedTotal += tokens
-	a.routers.add(now, window, router, tokens)
+	a.routers.add(now, s.window, router, tokens)
 }
 
 // addServed records tokens that the team was served.
-func (a *account) addServed(tokens float64) {
-	a.served += tokens
-	a.recent += tokens
+func (a *account) addServed(now time.Duration, s span, tokens float64) {
+	a.served += tokens / s.coverage(now, s.window)
+	a.recent += tokens / s.coverage(now, rateWindow)
 	a.servedTotal += tokens
 }
 
 // refund reverses tokens that were recorded as served some time ago.
-func (a *account) refund(ago, window time.Duration, tokens float64) {
-	a.served = max(a.served-tokens*math.Exp(-float64(ago)/float64(window)), 0)
-	a.recent = max(a.recent-tokens*math.Exp(-float64(ago)/float64(rateWindow)), 0)
+func (a *account) refund(now, ago time.Duration, s span, tokens float64) {
+	a.served = max(a.served-tokens*math.Exp(-float64(ago)/float64(s.window))/s.coverage(now, s.window), 0)
+	a.recent = max(a.recent-tokens*math.Exp(-float64(ago)/float64(rateWindow))/s.coverage(now, rateWindow), 0)
 	a.servedTotal -= tokens
 }
 
@@ -64,6 +64,6 @@
 func (a *account) totalRecent() float64 { return a.recent + a.remote.Recent }
 
 // routerFraction returns the fraction of the team's demand that comes through a router.
-func (a *account) routerFraction(now, window time.Duration, router uint64) float64 {
-	return a.routers.requested(now, window, router) / max(a.requested, minAccountTokens)
+func (a *account) routerFraction(now time.Duration, s span, router uint64) float64 {
+	return a.routers.requested(now, s.window, router) / s.coverage(now, s.window) / max(a.requested, minAccountTokens)
 }
--- a/dispatch/allowance.go
+++ b/dispatch/allowance.go
@@ -46,5 +46,5 @@
 	}
 	fair := max(due, spareFraction*s.groupShare) / s.window.Seconds()
 	rate := allowanceFactor * max(fair, a.recent/rateWindow.Seconds())
-	return rate * max(a.routerFraction(now, s.window, router), min(minRouterFraction, 1/float64(a.routers.count())))
+	return rate * max(a.routerFraction(now, s.span(), router), min(minRouterFraction, 1/float64(a.routers.count())))
 }
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -61,7 +61,7 @@
 	j.reservedKV = r.Output
 	c.applyCacheHint(&j.Request)
 	c.recordDemand(now, j)
-	c.shares.utilization = c.meanUtilization(now) / c.shares.windowCoverage(now, utilizationWindow)
+	c.shares.utilization = c.meanUtilization(now) / c.shares.span().coverage(now, utilizationWindow)
 	j.shareStatus = c.shares.shareStatus(now, r.Team)
 	c.counts.Submitted++
 	c.jobs[r.Ticket] = j
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -23,8 +23,10 @@
 	// totalServed is what all teams together were served within the window.
 	totalServed float64
 	// utilization is the fraction of time in which the upstreams had a backlog.
-	utilization    float64
-	firstRequestAt time.Duration
+	utilization float64
+	// firstRequestAt is the first request of the span that the sums have been collected over,
+	// lastRequestAt the last one.
+	firstRequestAt, lastRequestAt time.Duration
 	// lastRefusalAt is when this core last refused a request, for any reason.
 	lastRefusalAt time.Duration
 }
@@ -43,27 +45,36 @@
 		a = &account{updatedAt: now}
 		s.accounts[team] = a
 	}
-	a.decay(now, s.window)
+	a.decay(now, s.span())
 	return a
 }
 
+// idleWindows is the number of share windows without a request after which a core starts to
+// collect its sums anew. A router that becomes the home of a group may have decided on single
+// requests before.
+const idleWindows = 2
+
 // addRequested records tokens that a router requests for a team.
 func (s *shares) addRequested(now time.Duration, router uint64, team string, tokens float64) {
-	if s.firstRequestAt == 0 {
+	if s.firstRequestAt == 0 || now-s.lastRequestAt > idleWindows*s.window {
 		s.firstRequestAt = now
+		for _, a := range s.accounts {
+			a.requested, a.served, a.recent = 0, 0, 0
+		}
 	}
-	s.account(now, team).addRequested(now, s.window, router, tokens)
+	s.lastRequestAt = now
+	s.account(now, team).addRequested(now, s.span(), router, tokens)
 }
 
 func (s *shares) addServed(now time.Duration, team string, tokens float64) {
-	s.account(now, team).addServed(tokens)
+	s.account(now, team).addServed(now, s.span(), tokens)
 }
 
 // refund removes the tokens of a request that didn't run from the team's served tokens; its
 // demand is kept. If a reply is late, routers submit the request to several homes and each
 // counts it as served; without a refund the team would be limited to a part of its share.
 func (s *shares) refund(now time.Duration, j *job) {
-	s.account(now, j.Team).refund(now-j.sentAt, s.window, j.chargedTokens)
+	s.account(now, j.Team).refund(now, now-j.sentAt, s.span(), j.chargedTokens)
 }
 
 func (s *shares) recordRefusal(now time.Duration, team string) {
@@ -109,7 +120,7 @@
 func (s *shares) computeMaxUsage(now time.Duration) Usage {
 	lowest := Usage{Window: math.Inf(1), Recent: math.Inf(1)}
 	for _, a := range s.accounts {
-		a.decay(now, s.window)
+		a.decay(now, s.span())
 		if !s.isWaiting(now, a) {
 			continue
 		}
@@ -151,7 +162,7 @@
 	local := make([]demand, 0, len(s.accounts))
 	served := make([]float64, 0, len(s.accounts))
 	for name, a := range s.accounts {
-		a.decay(now, s.window)
+		a.decay(now, s.span())
 		if a.requested < minAccountTokens && a.served < minAccountTokens {
 			delete(s.accounts, name)
 			continue
@@ -179,16 +190,12 @@
 	if s.lastRefusalAt == 0 || now-s.lastRefusalAt >= saturationPeriod {
 		return math.Inf(1)
 	}
-	floor := minCapacityFraction * s.capacity * s.window.Seconds() * s.windowCoverage(now, s.window)
+	floor := minCapacityFraction * s.capacity * s.window.Seconds()
 	return max(s.totalServed*max(fullUtilization/max(s.utilization, minUtilization), 1), floor)
 }
 
-// windowCoverage returns how much of a decaying average over window the time since the
-// first request can have filled, as a fraction.
-func (s *shares) windowCoverage(now, window time.Duration) float64 {
-	const minCoverage = 0.01
-	return max(1-math.Exp(-float64(now-s.firstRequestAt)/float64(window)), minCoverage)
-}
+// span returns the time over which the sums have been collected.
+func (s *shares) span() span { return span{window: s.window, start: s.firstRequestAt} }
 
 const (
 	// fullUtilization is the utilization from which on no further capacity is assumed.
--- a/dispatch/team_state.go
+++ b/dispatch/team_state.go
@@ -28,7 +28,7 @@
 func (c *Core) Teams(now time.Duration, limit int) []TeamState {
 	states := make([]TeamState, 0, len(c.shares.accounts))
 	for name, a := range c.shares.accounts {
-		a.decay(now, c.shares.window)
+		a.decay(now, c.shares.span())
 		states = append(states, TeamState{
 			Team: name, Requested: a.requested, Served: a.served, Recent: a.recent, Remote: a.remote.Window, RequestedTotal: a.requestedTotal, ServedTotal: a.servedTotal,
 		})
--- a/dispatch/usage_report.go
+++ b/dispatch/usage_report.go
@@ -24,7 +24,7 @@
 	threshold := minReportedFraction * c.shares.totalServed / float64(max(len(c.shares.accounts), 1))
 	var out []TeamUsage
 	for name, a := range c.shares.accounts {
-		a.decay(now, c.shares.window)
+		a.decay(now, c.shares.span())
 		if a.served < minAccountTokens || a.served < threshold && !c.shares.isWaiting(now, a) {
 			continue
 		}
@@ -42,14 +42,14 @@
 	if a == nil {
 		return Usage{}
 	}
-	a.decay(now, c.shares.window)
+	a.decay(now, c.shares.span())
 	return Usage{Window: a.served, Recent: a.recent}
 }
 
 // SetRemoteUsage records what a team got from the other homes of the fleet.
 func (c *Core) SetRemoteUsage(now time.Duration, team string, usage Usage) {
 	if a := c.shares.accounts[team]; a != nil {
-		a.decay(now, c.shares.window)
+		a.decay(now, c.shares.span())
 		a.remoteReport, a.remote = remoteReport{usage: usage, receivedAt: now}, usage
 	}
 }
