dispatch, fleet: requests stay in their failure domain if that costs little

Cause: nothing in a placement has a failure domain, so two thirds to three quarters of all bodies and streams cross between domains. Change: with Features.Locality, an engine in another domain than the request's router has to be better by 40 ms; a plain service uses its domain's free slots first. Whether a request is admitted is decided without that. It needs at least two domains of 16 upstreams each (kept until one has fewer than 8), counted from the published state. Nothing else changes. Result: equal decisions over 5 drawn loads where the condition isn't met (TestDecisionsWithoutLocalityStayTheSame); a drawn test that a far placement follows from the score and that nobody is refused because of distance. go test -race ./dispatch and the fleet tests of groups, warm-up, evacuation and size pass; vet and staticcheck are clean.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -37,7 +37,8 @@
 			lowestCost = p.cost
 		}
 	}
-	var found choice
+	preferNear := c.preferNear && j.Domain != ""
+	var found, local choice
 	ok := false
 	for i, u := range c.upstreams {
 		if !c.eligible(now, u, j) {
@@ -52,6 +53,12 @@
 		if !ok || better(candidate, found) {
 			found, ok = candidate, true
 		}
+		if preferNear && c.localCandidate(j, candidate) && (local.u == nil || candidate.score < local.score) {
+			local = candidate
+		}
+	}
+	if preferNear {
+		found = c.preferLocal(j, found, local)
 	}
 	return found, ok
 }
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -38,6 +38,10 @@
 	// and once times its fraction of used slots. It places new sessions where there will be
 	// room for their next requests.
 	LoadPenalty time.Duration
+	// DistancePenalty is added to the score of an engine in another failure domain than that of
+	// the router that received the request. It is the delay that callers accept for their
+	// requests to stay within the domain: a tenth of the shortest usual targets.
+	DistancePenalty time.Duration
 	// DecodePenalty is added to the score for each token that a request may generate,
 	// times the upstream's utilization. Streams are slow while an engine prefills, and a
 	// long answer may miss its deadline.
@@ -82,6 +86,7 @@
 		MinCopyTokens:             300,
 		MinAwaitTokens:            150,
 		LoadPenalty:               60 * time.Millisecond,
+		DistancePenalty:           40 * time.Millisecond,
 		DecodePenalty:             2 * time.Millisecond,
 		TargetFraction:            0.9,
 		OverShareTargetFraction:   0.4,
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -26,6 +26,8 @@
 	warmUpGranted bool
 	// probesRequired is set while only probes show whether upstreams are warming up.
 	probesRequired bool
+	// preferNear is set if upstreams in the failure domain of a request's router are preferred.
+	preferNear bool
 }
 
 // New returns a core without upstreams.
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -104,6 +104,7 @@
 		members = append(members, m)
 	}
 	g.core.SetCapacity(capacityShare(s, len(members)))
+	g.core.SetLocality(n.localServices.update(s, key.service))
 	n.deliver(now, key, g.core.SetMembers(time.Duration(now), members))
 }
 
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -77,6 +77,8 @@
 	usageSentAt    boottime.Time
 	usageInterval  time.Duration
 	pushedRevision int64
+	// localServices are the services whose failure domains are large enough for locality.
+	localServices localServices
 	// appliedSnapshot is the state from which the groups' upstreams were last updated.
 	appliedSnapshot *feed.Snapshot
 	// domainLeader is the leader of this router's failure domain, nil if it is this
