entry: when an overloaded router leaves the load balancer

Cause: callers of a few addresses meet one weak router, which turns most of them away; their retries meet it again (docs/design/hard-load.md, "one entry point"). Change: pure decisions.

--- /dev/null
+++ b/entry/load.go
@@ -0,0 +1,52 @@
+package entry
+
+import "time"
+
+// Load has a router's totals since its start.
+type Load struct {
+	// Opened connections were accepted from callers; Rejected ones were refused before that.
+	Opened, Rejected int64
+	// Received requests were read; Busy ones were refused because the router was overloaded.
+	Received, Busy int64
+	// ProcessorTime is the processor time that the process has used.
+	ProcessorTime time.Duration
+}
+
+// Figures are the differences of two Loads.
+type Figures struct {
+	Opened, Rejected, Received, Busy int64
+	// Processor is the processor time that was used, in cores.
+	Processor float64
+	// Span is the time between both.
+	Span time.Duration
+}
+
+func (l Load) since(earlier Load, span time.Duration) Figures {
+	f := Figures{
+		Opened: l.Opened - earlier.Opened, Rejected: l.Rejected - earlier.Rejected,
+		Received: l.Received - earlier.Received, Busy: l.Busy - earlier.Busy, Span: span,
+	}
+	if span > 0 {
+		f.Processor = (l.ProcessorTime - earlier.ProcessorTime).Seconds() / span.Seconds()
+	}
+	return f
+}
+
+const (
+	// minTurnedAwayRate is the rate of callers turned away, per second, below which a router isn't
+	// overloaded. Leaving takes the load balancer two seconds and moves all callers of the router:
+	// it must help hundreds of them.
+	minTurnedAwayRate = 100
+	// A router isn't overloaded unless it turns away one of maxTurnedAwayOf callers. Most callers
+	// retry once and reach the same router, so one of nine then fails.
+	maxTurnedAwayOf = 3
+)
+
+// overloaded reports whether callers were turned away at a rate, and in a proportion, at which
+// another router would serve them better. New connections and requests are compared separately:
+// requests on open connections may be served while all new connections are refused.
+func (f Figures) overloaded() bool {
+	minimum := int64(minTurnedAwayRate * f.Span.Seconds())
+	exceeds := func(turnedAway, all int64) bool { return turnedAway > minimum && turnedAway*maxTurnedAwayOf >= all }
+	return exceeds(f.Rejected, f.Opened+f.Rejected) || exceeds(f.Busy, f.Received)
+}
