fleet: leases to leave the load balancer, and a packet form for later messages

Cause: the routers that are out at once have to be few; only a router that hears all of a failure domain can count them. Change: the hub of "entry/"+domain grants leases. Messages go in an extension, a CBOR map with integer keys in an array of one element, which earlier releases log and ignore and later ones can add to. Without Config.EntryLoad nothing is sent or decided. The dump has what a router and a hub know; counters and a line for each leave, return, grant and refusal.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -87,7 +87,11 @@
 // A revoked key must not be accepted for longer than the bound that the operators
 // set. A router that no longer receives changes can't detect a revocation, so it
 // must stop serving keyed requests once its snapshot exceeds MaxServingAge.
-func (f *Feed) Fresh() bool { return f.Age() < f.cfg.MaxServingAge }
+func (f *Feed) Fresh() bool { return f.FreshAtAge(f.Age()) }
+
+// FreshAtAge reports whether a snapshot of the given age is recent enough to serve requests from, at
+// this router or at a peer.
+func (f *Feed) FreshAtAge(age time.Duration) bool { return age < f.cfg.MaxServingAge }
 
 // confirm records that the snapshot was the newest at the given time; the recorded
 // time never decreases. A time in the future is the sender's error and is ignored:
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -5,7 +5,10 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/entry"
 	"github.com/aspenswitch/aspenswitch/quarantine"
 	"github.com/aspenswitch/aspenswitch/registry"
 	"github.com/aspenswitch/aspenswitch/warmup"
@@ -65,6 +68,11 @@
 	WarmUp warmup.Policy
 	// Quarantine configures the detection of requests that crash upstreams.
 	Quarantine quarantine.Config
+	// EntryLoad returns the load of this router as an entry point for callers, and whether it serves
+	// them. It is nil if routers don't leave the load balancer when they are overloaded.
+	EntryLoad func() (load entry.Load, serving bool)
+	// Metrics is the scope of the metrics about leaving the load balancer. It may be nil.
+	Metrics tally.Scope
 	// Engine and Plain configure the placement for services with and without engines.
 	Engine, Plain dispatch.Config
 }
--- a/fleet/dump.go
+++ b/fleet/dump.go
@@ -36,6 +36,8 @@
 	Streams int          `json:"streams"`
 	Members []MemberDump `json:"members"`
 	Groups  []GroupDump  `json:"groups"`
+	// Entry is this router's part in leaving the load balancer when it is overloaded.
+	Entry EntryDump `json:"entry"`
 	// Quarantine lists the contents and parts that are suspect or in quarantine.
 	Quarantine []QuarantineDump `json:"quarantine"`
 }
@@ -100,6 +102,7 @@
 			d.Versions = dumpVersions(s)
 		}
 	}
+	d.Entry = n.dumpEntry(now)
 	for _, m := range n.members {
 		d.Members = append(d.Members, MemberDump{
 			Router: m.id, Address: m.addr.String(), Domain: m.domain, Hub: m.isHub,
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -174,6 +174,15 @@
 	if p.Infrequent != nil {
 		n.handleInfrequent(now, p.From, p.Infrequent)
 	}
+	if p.Extension != nil {
+		n.handleExtension(now, p.From, p.Extension)
+	}
+}
+
+func (n *Node) handleExtension(now boottime.Time, from uint64, e *extension) {
+	if m := n.members[from]; m != nil && e.Entry != nil {
+		n.handleEntryMessage(now, m, e.Entry)
+	}
 }
 
 func (n *Node) handleInfrequent(now boottime.Time, from uint64, m *infrequent) {
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -169,6 +169,7 @@
 		n.updateProbing(g)
 	}
 	n.pushState(now)
+	n.tickEntry(now)
 	n.tickQuarantine(now)
 	n.tickStreams(now)
 	if n.feed != nil {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -19,6 +19,8 @@
 	Infrequent *infrequent
 	// Stream is encoded by streamPacket.
 	Stream *streamMessage `cbor:"-"`
+	// Extension is encoded by extensionPacket.
+	Extension *extension `cbor:"-"`
 }
 
 // streamMessageKind is the purpose of a streamMessage.
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -62,7 +62,12 @@
 	// groupCounts has the number of groups of each service.
 	groupCounts *groupCounts
 
+	// outUntil is the time until which this router is out of the load balancer, in nanoseconds of
+	// the boot clock, 0 if it isn't.
+	outUntil atomic.Int64
+
 	// Owned by the control goroutine.
+	entry            entryState
 	streams          streamState
 	members          map[uint64]*member
 	byIP             map[string]*member
@@ -113,7 +118,7 @@
 		members: map[uint64]*member{}, byIP: map[string]*member{}, groups: map[groupKey]*group{},
 		pending: map[uint64]*pending{}, inFlight: map[uint64]*inFlightRequest{}, sessionUpstreams: map[uint64]dispatch.Incarnation{},
 		usageInterval: minUsageInterval, groupCounts: newGroupCounts(cfg.GroupSize),
-		availability: availability.NewTable(), streams: newStreamState(),
+		availability: availability.NewTable(), streams: newStreamState(), entry: newEntryState(cfg.Metrics),
 	}
 	for i := range n.ledgers {
 		n.ledgers[i] = dispatch.NewLedger(cfg.Engine.ShareWindow)
--- a/fleet/packet_codec.go
+++ b/fleet/packet_codec.go
@@ -15,10 +15,17 @@
 	if p.Stream != nil {
 		return cbor.Marshal(&streamPacket{From: p.From, Stream: p.Stream})
 	}
+	if p.Extension != nil {
+		p.Extension.From = p.From
+		return cbor.Marshal(&extensionPacket{Extension: p.Extension})
+	}
 	return cbor.Marshal(p)
 }
 
 func decodePacket(raw []byte) (*packet, error) {
+	if len(raw) > 0 && raw[0] == extensionHeader {
+		return decodeExtension(raw)
+	}
 	p := &packet{}
 	err := cbor.Unmarshal(raw, p)
 	if err == nil {
--- a/fleet/size_test.go
+++ b/fleet/size_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/entry"
 	"github.com/aspenswitch/aspenswitch/quarantine"
 )
 
@@ -36,7 +37,11 @@
 		"notices": {packet{From: 1 << 63, Infrequent: &infrequent{Quarantine: &quarantineUpdate{Notices: slices.Repeat([]statusNotice{{
 			Team: "hule930", Hash: 1 << 63, Status: quarantine.Quarantined, Version: 3, LeftS: 7200,
 		}}, maxNoticesPerDatagram)}}}, 20 + 30*maxNoticesPerDatagram},
-		"stream": {packet{From: 1 << 63, Stream: &streamMessage{Kind: streamKnown, Stream: 1 << 63, Service: "huvo11a", SoftwareVersion: "v1.12"}}, 45},
+		"stream":       {packet{From: 1 << 63, Stream: &streamMessage{Kind: streamKnown, Stream: 1 << 63, Service: "huvo11a", SoftwareVersion: "v1.12"}}, 45},
+		"ask to leave": {packet{From: 1 << 63, Extension: &extension{Entry: &entryMessage{Kind: entryAsk, AskedAt: 1 << 50, SpanMs: 28000}}}, 35},
+		"leave refused": {packet{From: 1 << 63, Extension: &extension{Entry: &entryMessage{
+			Kind: entryRefused, AskedAt: 1 << 50, SpanMs: 28000, Reason: entry.TooManyUnavailable,
+		}}}, 35},
 		"report": {packet{From: 1 << 63, Report: &report{Kind: reportEnded, Seq: 1 << 20, Service: "huvo11a", DurationMs: 2000}}, 45},
 	}
 	for name, c := range cases {
