gateway, daemon: an overloaded router with a lease isn't ready

Cause: the load balancer stops assigning callers to a router only if its readiness probe fails. Change: the gateway counts requests that it refuses as busy or full; with entry.leaveWhenOverloaded the daemon passes connections, requests and processor time to the node, and the probe gets 503 while the router holds a lease. Connections and requests that it has go on. "Stopping" and "state too old" are decided as before; a router in these states asks for no lease.

--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -59,6 +59,9 @@
 	nodeCfg.WarmUpLeft = func(ctx context.Context, u *registry.Upstream, healthPath string) (time.Duration, error) {
 		return platform.FetchWarmUpLeft(ctx, d.pool, u, healthPath)
 	}
+	if s.Entry.LeaveWhenOverloaded {
+		nodeCfg.EntryLoad, nodeCfg.Metrics = d.entryLoad, d.metrics.Scope
+	}
 	transport, err := fleet.Listen(s.Peers.IP, s.Peers.Port)
 	if err != nil {
 		return nil, err
@@ -194,8 +197,12 @@
 }
 
 // Ready reports whether the load balancer should send connections to this router. It returns
-// false while the router is stopping, and while it has no state or one too old to serve.
-func (d *FleetDaemon) Ready() bool {
+// false while the router can't serve, and while it is overloaded and others take its callers.
+func (d *FleetDaemon) Ready() bool { return d.canServe() && !d.node.OutOfRotation() }
+
+// canServe returns false while the router is stopping, and while it has no state or one too old
+// to serve.
+func (d *FleetDaemon) canServe() bool {
 	return !d.gateway.Stopping() && d.feed.Snapshot() != nil && d.feed.Fresh()
 }
 
--- a/daemon/load.go
+++ b/daemon/load.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/aspenswitch/aspenswitch/entry"
 	"github.com/aspenswitch/aspenswitch/gateway"
 )
 
@@ -45,6 +46,15 @@
 	}
 }
 
+// entryLoad returns the load of this router as an entry point for callers, and whether it serves
+// them.
+func (d *FleetDaemon) entryLoad() (entry.Load, bool) {
+	l := d.gateway.Load()
+	return entry.Load{
+		Opened: l.OpenedConnections, Rejected: l.RejectedConnections, Received: l.Received, Busy: l.Busy, ProcessorTime: processCPUTime(),
+	}, d.canServe()
+}
+
 // processCPUTime returns the CPU time that the process has used, or 0 if it can't be read.
 func processCPUTime() time.Duration {
 	var u unix.Rusage
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -92,7 +92,7 @@
 	}
 	if full {
 		s.teams.update(r.teamName(), func(l *TeamLoad) { l.RouterFull++ })
-		return r, notRun("router_full", "this router holds as many requests as it can; the request was not run", defaultRetryAfter)
+		return r, notRun(codeRouterFull, "this router holds as many requests as it can; the request was not run", defaultRetryAfter)
 	}
 	r.record.remaining = s.timeLeft(r)
 	r.deadline = r.arrived.Add(r.record.remaining)
@@ -122,7 +122,7 @@
 		return notRun("stale_view", "this router's view of the configuration is too old to decide", time.Second)
 	}
 	if s.overloadedWithOldState() {
-		return notRun("router_busy", "this router is behind and its view too old to deny a request", defaultRetryAfter)
+		return notRun(codeRouterBusy, "this router is behind and its view too old to deny a request", defaultRetryAfter)
 	}
 	return permanentRefusal(status, code, message)
 }
--- a/gateway/send_check.go
+++ b/gateway/send_check.go
@@ -18,7 +18,7 @@
 	}
 	if s.overloadedWithOldState() {
 		r.record.lag = s.placer.Lag()
-		return false, notRun("router_busy", "this router is behind and its view too old to send on", defaultRetryAfter)
+		return false, notRun(codeRouterBusy, "this router is behind and its view too old to send on", defaultRetryAfter)
 	}
 	u := state.View.Upstream(id)
 	if state.View.UpstreamEvacuated(id) {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -220,6 +220,9 @@
 		if refused.outcome == retry.NotRun {
 			s.counts.refused.Add(1)
 		}
+		if refused.code == codeRouterBusy || refused.code == codeRouterFull {
+			s.counts.busy.Add(1)
+		}
 		r.record.status = refused.status
 		r.record.outcome = string(refused.outcome)
 		r.record.retryAfter = refused.retryAfter
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -83,5 +83,5 @@
 // busyRefusal returns a refusal with a minimal Retry-After delay. Another router can serve the
 // request if the load balancer sends the retry there.
 func busyRefusal() *refusal {
-	return notRun("router_busy", "this router is behind with its work; the request was not run", minRetryAfter)
+	return notRun(codeRouterBusy, "this router is behind with its work; the request was not run", minRetryAfter)
 }
