--- a/entry/budget.go
+++ b/entry/budget.go
@@ -10,20 +10,26 @@
 	outReserve  = 1500 * time.Millisecond
 )
 
-// budget limits the time that the routers of a failure domain are out of the load balancer, as a
-// token bucket.
+// budget limits the time that the routers of a failure domain are out of the load balancer, summed
+// over routers, as a leaky bucket.
 type budget struct {
-	left      time.Duration
+	// used is the time that was taken and hasn't leaked out yet.
+	used      time.Duration
 	updatedAt time.Duration
+	// routers is the number of routers that may be out by turns.
+	routers int
 }
 
-func newBudget(now time.Duration, routers int) budget {
-	return budget{left: time.Duration(routers) * outReserve, updatedAt: now}
-}
-
-// update adds what has accrued since the last update for the given number of routers.
+// update lets the time since the last update leak out.
 func (b *budget) update(now time.Duration, routers int) {
-	accrued := time.Duration(outFraction * float64(now-b.updatedAt) * float64(routers))
-	b.left = min(b.left+accrued, time.Duration(routers)*outReserve)
-	b.updatedAt = now
+	leaked := time.Duration(outFraction * float64(now-b.updatedAt) * float64(routers))
+	b.used, b.updatedAt, b.routers = max(b.used-leaked, 0), now, routers
 }
+
+// left returns the time that may be taken.
+func (b *budget) left() time.Duration { return max(time.Duration(b.routers)*outReserve-b.used, 0) }
+
+func (b *budget) take(span time.Duration) { b.used += span }
+
+// refund returns the rest of a span that was taken.
+func (b *budget) refund(rest time.Duration) { b.used = max(b.used-max(rest, 0), 0) }
--- a/entry/state.go
+++ b/entry/state.go
@@ -20,7 +20,7 @@
 
 // stateWithout returns the state as it would be if a router left. The router may be nil.
 func (t *Table) stateWithout(now time.Duration, leaving *vm) State {
-	s := State{Routers: len(t.vms), Budget: t.budget.left}
+	s := State{Routers: len(t.vms), Budget: t.budget.left()}
 	for _, v := range t.vms {
 		s.Processor += v.Weight
 		switch {
--- a/entry/table.go
+++ b/entry/table.go
@@ -72,9 +72,8 @@
 
 // NewTable returns the table of a hub that has just become responsible for a failure domain.
 func NewTable(now time.Duration, routers []Router) *Table {
-	t := &Table{createdAt: now}
+	t := &Table{createdAt: now, budget: budget{updatedAt: now}}
 	t.Update(now, routers)
-	t.budget = newBudget(now, len(t.vms))
 	return t
 }
 
@@ -105,7 +104,7 @@
 }
 
 func (t *Table) end(now time.Duration, v *vm) {
-	t.budget.left += max(v.spanEnd-now, 0)
+	t.budget.refund(v.spanEnd - now)
 	v.outUntil, v.spanEnd = 0, 0
 }
 
@@ -162,7 +161,7 @@
 	if d.Reason != NoReason {
 		return d
 	}
-	d.Verdict, d.Span = Grant, min(span, MaxSpan, t.budget.left)
+	d.Verdict, d.Span = Grant, min(span, MaxSpan, t.budget.left())
 	t.lease(now, v, d.Span)
 	return d
 }
@@ -170,7 +169,7 @@
 func (t *Table) lease(now time.Duration, v *vm, span time.Duration) {
 	v.outUntil, v.spanEnd = now+LeaseTTL+leaseSlack, now+span
 	v.overloadedUntil = 0
-	t.budget.left -= span
+	t.budget.take(span)
 }
 
 // objection returns why a router may not leave, or NoReason.
@@ -189,7 +188,7 @@
 		return TooLittleProcessor
 	case s.Helpful < minHelped*asking.Weight*float64(s.Routers-1-s.Unavailable)-rounding:
 		return NoBetterRouter
-	case t.budget.left < minSpan:
+	case t.budget.left() < minSpan:
 		return TimeUsedUp
 	}
 	return NoReason
@@ -208,7 +207,6 @@
 	}
 	if v.outUntil == 0 {
 		t.lease(now, v, min(max(left, 0), MaxSpan))
-		t.budget.left = max(t.budget.left, 0)
 	}
 	s := t.State(now)
 	if reason := s.tooManyOut(); reason != NoReason {
