ctl, fleet: status, dump and explain-team name routers that are out of the load balancer

Cause: a router that isn't ready because it is overloaded looked like one that can't serve. Change: the dump has the load on which a router has left, and the hub's last refusal; fleet status says for how long it is out and why, or why it may not leave; explain-team prints the entry lines of the routers that received the team's requests, explain those around a request.

--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -31,7 +31,7 @@
 const contextWindow = 2 * time.Second
 
 // contextEvents are the events that log a change of a router's state or configuration.
-var contextEvents = []string{"platform", "config", "upstream", "peer_state", "member", "home", "home_silent", "evacuation", "start", "stop", "reload", "cached"}
+var contextEvents = []string{"platform", "config", "upstream", "peer_state", "member", "home", "home_silent", "evacuation", "start", "stop", "reload", "cached", "entry"}
 
 // Explain prints the log lines about a request in order of time, with the state
 // changes that the routers that handled it logged around the same time. in holds the
--- a/ctl/explain_team.go
+++ b/ctl/explain_team.go
@@ -21,7 +21,7 @@
 
 // ExplainTeam prints a team's requests and usage for each second, and by which component
 // and why its other requests were refused. It reads the "team" lines of routers and the
-// "share" lines of homes.
+// "share" lines of homes, and prints the "entry" lines of the routers that received its requests.
 func ExplainTeam(out io.Writer, team string, timeRange TimeRange, in io.Reader) error {
 	lines, err := readLog(in)
 	if err != nil {
@@ -41,8 +41,31 @@
 	if err := w.Flush(); err != nil {
 		return Error.Wrap(err)
 	}
-	_, err = fmt.Fprintln(out, summarize(team, seconds))
-	return Error.Wrap(err)
+	if _, err = fmt.Fprintln(out, summarize(team, seconds)); err != nil {
+		return Error.Wrap(err)
+	}
+	return printEntryLines(out, seconds, timeRange, lines)
+}
+
+// printEntryLines prints when the routers that received the team's requests left the load balancer
+// because of their load, might not leave, or returned.
+func printEntryLines(out io.Writer, seconds []*teamSecond, timeRange TimeRange, lines []logLine) error {
+	routers := map[string]bool{}
+	for _, s := range seconds {
+		for name := range s.askedByRouter {
+			routers[name] = true
+		}
+	}
+	for i := range lines {
+		l := &lines[i]
+		if l.field("event") != "entry" || !routers[l.field("process")] || !timeRange.contains(l.at) {
+			continue
+		}
+		if _, err := fmt.Fprintln(out, l.String()); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	return nil
 }
 
 // teamSecond aggregates the lines about a team in one second.
--- a/ctl/explain_team_test.go
+++ b/ctl/explain_team_test.go
@@ -40,3 +40,16 @@
 	g.Expect(out.String()).To(ContainSubstring("800 asked"))
 	g.Expect(ctl.ExplainTeam(&out, "nobody", ctl.TimeRange{}, strings.NewReader(teamLog))).To(MatchError(ContainSubstring("no line about team nobody")))
 }
+
+// Guards against an explanation that doesn't name the router of a team's callers as overloaded,
+// although it has turned away connections of which no team is known.
+func TestExplainTeamNamesRoutersThatLeaveTheLoadBalancer(t *testing.T) {
+	g := NewWithT(t)
+	const entryLines = `{"process":"r1","event":"entry","turned_away":540,"opened":60,"time":1001500,"message":"router leaves the load balancer"}
+{"process":"r9","event":"entry","turned_away":100,"opened":10,"time":1001600,"message":"router leaves the load balancer"}
+`
+	var out bytes.Buffer
+	g.Expect(ctl.ExplainTeam(&out, "farms", ctl.TimeRange{}, strings.NewReader(teamLog+entryLines))).To(Succeed())
+	g.Expect(out.String()).To(MatchRegexp(`r1 \[entry\] router leaves the load balancer.*turned_away=540`))
+	g.Expect(out.String()).NotTo(ContainSubstring("r9"))
+}
--- a/ctl/fleet_test.go
+++ b/ctl/fleet_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -32,6 +33,8 @@
 	versions  []map[string]any
 	// quarantine lists the quarantined and suspect keys.
 	quarantine []map[string]any
+	// entry is the router's readiness under overload.
+	entry map[string]any
 }
 
 func (f *fakeRouter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
@@ -42,7 +45,7 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{
 		"ready": f.ready, "configVersion": f.version,
 		"node": map[string]any{"failureDomain": "east", "hub": f.pending > 0, "ageMs": f.ageMs, "pending": f.pending, "members": members,
-			"router": 1, "evacuated": f.evacuated, "epoch": f.epoch, "versions": f.versions, "quarantine": f.quarantine, "groups": []any{
+			"router": 1, "evacuated": f.evacuated, "epoch": f.epoch, "versions": f.versions, "quarantine": f.quarantine, "entry": f.entry, "groups": []any{
 				map[string]any{"home": 1, "state": map[string]any{"warming": f.warming}},
 				map[string]any{"home": 2, "state": map[string]any{"warming": 9}},
 			}},
@@ -113,6 +116,35 @@
 	g.Expect(out.String()).To(ContainSubstring("epoch of the platform: 2"))
 }
 
+// Guards against an overview that doesn't tell a router that is out of the load balancer because it
+// was overloaded from one that can't serve.
+func TestStatusReportsOverloadedRouters(t *testing.T) {
+	g := NewWithT(t)
+	load := func(more map[string]any) map[string]any {
+		maps.Copy(more, map[string]any{"openedConnections": 60, "turnedAway": 540, "requests": 50, "busy": 5, "withinMs": 302})
+		return more
+	}
+	out, staying, stopped := healthyRouter(), healthyRouter(), healthyRouter()
+	out.ready, out.entry = false, load(map[string]any{"out": true, "leftMs": 6200})
+	staying.entry = load(map[string]any{"overloaded": true, "refusal": "no_better_router", "refusedMs": 800})
+	stopped.ready = false
+	bases := startRouters(t, out, staying, stopped, healthyRouter())
+	var raw bytes.Buffer
+	g.Expect(ctl.NewClient(bases, "").Status(&raw, true, ctl.JSON)).To(Succeed())
+	var o ctl.Overview
+	g.Expect(json.Unmarshal(raw.Bytes(), &o)).To(Succeed())
+	reasons := map[string][]string{}
+	for _, r := range o.Outliers {
+		reasons[r.Router] = r.Reasons
+	}
+	const figures = "turned away 540 of 600 connections and refused 5 of 50 requests as busy within 302 ms"
+	g.Expect(reasons).To(Equal(map[string][]string{
+		bases[0]: {"out of the load balancer for up to 6.2 s more: " + figures},
+		bases[1]: {"overloaded, may not leave the load balancer (no_better_router): " + figures},
+		bases[2]: {"not ready"},
+	}))
+}
+
 func TestStatusReportsRoutersThatDiffer(t *testing.T) {
 	g := NewWithT(t)
 	staleView := healthyRouter()
--- a/ctl/overview.go
+++ b/ctl/overview.go
@@ -36,6 +36,10 @@
 	Software []SoftwareVersion `json:"software,omitempty"`
 	// Quarantine lists the contents and parts in quarantine at the router.
 	Quarantine []QuarantinedKey `json:"quarantine,omitempty"`
+	// OutOfLoadBalancer is set if the router has left the load balancer because it was overloaded.
+	// Entry describes that, or an overload with which it may not leave.
+	OutOfLoadBalancer bool   `json:"outOfLoadBalancer,omitempty"`
+	Entry             string `json:"entry,omitempty"`
 	// Error is the error of querying the router, empty if it answered.
 	Error string `json:"error,omitempty"`
 }
@@ -213,7 +217,8 @@
 	if r.Error != "" {
 		return []string{"no answer: " + r.Error}
 	}
-	addIf(r.State != stateReady, "%s", r.State)
+	addIf(r.State != stateReady && !r.OutOfLoadBalancer, "%s", r.State)
+	addIf(r.Entry != "", "%s", r.Entry)
 	addIf(r.Version != version, "version %s, most routers have %s", r.Version, version)
 	addIf(float64(r.Peers) < minPeerRatio*float64(peers), "receives messages from %d peers, the median is %d", r.Peers, peers)
 	addIf(r.ViewAge > maxViewAge, "configuration confirmed %s ago", r.ViewAge)
--- a/ctl/platform.go
+++ b/ctl/platform.go
@@ -34,6 +34,7 @@
 			Ready      int    `json:"ready"`
 		} `json:"versions"`
 		Quarantine []QuarantinedKey `json:"quarantine"`
+		Entry      entryDump        `json:"entry"`
 		Groups     []struct {
 			Home  uint64 `json:"home"`
 			State struct {
@@ -50,6 +51,7 @@
 		Waiting: d.Node.Pending, Running: d.Node.InFlight, ViewAge: time.Duration(d.Node.AgeMs) * time.Millisecond,
 		Evacuated: d.Node.Evacuated, Warming: d.warming(),
 		Epoch: d.Node.Epoch, Software: d.software(), Quarantine: d.quarantined(),
+		Entry: d.Node.Entry.String(), OutOfLoadBalancer: d.Node.Entry.Out,
 	}
 }
 
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -17,6 +17,8 @@
 	// tables are by failure domain; they were chosen at chosenAt and updated at tickedAt.
 	tables             map[string]*entry.Table
 	chosenAt, tickedAt boottime.Time
+	// leftWith is the load on which this router has left.
+	leftWith entry.Figures
 	// refusal is the reason of the last refusal, and refusedAt its time.
 	refusal   entry.Reason
 	refusedAt boottime.Time
@@ -124,6 +126,7 @@
 	if m.Kind == entryGranted {
 		n.requestEntry(now, gate.Granted(at, askedAt, duration(m.SpanMs)))
 		if !out && gate.OutUntil() != 0 {
+			n.entry.leftWith = gate.Figures()
 			n.entry.stats.left.Inc(1)
 			n.logEntry("router leaves the load balancer", func(e *obs.Event) { e.Int32("span_ms", m.SpanMs) })
 		}
--- a/fleet/entry_dump.go
+++ b/fleet/entry_dump.go
@@ -14,7 +14,7 @@
 	Out    bool  `json:"out"`
 	LeftMs int64 `json:"leftMs"`
 	// Overloaded is set while the router turns callers away. OpenedConnections, TurnedAway, Requests
-	// and Busy are its load in the last WithinMs.
+	// and Busy are its load in the last WithinMs or, if it is out, before it left.
 	Overloaded        bool  `json:"overloaded"`
 	OpenedConnections int64 `json:"openedConnections"`
 	TurnedAway        int64 `json:"turnedAway"`
@@ -42,13 +42,12 @@
 
 func (n *Node) dumpEntry(now boottime.Time) EntryDump {
 	gate := n.entry.gate
+	d := EntryDump{Overloaded: gate.Overloaded()}
 	f := gate.Figures()
-	d := EntryDump{
-		Overloaded: gate.Overloaded(), OpenedConnections: f.Opened, TurnedAway: f.Rejected, Requests: f.Received, Busy: f.Busy, WithinMs: f.Span.Milliseconds(),
-	}
 	if left := gate.SpanEnd() - time.Duration(now); left > 0 {
-		d.Out, d.LeftMs = true, left.Milliseconds()
+		d.Out, d.LeftMs, f = true, left.Milliseconds(), n.entry.leftWith
 	}
+	d.OpenedConnections, d.TurnedAway, d.Requests, d.Busy, d.WithinMs = f.Opened, f.Rejected, f.Received, f.Busy, f.Span.Milliseconds()
 	if n.entry.refusedAt != 0 {
 		d.Refusal, d.RefusedMs = n.entry.refusal.String(), now.Sub(n.entry.refusedAt).Milliseconds()
 	}
