fleet: queued requests leave a home that is lost

Cause: a request that its home has queued isn't asked about until the predicted time of its decision, seconds later. Change: once the home leaves another request unanswered, or is silent, queued requests are asked about at once; unanswered, they go to the next home after the usual timeout, with what is left of their target. The limit for late reading counts from the newest question. Requests that weren't queued are decided as before.

--- a/fleet/ask.go
+++ b/fleet/ask.go
@@ -41,6 +41,9 @@
 		if p.home == nil {
 			continue
 		}
+		if p.queuedByHome && !n.responding(p.home) {
+			p.retryAt = now
+		}
 		if !p.queuedByHome && now >= p.timeoutAt {
 			n.handleTimeout(now, p)
 			continue
@@ -50,13 +53,19 @@
 			if p.queuedByHome {
 				p.retryAt = now.Add(queuedRetryInterval)
 				p.queuedByHome = false
-				p.timeoutAt = now.Add(n.cfg.PlacementTimeout)
+				p.askedAt, p.timeoutAt = now, now.Add(n.cfg.PlacementTimeout)
 			}
 			n.send(p.home.addr, &packet{Ask: n.newPlaceRequest(p.key, p.request)})
 		}
 	}
 }
 
+// responding reports whether a home has answered other requests and sent its heartbeats. A request
+// that it has queued would otherwise wait until the predicted time of its decision.
+func (n *Node) responding(home *member) bool {
+	return n.members[home.id] == home && !home.unresponsive && !home.silent
+}
+
 const (
 	// lateReadTimeout is how long a router that is late with reading waits for a reply.
 	// In a longer time, another router could have served the caller.
@@ -82,7 +91,7 @@
 	switch {
 	case n.lagProbe.readUntil >= p.timeoutAt:
 		n.failOver(now, p)
-	case now.Sub(p.startedAt) < lateReadTimeout:
+	case now.Sub(p.askedAt) < lateReadTimeout:
 		n.sendLagProbe(now)
 	default:
 		n.cancelPlacement(p.home, p.key, p.request.Ticket.Seq)
@@ -100,6 +109,7 @@
 		e.Str("group", p.group.name).Uint64("router", failed.id).Dur("after", now.Sub(p.startedAt)).Msg("home did not answer a placement request in time")
 	})
 	n.cancelPlacement(failed, p.key, p.request.Ticket.Seq)
+	p.deductQueueTime()
 	if p.homesAsked < maxHomesPerRequest && now.Sub(n.lastPeerContact) < isolationTimeout {
 		p.timeoutAt = now.Add(n.cfg.PlacementTimeout)
 		n.requestPlacement(now, p)
@@ -109,6 +119,15 @@
 	n.deliver(now, p.key, p.group.core.Submit(time.Duration(now), p.request))
 }
 
+// deductQueueTime reduces the time left of a request by the time for which a home had queued it: the
+// next home counts from when it is asked.
+func (p *pending) deductQueueTime() {
+	waited := p.askedAt.Sub(p.startedAt)
+	p.request.Target -= waited
+	p.request.Timeout -= waited
+	p.startedAt = p.askedAt
+}
+
 // cancelPlacement cancels a request at a home, so that the home releases the capacity that
 // is reserved for it.
 func (n *Node) cancelPlacement(home *member, key groupKey, seq uint64) {
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -22,8 +22,11 @@
 	home       *member
 	homesAsked int
 	startedAt  boottime.Time
-	retryAt    boottime.Time
-	timeoutAt  boottime.Time
+	// askedAt is when the request was first sent to the home, or first sent again after the home had
+	// queued it.
+	askedAt   boottime.Time
+	retryAt   boottime.Time
+	timeoutAt boottime.Time
 	// queuedByHome is set if the home has replied that it queued the request, until the
 	// request is sent to it again.
 	queuedByHome bool
@@ -121,7 +124,7 @@
 		return
 	}
 	e.request.CacheHint, e.request.Domain = n.sessionUpstream(s, e.request.Parts), n.cfg.Domain
-	p := &pending{request: e.request, key: key, group: g, answer: e.answer, startedAt: now}
+	p := &pending{request: e.request, key: key, group: g, answer: e.answer, startedAt: now, askedAt: now}
 	n.pending[e.request.Ticket.Seq] = p
 	p.timeoutAt = now.Add(n.cfg.PlacementTimeout)
 	n.requestPlacement(now, p)
