entry: a router leaves only if other routers are expected to accept more of its callers

Change: a request says how many callers come for each one that is accepted; the hub compares what the routers in rotation are expected to accept of them with what the router accepts itself.

--- a/entry/domain_test.go
+++ b/entry/domain_test.go
@@ -100,7 +100,7 @@
 	var decision entry.Decision
 	switch a.Kind {
 	case entry.Ask:
-		decision = d.table.Ask(d.now, r.name, a.Span)
+		decision = d.table.Ask(d.now, r.name, a.Span, a.Demand)
 	case entry.Renew:
 		decision = d.table.Renew(d.now, r.name, a.Span)
 	default:
--- a/entry/flood_test.go
+++ b/entry/flood_test.go
@@ -77,6 +77,18 @@
 	}
 }
 
+// Guards against weak routers that leave although more callers are accepted if all stay: the strong
+// ones, which aren't overloaded, would get only some of the callers.
+func TestWeakRoutersStayWhereLeavingHelpsNobody(t *testing.T) {
+	g := NewWithT(t)
+	d := newDomain(mixed()...)
+	for _, r := range d.routers[7:] {
+		d.flood(r, 1, 1000)
+	}
+	d.run(20*time.Second, nil)
+	g.Expect(d.leaves).To(BeZero())
+}
+
 // Guards against a strong router that leaves, so that its callers meet weaker ones.
 func TestStrongRouterStays(t *testing.T) {
 	g := NewWithT(t)
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -48,6 +48,8 @@
 	Kind ActionKind
 	// Span is how long the router wants to be out, from now on.
 	Span time.Duration
+	// Demand is set with Ask; see Figures.Demand.
+	Demand float64
 	// Reason is why the lease ends.
 	Reason Reason
 }
@@ -121,7 +123,7 @@
 	if now-g.overloadedSince >= unansweredTime {
 		g.askAt = now + refusedInterval
 	}
-	return Action{Kind: Ask, Span: g.nextSpan(now)}
+	return Action{Kind: Ask, Span: g.nextSpan(now), Demand: g.detector.figures().Demand()}
 }
 
 func (g *Gate) observeOut(now time.Duration) Action {
--- a/entry/load.go
+++ b/entry/load.go
@@ -50,3 +50,17 @@
 	exceeds := func(turnedAway, all int64) bool { return turnedAway > minimum && turnedAway*maxTurnedAwayOf >= all }
 	return exceeds(f.Rejected, f.Opened+f.Rejected) || exceeds(f.Busy, f.Received)
 }
+
+// MaxDemand limits Demand: beyond it, what a router accepts is negligible.
+const MaxDemand = 100
+
+// Demand returns how many callers come for each one that is accepted, from 1 to MaxDemand.
+func (f Figures) Demand() float64 {
+	ratio := func(all, accepted int64) float64 {
+		if all == 0 {
+			return 1
+		}
+		return min(float64(all)/float64(max(accepted, 1)), MaxDemand)
+	}
+	return max(ratio(f.Opened+f.Rejected, f.Opened), ratio(f.Received, f.Received-f.Busy), 1)
+}
--- a/entry/reason.go
+++ b/entry/reason.go
@@ -20,7 +20,8 @@
 	// TooLittleProcessor means that the routers in rotation would have too little of the failure domain's
 	// processor share.
 	TooLittleProcessor
-	// NoBetterRouter means that the callers would mostly meet weaker routers, or overloaded ones.
+	// NoBetterRouter means that other routers would accept fewer of the callers: they are weaker, or
+	// overloaded.
 	NoBetterRouter
 	// TimeUsedUp means that routers of the failure domain have been out for as long as they may.
 	TimeUsedUp
--- a/entry/table.go
+++ b/entry/table.go
@@ -33,8 +33,9 @@
 	// maxUnavailableFraction limits the routers that are out, lost or stopping. At more than a half
 	// the load balancer uses all of them; the difference covers losses that the hub doesn't know yet.
 	maxUnavailableFraction = 0.4
-	// minHelped is the part of the callers that must meet a router as strong, and not overloaded. A
-	// few others may be overloaded or weaker.
+	// minHelped is the number of callers that other routers must be expected to accept for each one
+	// that the router accepts now. It is below 1 because the expectation is that of a single caller's
+	// address, and a flood from several of them is divided.
 	minHelped = 0.9
 )
 
@@ -138,8 +139,9 @@
 	Domain  State
 }
 
-// Ask decides on a router's request to be out for a span.
-func (t *Table) Ask(now time.Duration, address string, span time.Duration) Decision {
+// Ask decides on a router's request to be out for a span. demand is how many callers come for each
+// one that it accepts.
+func (t *Table) Ask(now time.Duration, address string, span time.Duration, demand float64) Decision {
 	t.expire(now)
 	v := t.find(address)
 	if v == nil {
@@ -157,7 +159,7 @@
 	if now-v.firstAskedAt < confirmTime {
 		return Decision{Verdict: Wait}
 	}
-	d := Decision{Verdict: Refuse, Reason: t.objection(now, v), Domain: t.State(now)}
+	d := Decision{Verdict: Refuse, Reason: t.objection(now, v, demand), Domain: t.State(now)}
 	if d.Reason != NoReason {
 		return d
 	}
@@ -173,7 +175,7 @@
 }
 
 // objection returns why a router may not leave, or NoReason.
-func (t *Table) objection(now time.Duration, asking *vm) Reason {
+func (t *Table) objection(now time.Duration, asking *vm, demand float64) Reason {
 	if now-t.createdAt < learnTime {
 		return HubIsNew
 	}
@@ -186,7 +188,7 @@
 		return TooManyOut
 	case s.InRotation < (1-maxOutFraction)*s.Processor-rounding:
 		return TooLittleProcessor
-	case s.Helpful < minHelped*asking.Weight*float64(s.Routers-1-s.Unavailable)-rounding:
+	case t.acceptedElsewhere(now, asking, demand) < minHelped*asking.Weight-rounding:
 		return NoBetterRouter
 	case t.budget.left() < minSpan:
 		return TimeUsedUp
@@ -194,6 +196,24 @@
 	return NoReason
 }
 
+// acceptedElsewhere returns the processor share that other routers are expected to spend on the callers
+// of a router that leaves. The load balancer assigns them to any router in rotation; an overloaded one
+// accepts none of them, and routers that are out count like those, since their callers are to be accepted too.
+func (t *Table) acceptedElsewhere(now time.Duration, leaving *vm, demand float64) float64 {
+	wanted := leaving.Weight * min(max(demand, 1), MaxDemand)
+	sum, others := 0.0, 0
+	for _, v := range t.vms {
+		switch {
+		case v == leaving || v.outUntil == 0 && !v.Available:
+			continue
+		case v.outUntil == 0 && !v.overloaded(now):
+			sum += min(wanted, v.Weight)
+		}
+		others++
+	}
+	return sum / float64(max(others, 1))
+}
+
 // rounding covers the rounding errors of sums of processor shares.
 const rounding = 1e-9
 
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -47,6 +47,8 @@
 // OutOfRotation reports whether this router has left the load balancer because it is overloaded.
 func (n *Node) OutOfRotation() bool { return n.now() < boottime.Time(n.outUntil.Load()) }
 
+const percent = 100
+
 // entryKey returns the key by which the hub of a failure domain's entry points is chosen.
 func entryKey(domain string) string { return "entry/" + domain }
 
@@ -78,7 +80,7 @@
 	if a.Kind == entry.End {
 		n.logReturn(a.Reason)
 	}
-	m := entryMessage{AskedAt: int64(now), SpanMs: millis(a.Span)}
+	m := entryMessage{AskedAt: int64(now), SpanMs: millis(a.Span), DemandPercent: int32(percent * a.Demand)}
 	switch a.Kind {
 	case entry.Ask:
 		m.Kind = entryAsk
--- a/fleet/entry_hub.go
+++ b/fleet/entry_hub.go
@@ -79,7 +79,7 @@
 	var d entry.Decision
 	switch m.Kind {
 	case entryAsk:
-		d = t.Ask(time.Duration(now), address, duration(m.SpanMs))
+		d = t.Ask(time.Duration(now), address, duration(m.SpanMs), float64(m.DemandPercent)/percent)
 	case entryRenew:
 		d = t.Renew(time.Duration(now), address, duration(m.SpanMs))
 	case entryEnd:
--- a/fleet/extension.go
+++ b/fleet/extension.go
@@ -60,4 +60,6 @@
 	SpanMs int32 `cbor:"2,keyasint,omitempty"`
 	// Reason is set with entryRefused.
 	Reason entry.Reason `cbor:"3,keyasint,omitempty"`
+	// DemandPercent is set with entryAsk: the callers that come for each hundred that are accepted.
+	DemandPercent int32 `cbor:"4,keyasint,omitempty"`
 }
--- a/fleet/size_test.go
+++ b/fleet/size_test.go
@@ -38,7 +38,7 @@
 			Team: "hule930", Hash: 1 << 63, Status: quarantine.Quarantined, Version: 3, LeftS: 7200,
 		}}, maxNoticesPerDatagram)}}}, 20 + 30*maxNoticesPerDatagram},
 		"stream":       {packet{From: 1 << 63, Stream: &streamMessage{Kind: streamKnown, Stream: 1 << 63, Service: "huvo11a", SoftwareVersion: "v1.12"}}, 45},
-		"ask to leave": {packet{From: 1 << 63, Extension: &extension{Entry: &entryMessage{Kind: entryAsk, AskedAt: 1 << 50, SpanMs: 28000}}}, 35},
+		"ask to leave": {packet{From: 1 << 63, Extension: &extension{Entry: &entryMessage{Kind: entryAsk, AskedAt: 1 << 50, SpanMs: 28000, DemandPercent: percent * entry.MaxDemand}}}, 35},
 		"leave refused": {packet{From: 1 << 63, Extension: &extension{Entry: &entryMessage{
 			Kind: entryRefused, AskedAt: 1 << 50, SpanMs: 28000, Reason: entry.TooManyUnavailable,
 		}}}, 35},
