dispatch: predictions follow the speed that upstreams state

Cause: machines are shared, and an upstream may be 2.5 times slower for some hundred milliseconds. The learnt factor is an average over its last answers and follows too late, in both directions.

Change: with Features.LoadReports, and for upstreams that state their present speed, the predicted prefill, decode step and service time are those at the usual speed times the stated slowdown, which fades to its mean over time. The fit of an engine and the service time of a plain service are learnt without it: the work of an answer is measured over the speeds that were stated while it ran.

Result: go test ./dispatch passes.

--- a/dispatch/average.go
+++ b/dispatch/average.go
@@ -50,8 +50,9 @@
 	updatedAt time.Duration
 	// meanFailureRate is the fraction of failed requests.
 	meanFailureRate float64
-	// serviceTime is the mean service time of a plain service in milliseconds.
-	serviceTime float64
+	// serviceTime is the mean service time of a plain service in milliseconds, and usualServiceTime
+	// that at the usual speed of the upstreams that state their present one.
+	serviceTime, usualServiceTime float64
 }
 
 // averagesUpdateInterval is the time between updates of the group's averages, which change
@@ -64,13 +65,17 @@
 		return &c.averages
 	}
 	c.averages.updatedAt = now
-	var failureRate, service average
+	var failureRate, service, usualService average
 	for _, u := range c.upstreams {
 		failureRate.merge(now, &u.failureRate)
 		service.merge(now, &u.serviceMs)
+		if u.speed.stated() {
+			usualService.merge(now, &u.usualServiceMs)
+		}
 	}
 	c.averages.meanFailureRate = failureRate.mean(0)
 	c.averages.serviceTime = service.mean(defaultServiceMs)
+	c.averages.usualServiceTime = usualService.mean(c.averages.serviceTime)
 	return &c.averages
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -18,6 +18,8 @@
 	// cost is the predicted time for which the job occupies the upstream: the prefill for an
 	// engine, the whole service time for a plain service.
 	cost time.Duration
+	// usualCost is the cost at the upstream's usual speed, as predicted when the job was sent.
+	usualCost time.Duration
 	// prefillEndsAt is the predicted end of the prefill, see prefillQueue.
 	prefillEndsAt time.Duration
 	// prefillDeadline is the time after which the prefill is overdue.
--- a/dispatch/load_report.go
+++ b/dispatch/load_report.go
@@ -11,14 +11,39 @@
 	// Slowdown is the ratio of the time that work currently takes on the upstream's machine to the
 	// usual time, 0 if the upstream doesn't state it.
 	Slowdown float64
+	// Age is the time since the upstream stated the load.
+	Age time.Duration
 }
 
 // Stated reports whether the upstream has stated its load.
 func (r LoadReport) Stated() bool { return r.Slots > 0 }
 
-// ObserveLoad records the load that an upstream stated in a response that a router received now.
-func (c *Core) ObserveLoad(_ time.Duration, at Incarnation, r LoadReport) {
-	if u := c.byID[at.ID]; u == nil || !u.Same(at) || !c.cfg.LoadReports || !r.Stated() {
+// StatesSpeed reports whether the upstream has stated the present speed of its machine, too. Only
+// then is a report used.
+func (r LoadReport) StatesSpeed() bool { return r.Stated() && r.Slowdown > 0 }
+
+// ObserveLoad records the load that an upstream stated.
+func (c *Core) ObserveLoad(now time.Duration, at Incarnation, r LoadReport) {
+	if u := c.byID[at.ID]; u != nil && u.Same(at) {
+		c.observeLoad(now, u, r)
+	}
+}
+
+// StartedWithLoad records the first byte of an answer and the load that its upstream stated.
+func (c *Core) StartedWithLoad(now time.Duration, t Ticket, r LoadReport) []Decision {
+	// The fit of the engine needs the speed at the end of the prefill, so the load comes first. If the
+	// upstream has restarted since, it is recorded for the earlier incarnation, which gets no more requests.
+	if j := c.jobs[t]; j != nil && j.state != waiting {
+		c.observeLoad(now, j.upstream, r)
+	}
+	return c.Started(now, t)
+}
+
+func (c *Core) observeLoad(now time.Duration, u *upstream, r LoadReport) {
+	if !c.cfg.LoadReports || !r.StatesSpeed() {
 		return
 	}
+	u.update(now)
+	u.speed.observe(now-r.Age, r.Slowdown)
+	u.updateSlowdown(now)
 }
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -48,6 +48,12 @@
 	// learnt is the estimate from both, as of estimatedAt.
 	learnt      estimate
 	estimatedAt time.Duration
+	// speed is the present speed of the machine as stated by the upstream, and slowdown the estimate
+	// from it as of estimatedAt, 1 if it states none.
+	speed    presentSpeed
+	slowdown float64
+	// usualServiceMs averages the service time of a plain service at the usual speed.
+	usualServiceMs average
 	// utilization is the averaged fraction of time in which there was a backlog.
 	utilization float64
 	updatedAt   time.Duration
@@ -74,7 +80,7 @@
 const defaultServiceMs = 40
 
 func newUpstream(now time.Duration, m Member, cfg *Config, yield *prefillYield, groupFit *prefillFit) *upstream {
-	u := &upstream{Member: m, cfg: cfg, prefillYield: yield, groupFit: groupFit, cache: newCache(), updatedAt: now}
+	u := &upstream{Member: m, cfg: cfg, prefillYield: yield, groupFit: groupFit, cache: newCache(), updatedAt: now, speed: newPresentSpeed(), slowdown: 1}
 	u.updateEstimate(now)
 	return u
 }
@@ -92,6 +98,7 @@
 // is configured.
 func (u *upstream) updateEstimate(now time.Duration) {
 	u.estimatedAt = now
+	u.updateSlowdown(now)
 	if !u.cfg.Engine {
 		u.learnt = estimate{factor: 1}
 		return
@@ -103,7 +110,11 @@
 
 // serviceTime returns the expected service time of a plain service.
 func (u *upstream) serviceTime(now time.Duration, averages *averages) time.Duration {
-	return time.Duration(u.serviceMs.value(now, averages.serviceTime) * float64(time.Millisecond))
+	ms := u.serviceMs.value(now, averages.serviceTime)
+	if u.speed.stated() {
+		ms = u.usualServiceMs.value(now, averages.usualServiceTime) * u.slowdown
+	}
+	return time.Duration(ms * float64(time.Millisecond))
 }
 
 // excessFailureRate returns by how much the upstream's failure rate exceeds the mean of
@@ -120,7 +131,7 @@
 	ms := uncached/u.cfg.PrefillTokensPerMs +
 		uncached*(float64(available)+uncached/2)/u.cfg.AttentionPairsPerMs +
 		math.Ceil(uncached/float64(u.cfg.ChunkTokens))*u.cfg.PrefillStepMs
-	return time.Duration(ms*u.learnt.factor*float64(time.Millisecond)) + time.Duration(copied)*u.CopyPerToken
+	return time.Duration(ms*u.prefillFactor()*float64(time.Millisecond)) + time.Duration(copied)*u.CopyPerToken
 }
 
 // backlog returns the predicted time until the upstream has prefilled what it was sent.
@@ -142,7 +153,7 @@
 
 // decodeStep returns the time per output token while nothing is prefilled.
 func (u *upstream) decodeStep() time.Duration {
-	return time.Duration(u.cfg.DecodeStepMs * u.learnt.factor * float64(time.Millisecond))
+	return time.Duration(u.cfg.DecodeStepMs * u.prefillFactor() * float64(time.Millisecond))
 }
 
 // currentDecodeStep returns the current time per output token. During prefill each decode
@@ -152,7 +163,7 @@
 	if !prefilling || len(u.prefills.jobs) == 0 {
 		return decode
 	}
-	chunk := float64(u.cfg.ChunkTokens) / u.cfg.PrefillTokensPerMs * u.learnt.factor
+	chunk := float64(u.cfg.ChunkTokens) / u.cfg.PrefillTokensPerMs * u.prefillFactor()
 	longest := decode + time.Duration(chunk*float64(time.Millisecond))
 	return min(max(u.prefills.jobs[0].cost, decode), longest)
 }
@@ -192,6 +203,7 @@
 func (u *upstream) assign(j *job, now time.Duration) {
 	u.update(now)
 	j.upstream, j.state, j.sentAt = u, sent, now
+	j.usualCost = time.Duration(float64(j.cost) / u.slowdown)
 	u.prefills.add(now, u.learnt.delay, j)
 	j.prefillDeadline = now + 2*(u.backlog(now)+u.learnt.delay) + prefillGrace
 	u.running++
@@ -237,7 +249,7 @@
 	if !ok {
 		return
 	}
-	predictedMs := milliseconds(j.cost) / u.learnt.factor
+	predictedMs := milliseconds(j.usualCost) / u.learnt.factor * u.speed.meanSlowdown(now-measured, now)
 	limit := maxMeasuredRatio * predictedMs
 	if delayed {
 		limit += milliseconds(u.learnt.delay + maxMeasuredSlack)
@@ -273,6 +285,7 @@
 		u.banDuration = 0
 		if took > 0 && !u.cfg.Engine {
 			u.serviceMs.add(now, float64(took)/float64(time.Millisecond))
+			u.updateUsualServiceTime(now, took)
 		}
 	case Failed:
 		u.failureRate.add(now, 1)
