gateway: upstreams' load is read from their responses

Cause: HeaderNames.Load named a header that nothing read.

Change: three or four figures of the header become a dispatch.LoadReport, which goes to the placer with the first byte. Its age counts from the response's head.

--- a/gateway/deps.go
+++ b/gateway/deps.go
@@ -27,7 +27,8 @@
 // group are made by one router, its home.
 type Placer interface {
 	Place(ctx context.Context, service string, r dispatch.Request) (dispatch.Decision, error)
-	// Started reports the first byte of a response, and the load that its upstream stated.
+	// Started reports the first byte of a response, and the load that its upstream stated, the
+	// zero value if it stated none.
 	Started(service string, t dispatch.Ticket, load dispatch.LoadReport)
 	// Group returns the group of the service's upstreams whose home decides on a request.
 	Group(service string, r dispatch.Request) int
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -65,6 +65,8 @@
 	streams *resumption.Table
 	// group is the upstream group whose home decides.
 	group int
+	// loads are the loads that were reported with the first bytes of responses.
+	loads []dispatch.LoadReport
 }
 
 func (p *fakePlacer) Place(_ context.Context, _ string, r dispatch.Request) (dispatch.Decision, error) {
@@ -97,7 +99,17 @@
 	return append([]dispatch.Request(nil), p.placed...)
 }
 
-func (p *fakePlacer) Started(string, dispatch.Ticket, dispatch.LoadReport) {}
+func (p *fakePlacer) Started(_ string, _ dispatch.Ticket, load dispatch.LoadReport) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loads = append(p.loads, load)
+}
+
+func (p *fakePlacer) statedLoads() []dispatch.LoadReport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]dispatch.LoadReport(nil), p.loads...)
+}
 
 func (p *fakePlacer) Done(_ string, _ dispatch.Ticket, o dispatch.Outcome, _ time.Duration) {
 	p.mu.Lock()
--- a/gateway/header_names.go
+++ b/gateway/header_names.go
@@ -25,7 +25,7 @@
 	Parts string
 	// LengthHint is the caller's estimate of the output tokens.
 	LengthHint string
-	// Load is the upstream's current load.
+	// Load is the upstream's current load, see parseLoad.
 	Load string
 	// CopyFrom is the address of an engine from which the receiving engine copies cached
 	// parts of the prompt.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -43,6 +43,7 @@
 		return s.handleSendError(ctx, r, t, id, time.Since(sentAt), err)
 	}
 	defer a.Close()
+	load := s.statedLoad(a)
 	if !r.route.Repeatable() {
 		// The body won't be sent again. Keeping it would hold hundreds of prompts in memory
 		// for as long as their responses run. The content key is computed first, since it is
@@ -54,7 +55,7 @@
 	r.record.attempts++
 	res, outcome := s.handleResponse(ctx, r, out, a, func() {
 		r.record.firstByte = time.Since(r.arrived)
-		s.placer.Started(r.service, t, dispatch.LoadReport{})
+		s.placer.Started(r.service, t, load.report())
 		s.teams.countStarted(r)
 	})
 	if outcome == dispatch.Served {
