fleet: the load that an upstream states goes to its home

Cause: a home gets the first byte of a response without the load that its upstream stated.

Change: the report of a first byte carries it in a field that earlier releases decode and ignore there, so that a home of the earlier release still gets the first bytes of new routers.

--- a/fleet/home.go
+++ b/fleet/home.go
@@ -77,7 +77,7 @@
 	at := time.Duration(now)
 	switch r.Kind {
 	case reportStarted:
-		n.deliver(now, key, g.core.Started(at, ticket))
+		n.deliver(now, key, g.core.StartedWithLoad(at, ticket, packedLoad(r.Started).unpack()))
 	case reportEnded:
 		n.deliver(now, key, g.core.Done(at, ticket, r.Outcome, duration(r.DurationMs)))
 	case reportInFlight:
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -188,7 +188,8 @@
 	// the response was received.
 	Request  *placeRequest
 	Upstream string
-	// Started is when the upstream's process that has the request was started.
+	// Started is when the upstream's process that has the request was started. With reportStarted,
+	// it is the packedLoad that the upstream stated.
 	Started         int64
 	ResponseStarted bool
 }
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -231,6 +231,7 @@
 		home = n.homeOf(now, h.group)
 		if e.kind == reportStarted {
 			h.responseStarted = true
+			r.Started = n.packLoad(e.load)
 		} else {
 			delete(n.inFlight, e.seq)
 		}
--- a/fleet/size_test.go
+++ b/fleet/size_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -37,6 +38,8 @@
 			Team: "hule930", Hash: 1 << 63, Status: quarantine.Quarantined, Version: 3, LeftS: 7200,
 		}}, maxNoticesPerDatagram)}}}, 20 + 30*maxNoticesPerDatagram},
 		"stream": {packet{From: 1 << 63, Stream: &streamMessage{Kind: streamKnown, Stream: 1 << 63, Service: "huvo11a", SoftwareVersion: "v1.12"}}, 45},
+		"first byte": {packet{From: 1 << 63, Report: &report{Kind: reportStarted, Seq: 1 << 20, Service: "huvo11a", Started: int64(packLoad(
+			dispatch.LoadReport{Running: 40, Waiting: 3, Slots: 48, Slowdown: 2.5, Age: time.Millisecond}))}}, 45},
 		"report": {packet{From: 1 << 63, Report: &report{Kind: reportEnded, Seq: 1 << 20, Service: "huvo11a", DurationMs: 2000}}, 45},
 	}
 	for name, c := range cases {
