--- a/fleet/size_test.go
+++ b/fleet/size_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -42,6 +43,8 @@
 		"leave refused": {packet{From: 1 << 63, Extension: &extension{Entry: &entryMessage{
 			Kind: entryRefused, AskedAt: 1 << 50, SpanMs: 28000, Reason: entry.TooManyUnavailable,
 		}}}, 35},
+		"first byte": {packet{From: 1 << 63, Report: &report{Kind: reportStarted, Seq: 1 << 20, Service: "huvo11a", Started: int64(packLoad(
+			dispatch.LoadReport{Running: 40, Waiting: 3, Slots: 48, Slowdown: 2.5, Age: time.Millisecond}))}}, 45},
 		"report": {packet{From: 1 << 63, Report: &report{Kind: reportEnded, Seq: 1 << 20, Service: "huvo11a", DurationMs: 2000}}, 45},
 	}
 	for name, c := range cases {
