dispatch, fleet: a failure domain that asks for a session often gets its own copy

Cause: with a fixed distance the requests of a session stayed at the one engine that caches it in another domain for ever; where a copy is cheap, every domain copied at its first request. Change: a domain pays for a copy (or a short prefill, at most MaxRecompute) with its recent requests for the session, 10 ms of work each, counted in a fixed table of 4,096 entries; the copy uses them up, so copies that are soon evicted don't recur. Copies for a domain take at most a tenth of its engines' time, so that a domain's return is no rush. The distance is a tenth of the request's target and falls to 0 where the near engine is used half of the time more. Counts near, far and copiedForDomain in the dump and the group line.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -15,6 +15,8 @@
 	// cachedElsewhere is set if the cost exceeds the lowest cost of any upstream by more
 	// than MaxRecompute, because parts of the prompt are cached there.
 	cachedElsewhere bool
+	// copied is the work that is repeated to keep the request within its failure domain.
+	copied time.Duration
 }
 
 // better reports whether a is the better choice, which is the one with the lower score. A
@@ -37,7 +39,7 @@
 			lowestCost = p.cost
 		}
 	}
-	preferNear := c.preferNear && j.Domain != ""
+	preferNear := c.prefersNear(j)
 	var found, local choice
 	ok := false
 	for i, u := range c.upstreams {
@@ -58,7 +60,7 @@
 		}
 	}
 	if preferNear {
-		found = c.preferLocal(j, found, local)
+		found = c.preferLocal(now, j, found, local)
 	}
 	return found, ok
 }
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -38,10 +38,14 @@
 	// and once times its fraction of used slots. It places new sessions where there will be
 	// room for their next requests.
 	LoadPenalty time.Duration
-	// DistancePenalty is added to the score of an engine in another failure domain than that of
-	// the router that received the request. It is the delay that callers accept for their
-	// requests to stay within the domain: a tenth of the shortest usual targets.
-	DistancePenalty time.Duration
+	// DistanceFraction is the fraction of a request's target by which an engine in another
+	// failure domain than that of its router has to be better than those in the domain. It is
+	// small beside TargetFraction: callers hardly notice the delay.
+	DistanceFraction float64
+	// DistanceWork is the time of copies or prefill that may be repeated in a failure domain for
+	// each of its requests for a session, so that the next ones stay in the domain. It is twice
+	// what a request and its connection take longer between domains 1.4 ms apart.
+	DistanceWork time.Duration
 	// DecodePenalty is added to the score for each token that a request may generate,
 	// times the upstream's utilization. Streams are slow while an engine prefills, and a
 	// long answer may miss its deadline.
@@ -86,7 +90,8 @@
 		MinCopyTokens:             300,
 		MinAwaitTokens:            150,
 		LoadPenalty:               60 * time.Millisecond,
-		DistancePenalty:           40 * time.Millisecond,
+		DistanceFraction:          0.1,
+		DistanceWork:              10 * time.Millisecond,
 		DecodePenalty:             2 * time.Millisecond,
 		TargetFraction:            0.9,
 		OverShareTargetFraction:   0.4,
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -26,8 +26,7 @@
 	warmUpGranted bool
 	// probesRequired is set while only probes show whether upstreams are warming up.
 	probesRequired bool
-	// preferNear is set if upstreams in the failure domain of a request's router are preferred.
-	preferNear bool
+	locality       locality
 }
 
 // New returns a core without upstreams.
@@ -130,6 +129,9 @@
 		c.refuse(now, j, best)
 		return
 	}
+	if c.prefersNear(j) {
+		c.recordDomainDemand(now, j, best)
+	}
 	if c.ready(best.u, j, now) && !c.readyAheadOf(best.u, j, now) {
 		j.cost, j.copyFrom = best.plan.cost, best.plan.source
 		c.send(now, best.u, j, best.firstByte)
@@ -148,6 +150,7 @@
 	j.warming = warming
 	u.assign(j, now)
 	c.counts.Sent++
+	c.countDistance(j, u)
 	c.shares.addServed(now, j.Team, j.chargedTokens)
 	d := Decision{
 		Ticket: j.Ticket, Verdict: Send, Upstream: u.ID, PredictedFirstByte: predictedFirstByte, SinceFirstAttempt: j.sinceFirstAttempt, OverShare: j.overShare(), Warming: warming,
--- a/dispatch/locality_test.go
+++ b/dispatch/locality_test.go
@@ -155,3 +155,62 @@
 		}
 	}
 }
+
+// Guards against callers who are served less because their domain has few upstreams in a group, or
+// none.
+func TestSmallDomainsRelyOnOthers(t *testing.T) {
+	g := NewWithT(t)
+	members := engines(33)
+	for i := range members {
+		switch {
+		case i < 1:
+			members[i].Domain = "one"
+		case i < 3:
+			members[i].Domain = "two"
+		default:
+			members[i].Domain = "thirty"
+		}
+	}
+	served := func(domain string, enabled bool) float64 {
+		c := dispatch.New(localConfig(true))
+		c.SetMembers(time.Second, members)
+		c.SetLocality(enabled)
+		run := newSimulation(c)
+		run.domain = domain
+		for range 1000 { // 10 s at nine tenths of the capacity
+			run.step(10 * time.Millisecond)
+			run.submit("a", run.seq%60)
+			run.submit("a", run.seq%60)
+		}
+		return float64(run.served["a"]) / float64(run.submitted["a"])
+	}
+	for _, domain := range []string{"one", "two", "thirty", "none"} {
+		with, without := served(domain, true), served(domain, false)
+		t.Logf("%s: %.3f with locality, %.3f without", domain, with, without)
+		g.Expect(with).To(BeNumerically(">=", without-0.02), domain)
+	}
+}
+
+// Guards against requests that wait for an upstream of their domain beside a free slot elsewhere.
+func TestFreeSlotServesRequestsThatWaitInOtherDomains(t *testing.T) {
+	g := NewWithT(t)
+	c := dispatch.New(localConfig(false))
+	c.SetLocality(true)
+	c.SetMembers(time.Second, []dispatch.Member{
+		{Incarnation: incarnation("near"), Slots: 1, Domain: "a"}, {Incarnation: incarnation("far"), Slots: 1, Domain: "b"},
+	})
+	submit := func(seq uint64) dispatch.Decision {
+		return c.Submit(2*time.Second, dispatch.Request{Ticket: ticket(seq), Team: "t", Domain: "a", Target: 300 * time.Millisecond, Timeout: time.Second})[0]
+	}
+	g.Expect(submit(1).Upstream).To(Equal("near"))
+	g.Expect(submit(2).Upstream).To(Equal("far"))
+	g.Expect(submit(3).Verdict).To(Equal(dispatch.Wait))
+	g.Expect(submit(4).Verdict).To(Equal(dispatch.Wait))
+	running := ticket(2)
+	for range 2 {
+		sent := c.Done(2050*time.Millisecond, running, dispatch.Served, 50*time.Millisecond)
+		g.Expect(sent).To(HaveLen(1))
+		g.Expect(sent[0].Upstream).To(Equal("far"))
+		running = sent[0].Ticket
+	}
+}
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -17,6 +17,7 @@
 // sent to an upstream that has lost their cached parts, or wait behind work that is no
 // longer running. Late completions of the earlier incarnation don't affect the new one.
 func (c *Core) SetMembers(now time.Duration, members []Member) []Decision {
+	c.locality.setMembers(members)
 	c.severalVersions = slices.ContainsFunc(members, func(m Member) bool { return m.Version != members[0].Version })
 	next := make([]*upstream, 0, len(members))
 	byID := make(map[string]*upstream, len(members))
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -45,6 +45,12 @@
 	Refused   int `json:"refused"`
 	// RefusedOverShare is the part of Refused that came from teams above their share.
 	RefusedOverShare int `json:"refusedOver"`
+	// Near and Far are the parts of Sent that stayed within the failure domain of their router
+	// and left it. CopiedForDomain is the number of requests for which parts were copied, or
+	// prefilled again, to stay within it.
+	Near            int `json:"near"`
+	Far             int `json:"far"`
+	CopiedForDomain int `json:"copiedForDomain"`
 }
 
 // State returns the core's state.
@@ -88,5 +94,6 @@
 	return Counts{
 		Submitted: c.Submitted - earlier.Submitted, Sent: c.Sent - earlier.Sent,
 		Refused: c.Refused - earlier.Refused, RefusedOverShare: c.RefusedOverShare - earlier.RefusedOverShare,
+		Near: c.Near - earlier.Near, Far: c.Far - earlier.Far, CopiedForDomain: c.CopiedForDomain - earlier.CopiedForDomain,
 	}
 }
