lab: failure domains of engines and callers, bytes between them

Cause: no simulation had failure domains, so locality couldn't be compared under load. Change: Fleet.Domains gives engines and requests a domain; results have the bytes of requests and answers that cross and the tokens that engines copy. Sheets of two deployments with three and four domains. Random streams of earlier simulations are unchanged. TestSimulationsRepeat, the domain and the sheet tests pass; the other lab tests were not run.

--- a/lab/engine.go
+++ b/lab/engine.go
@@ -27,7 +27,9 @@
 	// prefilled counts prompt tokens prefilled, redundant those of shared parts that another
 	// engine had cached.
 	prefilled, redundant int
-	peers                map[string]*engine
+	// copied counts prompt tokens copied from other engines, domain is the failure domain.
+	copied, domain int
+	peers          map[string]*engine
 	// down is set while the engine restarts after a crash. incarnation differs for each start of
 	// each engine.
 	down        bool
@@ -80,6 +82,7 @@
 		return
 	}
 	e.clock.after(time.Duration(remote-local)*e.model.copyPerToken(), func() {
+		e.copied += remote - local
 		e.cachePrefix(s.parts, remote)
 		e.enqueue(s)
 	})
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -7,6 +7,8 @@
 	Engines, Routers int
 	// Homes is the number of homes that divide the engines; 0 means one.
 	Homes int
+	// Domains, if not nil, divides the fleet into failure domains.
+	Domains *Domains
 	// SpreadTeams are the teams whose callers use all routers if RouterCPUs is set. The callers
 	// of any other team use one router.
 	SpreadTeams []int
--- a/lab/homes.go
+++ b/lab/homes.go
@@ -22,7 +22,7 @@
 func (s *simulation) newMultiHomePolicy(delay time.Duration) *multiHomePolicy {
 	h := &multiHomePolicy{sim: s, ledger: dispatch.NewLedger(dispatch.DefaultConfig(true).ShareWindow), delay: delay}
 	for i := range s.fleet.Homes {
-		h.cores = append(h.cores, s.newHomePolicy(dispatch.DefaultConfig(true), delay, i, s.fleet.Homes))
+		h.cores = append(h.cores, s.newHomePolicy(s.fleet.locality(dispatch.DefaultConfig(true)), delay, i, s.fleet.Homes))
 		// Stagger the reports of the homes.
 		s.clock.after(reportInterval*time.Duration(i)/time.Duration(s.fleet.Homes), func() { h.report(i) })
 	}
@@ -35,7 +35,7 @@
 // replace replaces a home by one without any state. Routers report their in-flight requests
 // at its engines; requests that waited at the previous home are submitted again.
 func (h *multiHomePolicy) replace(home int) {
-	replacement := h.sim.newHomePolicy(dispatch.DefaultConfig(true), h.delay, home, len(h.cores))
+	replacement := h.sim.newHomePolicy(h.sim.fleet.locality(dispatch.DefaultConfig(true)), h.delay, home, len(h.cores))
 	previous := h.cores[home]
 	h.cores[home] = replacement
 	previous.replaced = true
--- a/lab/policy.go
+++ b/lab/policy.go
@@ -50,9 +50,9 @@
 		if s.fleet.Homes > 1 {
 			return s.newMultiHomePolicy(oneWayDelay)
 		}
-		return s.newCorePolicy(dispatch.DefaultConfig(true), oneWayDelay)
+		return s.newCorePolicy(s.fleet.locality(dispatch.DefaultConfig(true)), oneWayDelay)
 	case Omniscient:
-		return s.newCorePolicy(s.load.Sheet.Engine.config(), 0)
+		return s.newCorePolicy(s.fleet.locality(s.load.Sheet.Engine.config()), 0)
 	case Random:
 		return &statelessPolicy{sim: s, pickEngine: func(*request) int { return s.rng.IntN(len(s.engines)) }}
 	case SessionHash:
@@ -89,6 +89,7 @@
 // newHomePolicy returns the policy of one of several homes that divide the engines.
 func (s *simulation) newHomePolicy(cfg dispatch.Config, delay time.Duration, homeIndex, homeCount int) *corePolicy {
 	c := &corePolicy{sim: s, core: dispatch.New(cfg), delay: delay, homeIndex: homeIndex, homeCount: homeCount}
+	c.core.SetLocality(true)
 	c.setEngines(0)
 	c.scheduleOutages(s.fleet.EngineOutages)
 	c.tick()
@@ -103,7 +104,7 @@
 		if i%c.homeCount != c.homeIndex {
 			continue
 		}
-		members = append(members, dispatch.Member{Incarnation: dispatch.Incarnation{ID: e.id}, Slots: engine.Slots, KVTokens: engine.KVTokens, CopyPerToken: engine.copyPerToken(), Version: c.sim.fleet.version(i)})
+		members = append(members, dispatch.Member{Incarnation: dispatch.Incarnation{ID: e.id}, Slots: engine.Slots, KVTokens: engine.KVTokens, CopyPerToken: engine.copyPerToken(), Version: c.sim.fleet.version(i), Domain: c.sim.fleet.domainName(e.domain)})
 	}
 	c.core.SetCapacity(c.sim.load.Sheet.TokensPerSecond * float64(len(members)) / float64(c.sim.load.Sheet.Engines))
 	c.deliver(c.core.SetMembers(c.sim.clock.now, members))
@@ -162,7 +163,7 @@
 	}
 	return dispatch.Request{
 		Ticket: c.ticket(r), Team: strconv.Itoa(r.team), Prompt: r.prompt(), Output: r.outputHint,
-		Parts: r.parts, Target: target, Timeout: c.sim.remaining(r), Version: r.version,
+		Parts: r.parts, Target: target, Timeout: c.sim.remaining(r), Version: r.version, Domain: c.sim.fleet.domainName(r.domain),
 	}
 }
 
--- a/lab/sheet.go
+++ b/lab/sheet.go
@@ -90,8 +90,9 @@
 //go:embed sheets/*.json
 var builtinSheets embed.FS
 
-// BuiltinSheet returns an embedded sheet: midlands, vilaine-grown, cooling or cooling-grown.
-// It panics if there is no such sheet or the sheet is invalid; the tests read all of them.
+// BuiltinSheet returns an embedded sheet: midlands, vilaine-grown, cooling, cooling-grown, ledger
+// or helpline. It panics if there is no such sheet or the sheet is invalid; the tests read all of
+// them.
 func BuiltinSheet(name string) *Sheet {
 	file := "sheets/" + name + ".json"
 	raw, err := builtinSheets.ReadFile(file)
--- a/lab/simulation.go
+++ b/lab/simulation.go
@@ -29,11 +29,15 @@
 	crash *crashState
 	// seq is the number of the latest attempt.
 	seq uint64
+	// promptTokens and farBytes are sums over the requests that were sent to engines.
+	promptTokens, farBytes int
 }
 
 // request is a caller's request, with the state of its latest attempt.
 type request struct {
 	arrival
+	// domain is the failure domain of the router that received the request.
+	domain int
 	// seq identifies the latest attempt and attempts counts them; parts and outputHint are the
 	// same for all attempts.
 	seq      uint64
@@ -93,6 +97,10 @@
 	// ContinuedBegun and NewBegun are the fractions of the continued streams and of the other
 	// requests that an engine began to answer.
 	ContinuedBegun, NewBegun float64
+	// FarBytes is the mean number of bytes of a request and its answer that crossed between
+	// failure domains, and Copied the fraction of the prompt tokens that were copied between
+	// engines.
+	FarBytes, Copied float64
 	// Crash is what a CrashingPart causes.
 	Crash   CrashResult
 	offered float64
@@ -111,7 +119,7 @@
 	for i := range f.Engines {
 		e := newEngine(fmt.Sprintf("e%d", i), sim.clock, model, model.Speeds[i%len(model.Speeds)])
 		e.peers = sim.engineByID
-		e.incarnation = uint32(i)
+		e.incarnation, e.domain = uint32(i), f.engineDomain(i)
 		e.crashesOn, e.crashed = sim.hasCrashingPart, func() { sim.crashed(e) }
 		sim.engines = append(sim.engines, e)
 		sim.engineByID[e.id] = e
@@ -127,6 +135,7 @@
 	}
 	sim.policy = sim.newPolicy(p)
 	versions := rand.New(rand.NewPCG(l.Seed, versionStream))
+	domains := rand.New(rand.NewPCG(l.Seed, domainStream))
 	crashing := rand.New(rand.NewPCG(l.Seed, crashingStream))
 	for i, a := range l.arrivals(f.Routers) {
 		if c := f.CrashingPart; c != nil && crashing.Float64() < c.Fraction {
@@ -137,6 +146,7 @@
 		}
 		r := &request{arrival: a}
 		r.parts = sim.parts(r, uint64(i+1))
+		r.domain = f.entryDomain(r.team, domains.Float64())
 		if f.Release != nil && versions.Float64() < f.Release.Continued {
 			r.version = oldVersion
 		}
@@ -270,6 +280,7 @@
 	}
 	r.engineSequence.done = func() { s.answered(r) }
 	r.upstream = d.Upstream
+	s.countTraffic(r, s.engineByID[d.Upstream])
 	s.engineByID[d.Upstream].submit(r.engineSequence, s.engineByID[d.CopyFrom])
 }
 
@@ -349,14 +360,16 @@
 	res.FairShareWorth, res.WorstTeamsWorth, res.FairnessRatio = s.earnings.earnings(), s.earnings.worstRatio(), s.fairness.worstRatio()
 	res.TrimmedFairnessRatio = s.fairness.trimmedWorstRatio(trimmedRequests)
 	res.ContinuedBegun, res.NewBegun = s.begunRatio(oldVersion), s.begunRatio("")
-	prefilled, redundant := 0, 0
+	prefilled, redundant, copied := 0, 0, 0
 	for _, e := range s.engines {
 		prefilled += e.prefilled
 		redundant += e.redundant
+		copied += e.copied
 	}
 	if s.crash != nil {
 		res.Crash = s.crash.result
 	}
+	res.FarBytes, res.Copied = float64(s.farBytes)/n, float64(copied)/float64(max(s.promptTokens, 1))
 	res.RedundantPrefill = float64(redundant) / float64(max(prefilled, 1))
 	return res
 }
