--- a/dispatch/locality_internal_test.go
+++ b/dispatch/locality_internal_test.go
@@ -21,7 +21,7 @@
 		for i := range rapid.IntRange(1, 8).Draw(rt, "upstreams") {
 			members = append(members, Member{
 				Incarnation: Incarnation{ID: fmt.Sprint("u", i)}, Slots: rapid.IntRange(1, 8).Draw(rt, "slots"), KVTokens: 60000,
-				CopyPerToken: 4 * time.Microsecond, Domain: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "domain"),
+				CopyPerToken: rapid.SampledFrom([]time.Duration{0, 4 * time.Microsecond}).Draw(rt, "copy"), Domain: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "domain"),
 			})
 		}
 		c.SetMembers(0, members)
@@ -34,6 +34,9 @@
 				Parts:  []Part{{ID: session, Tokens: 4000}, {ID: 1000 + seq, Tokens: 2000}},
 				Target: time.Duration(rapid.IntRange(50, 900).Draw(rt, "target")) * time.Millisecond, Timeout: 5 * time.Second,
 			}
+			if rapid.Bool().Draw(rt, "retried") {
+				r.Avoid = []string{members[0].ID}
+			}
 			checkPlacement(rt, c, now, c.newJob(now, r))
 			c.SetLocality(true)
 			for _, d := range c.Submit(now, r) {
--- a/dispatch/locality_test.go
+++ b/dispatch/locality_test.go
@@ -89,7 +89,7 @@
 // repeat.
 func TestDecisionsWithoutLocalityStayTheSame(t *testing.T) {
 	g := NewWithT(t)
-	both, one, unknown := []string{"a", "b"}, []string{"a"}, []string{""}
+	both, partlyKnown, one, unknown := []string{"a", "b"}, []string{"a", ""}, []string{"a"}, []string{""}
 	for seed := range uint64(5) {
 		playOn := func(cfg dispatch.Config, enabled bool, domains, callers []string) []dispatch.Decision {
 			members := domainEngines(6, domains...)
@@ -100,7 +100,7 @@
 		}
 		before := playOn(dispatch.DefaultConfig(true), true, both, both)
 		g.Expect(playOn(localConfig(true), false, both, both)).To(Equal(before))
-		g.Expect(playOn(localConfig(true), true, both, unknown)).To(Equal(playOn(dispatch.DefaultConfig(true), true, both, unknown)))
+		g.Expect(playOn(localConfig(true), true, partlyKnown, unknown)).To(Equal(playOn(dispatch.DefaultConfig(true), true, partlyKnown, unknown)))
 		g.Expect(playOn(localConfig(true), true, one, both)).To(Equal(before))
 		local := playOn(localConfig(true), true, both, both)
 		g.Expect(local).NotTo(Equal(before))
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -15,8 +15,8 @@
 	// remaining is the time until the request's deadline at its arrival.
 	remaining time.Duration
 	upstream  string
-	// version is the software version of upstream.
-	version string
+	// version is the software version of upstream, upstreamDomain its failure domain.
+	version, upstreamDomain string
 	// framing is how the last upstream's response marked the end of its body. streamEnd is where its
 	// stream ended, "" if it was complete.
 	framing, streamEnd string
@@ -63,6 +63,9 @@
 	if r.version != "" {
 		e.Str("version", r.version)
 	}
+	if r.upstreamDomain != "" {
+		e.Str("upstream_domain", r.upstreamDomain)
+	}
 	if r.framing != "" {
 		e.Str("framing", r.framing)
 	}
--- a/gateway/regions_test.go
+++ b/gateway/regions_test.go
@@ -56,6 +56,8 @@
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
 			g.Expect(body).To(Equal(c.want))
+			domain := map[string]string{"east": "d1", "west": "d2"}[c.want]
+			g.Eventually(func() []map[string]any { return r.eventLines("served") }).Should(ConsistOf(HaveKeyWithValue("upstream_domain", domain)))
 		})
 	}
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -29,7 +29,7 @@
 	}
 	s.countFirstAttempt(r)
 	r.sentVersion = u.Version
-	r.record.upstream, r.record.version = id, u.Version
+	r.record.upstream, r.record.version, r.record.upstreamDomain = id, u.Version, u.FailureDomain
 	r.record.upstreamLeaving, r.record.upstreamRetryAfter = false, 0
 	sentAt := time.Now()
 	r.sentTo, r.sentAt, r.events, r.answerStarted = incarnation(u), sentAt, 0, false
