fleet, gateway: waiting requests are refused once the router's state is too old

Cause: a request of a team that its home has queued when the view of the keys gets too old is refused when it is sent, which may be seconds later; its caller waits for nothing. Change: the router refuses its waiting requests with a key as soon as its state isn't fresh, as stale_view, and cancels them at their homes. Routes without a key go on.

--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -99,6 +99,9 @@
 	// RouterOverloaded is set if no reply of a home was processed because the submitting
 	// router is overloaded. Another router can take the request at once.
 	RouterOverloaded bool
+	// StaleState is set if the state of the submitting router has become too old to serve the request
+	// while it waited.
+	StaleState bool
 	// Details holds the reasons of a refusal, for the log.
 	Details RefusalDetails
 }
--- a/fleet/ask.go
+++ b/fleet/ask.go
@@ -60,6 +60,21 @@
 	}
 }
 
+// refuseOnStaleState refuses the waiting requests of teams once this router's state is too old to
+// accept their keys. They would be refused when they are sent.
+func (n *Node) refuseOnStaleState(now boottime.Time) {
+	if len(n.pending) == 0 || n.feed.Fresh() {
+		return
+	}
+	for seq, p := range n.pending {
+		if p.request.Team == "" {
+			continue
+		}
+		n.sendReport(now, p.home, &report{Kind: reportEnded, Seq: seq, Service: p.key.service, Group: p.key.index, Outcome: dispatch.NotSent})
+		n.applyDecision(now, dispatch.Decision{Ticket: p.request.Ticket, Verdict: dispatch.Refuse, StaleState: true})
+	}
+}
+
 // responding reports whether a home has answered other requests and sent its heartbeats. A request
 // that it has queued would otherwise wait until the predicted time of its decision.
 func (n *Node) responding(home *member) bool {
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -158,6 +158,7 @@
 	n.probeLagIfStale(now)
 	n.contactSeeds(now)
 	n.chooseReaders(now)
+	n.refuseOnStaleState(now)
 	n.retryPlacements(now)
 	for key, g := range n.groups {
 		n.deliver(now, key, g.core.Tick(time.Duration(now)))
--- a/fleet/held_test.go
+++ b/fleet/held_test.go
@@ -66,3 +66,35 @@
 		}
 	})
 }
+
+// Guards against requests that wait for their home's decision although this router's state has become
+// too old to accept their keys.
+func TestQueuedRequestsAreRefusedOnceTheStateIsStale(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &source{revision: 1, version: 1}
+		c := startCluster(t, 5, s)
+		_, m := homeAndOther(g, c.all)
+		s.change(func() { s.unavailable = true })
+		g.Eventually(m.feed.Age, revokeTimeout, 10*time.Millisecond).Should(BeNumerically(">", revokeTimeout/2))
+		decisions := make(chan dispatch.Decision, 100)
+		for i := range uint64(40) {
+			go func() {
+				d, _ := placeLong(m, 10+i)
+				decisions <- d
+			}()
+			time.Sleep(time.Millisecond)
+		}
+		g.Eventually(m.feed.Fresh, revokeTimeout, 10*time.Millisecond).Should(BeFalse())
+		g.Expect(m.node.Dump().Pending).To(BeNumerically(">=", 10))
+		time.Sleep(20 * time.Millisecond)
+		g.Expect(m.node.Dump().Pending).To(BeZero())
+		stale := 0
+		for range 40 {
+			if (<-decisions).StaleState {
+				stale++
+			}
+		}
+		g.Expect(stale).To(BeNumerically(">=", 10))
+	})
+}
--- a/gateway/placement_refusal.go
+++ b/gateway/placement_refusal.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
 )
@@ -36,8 +37,16 @@
 	return unknownOutcome(http.StatusGatewayTimeout, "deadline", "no answer came in time; the request may have run")
 }
 
+// staleViewRefusal returns the refusal of a request with a key by a router whose state is too old.
+func staleViewRefusal() *refusal {
+	return notRun("stale_view", "this router's view of the keys is too old to decide", time.Second)
+}
+
 // placementRefused converts a refusal by the home, with its Retry-After delay.
 func (s *Server) placementRefused(r *request, d dispatch.Decision) *refusal {
+	if d.StaleState {
+		return staleViewRefusal()
+	}
 	if d.OverShare {
 		s.teams.update(r.teamName(), func(l *TeamLoad) { l.OverShare++ })
 		return overShareRefusal(d.RetryAfter)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -133,7 +133,7 @@
 		return nil
 	}
 	if !s.state.Fresh() {
-		return notRun("stale_view", "this router's view of the keys is too old to decide", time.Second)
+		return staleViewRefusal()
 	}
 	keys := r.in.Header.Values(s.cfg.Headers.APIKey)
 	if len(keys) == 1 {
--- a/gateway/send_check.go
+++ b/gateway/send_check.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 )
 
 // checkBeforeSend checks, at the moment of sending, that the request's key is still valid
@@ -66,7 +65,7 @@
 		return nil
 	}
 	if !s.state.Fresh() {
-		return notRun("stale_view", "this router's view of the keys is too old to decide", time.Second)
+		return staleViewRefusal()
 	}
 	if s.state.Snapshot().Table.Team(r.in.Header.Get(s.cfg.Headers.APIKey)) == nil {
 		return permanentRefusal(http.StatusUnauthorized, "unknown_key", "no team holds this key any more")
