gateway, availability: a router that reaches no upstream refuses at once

Cause: a router whose links to the upstreams are cut tried one upstream after the other, 400 ms each: 1.49 s of the 1.5 s that a caller had, then not_placed or unreachable (measured with upstreams that answer no connection attempt). Change: once three upstreams have left connection attempts unanswered and none has answered since these began, the router has no path: a request that finds this is refused as no_path, later ones at once, except one in 200 ms as a probe. Any answer ends it; a refused connection is one. A log line for each change, and a counter.

--- a/gateway/send.go
+++ b/gateway/send.go
@@ -42,6 +42,7 @@
 	if err != nil {
 		return s.handleSendError(ctx, r, t, id, time.Since(sentAt), err)
 	}
+	s.pathAnswered()
 	defer a.Close()
 	if !r.route.Repeatable() {
 		// The body won't be sent again. Keeping it would hold hundreds of prompts in memory
@@ -98,6 +99,9 @@
 		}
 		s.placer.Done(r.service, t, connectErrorOutcome(err), 0)
 		r.tried = append(r.tried, id)
+		if s.recordConnectError(r.sentAt, id, err) {
+			return result{refused: noPath()}
+		}
 		return result{refused: notRun("unreachable", "the upstream can't be reached; the request was not run", defaultRetryAfter), retryable: true}
 	}
 	r.tried = append(r.tried, id)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -83,6 +83,9 @@
 	if refused := s.refuseUnservableVersion(r); refused != nil {
 		return result{refused: refused}
 	}
+	if refused := s.refuseWithoutPath(); refused != nil {
+		return result{refused: refused}
+	}
 	avoid, refused := s.avoid(r)
 	if refused != nil {
 		return result{refused: refused}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -34,6 +34,7 @@
 
 	// availability holds the upstreams that have sent this router a leaving notice.
 	availability *upstreamAvailability
+	path         *upstreamPath
 
 	shedder *shedder
 	teams   teamLoads
@@ -64,7 +65,7 @@
 	baseCtx, cancelRequests := context.WithCancelCause(context.Background())
 	return &Server{
 		cfg: cfg, state: state, placer: placer, pool: pool, budget: budget,
-		log: log, stats: newStats(metrics.Scope), start: time.Now(), shedder: newShedder(cfg.Shed), availability: newUpstreamAvailability(),
+		log: log, stats: newStats(metrics.Scope), start: time.Now(), shedder: newShedder(cfg.Shed), availability: newUpstreamAvailability(), path: newUpstreamPath(),
 		baseCtx: baseCtx, cancelRequests: cancelRequests,
 	}
 }
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -19,6 +19,8 @@
 	// unknownVersion counts continued streams that were refused since no router had recorded which
 	// software version began them.
 	unknownVersion tally.Counter
+	// noPath counts requests that were refused because this router reached no upstream.
+	noPath tally.Counter
 	// brokenStreams counts upstreams' streams that ended before they were complete, by framing.
 	brokenStreams map[eventstream.Framing]tally.Counter
 	// withheld counts requests that were placed by a home and then not sent, by reason.
@@ -35,6 +37,7 @@
 		refused:        scope.Counter("refusals"),
 		quarantined:    scope.Counter("quarantined"),
 		unknownVersion: scope.Counter("unknown_version"),
+		noPath:         scope.Counter("no_path"),
 		brokenStreams:  map[eventstream.Framing]tally.Counter{},
 		withheld:       map[withheldReason]tally.Counter{},
 		firstByte:      scope.Histogram("first_byte_seconds", latencyBuckets),
