soak: floods of connections, while routers may leave the load balancer

Cause: leaving and returning has to hold beside lost routers, restores and the other faults. Not in the default configuration, so that plans and routers of known seeds and of the other tests stay; the command has it on. Result: TestFloodedRouterLeavesTheLoadBalancer passes: the router leaves and returns, no violation.

--- a/cmd/aspenswitch-soak/main.go
+++ b/cmd/aspenswitch-soak/main.go
@@ -23,6 +23,7 @@
 	app.Flag("earlier-daemon", "Path of the router program of an earlier release, which every second router runs until its first restart.").StringVar(&cfg.EarlierDaemon)
 	app.Flag("framing-faults", "Inject streams without length or chunks, whole or cut inside an event.").Default("true").BoolVar(&cfg.FramingFaults)
 	app.Flag("part-faults", "Inject requests with parts of prompts that crash upstreams.").Default("true").BoolVar(&cfg.PartFaults)
+	app.Flag("flood-faults", "Inject floods of connections; overloaded routers leave the load balancer.").Default("true").BoolVar(&cfg.FloodFaults)
 	app.Flag("duration", "Duration of fault injection.").Default(cfg.Duration.String()).DurationVar(&cfg.Duration)
 	app.Flag("routers", "Router processes per run.").Default(fmt.Sprint(cfg.Routers)).IntVar(&cfg.Routers)
 	app.Flag("callers", "Callers per run.").Default(fmt.Sprint(cfg.Callers)).IntVar(&cfg.Callers)
--- a/soak/affected.go
+++ b/soak/affected.go
@@ -35,7 +35,7 @@
 		return s == storeScope
 	case StoreDelay, StoreReset, StoreStall, StorePartition, StoreDownForRouter:
 		return s == storeScope && f.Target == router
-	case RouterKill, RouterPause, CallersDelay, CallersReset, CallersStall, CallersPartition:
+	case RouterKill, RouterPause, CallersDelay, CallersReset, CallersStall, CallersPartition, ConnectionFlood:
 		return f.Target == router
 	default:
 		return false
--- a/soak/config.go
+++ b/soak/config.go
@@ -43,7 +43,11 @@
 	FramingFaults bool
 	// PartFaults adds faults drawn from the partFaults table to the plan.
 	PartFaults bool
-	Bounds     settings.Bounds
+	// FloodFaults adds faults drawn from the floodFaults table to the plan. Overloaded routers then
+	// leave the load balancer, and the first router is weaker than the others. Plans of known seeds
+	// were drawn for equal routers, so it isn't set by default.
+	FloodFaults bool
+	Bounds      settings.Bounds
 }
 
 // DefaultConfig returns the configuration of a run of about 20 seconds with five routers.
--- a/soak/execute.go
+++ b/soak/execute.go
@@ -73,6 +73,8 @@
 		d.endpoints[f.Target].grey(f.Variant, f.ActiveFor)
 	case UpstreamUnframed:
 		d.endpoints[f.Target].unframe(f.Variant, f.ActiveFor)
+	case ConnectionFlood:
+		d.floodConnections(f)
 	case PartRequests:
 		d.sendRequestsWithPart(f)
 	case CrashingRequest:
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -74,6 +74,8 @@
 	// the software. ServiceRelease upgrades the upstreams of a service one after the other.
 	UpstreamUpgrade FaultKind = "upstream-upgrade"
 	ServiceRelease  FaultKind = "service-release"
+	// ConnectionFlood opens new connections at a router faster than it can hold them.
+	ConnectionFlood FaultKind = "connection-flood"
 	// KeyChange replaces a team's key; RouteMove moves a route to the other service;
 	// RouteAdd adds a route.
 	KeyChange FaultKind = "key-change"
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -98,7 +98,18 @@
 	{RouterKill, 1, 100 * time.Millisecond, time.Second},
 }
 
+// floodFaults has floods of connections, beside the loss of routers and of the hubs among them. They
+// are drawn from a separate random stream.
+var floodFaults = []weightedFault{
+	{ConnectionFlood, 4, 3 * time.Second, 8 * time.Second},
+	{RouterKill, 1, 100 * time.Millisecond, time.Second},
+}
+
 const (
+	// floodFaultRate is the mean number of faults per second drawn from floodFaults.
+	floodFaultRate = 0.15
+	// floodRandomStream is the random stream for floodFaults.
+	floodRandomStream = 1 << 38
 	// partFaultRate is the mean number of faults per second drawn from partFaults.
 	partFaultRate = 0.2
 	// partRandomStream is the random stream for partFaults.
@@ -151,6 +162,9 @@
 	if cfg.PartFaults {
 		plan = append(plan, drawFaults(rand.New(rand.NewPCG(cfg.Seed, partRandomStream)), cfg, partFaults, partFaultRate)...)
 	}
+	if cfg.FloodFaults {
+		plan = append(plan, drawFaults(rand.New(rand.NewPCG(cfg.Seed, floodRandomStream)), cfg, floodFaults, floodFaultRate)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -14,6 +14,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
 		cfg := DefaultConfig()
+		cfg.FloodFaults = true
 		cfg.Seed = rapid.Uint64().Draw(t, "seed")
 		plan := Plan(cfg)
 		g.Expect(Plan(cfg)).To(Equal(plan))
@@ -26,7 +27,7 @@
 			}
 		}
 	})
-	for _, kinds := range [][]weightedFault{baseFaults, upstreamFaults, warmUpFaults, versionFaults, restoreFaults, framingFaults, partFaults} {
+	for _, kinds := range [][]weightedFault{baseFaults, upstreamFaults, warmUpFaults, versionFaults, restoreFaults, framingFaults, partFaults, floodFaults} {
 		for _, w := range kinds {
 			NewWithT(t).Expect(seen).To(HaveKey(w.kind))
 		}
--- a/soak/regression.go
+++ b/soak/regression.go
@@ -22,6 +22,8 @@
 	FramingFaults bool `json:"framingFaults"`
 	// PartFaults is Config.PartFaults of the run that failed.
 	PartFaults bool `json:"partFaults"`
+	// FloodFaults is Config.FloodFaults of the run that failed.
+	FloodFaults bool `json:"floodFaults"`
 	// Cause is the cause of the violation.
 	Cause string `json:"cause"`
 }
@@ -30,6 +32,7 @@
 func (r Regression) Config(base Config) Config {
 	base.Seed, base.Faults, base.UpstreamFaults, base.WarmUpFaults = r.Seed, r.Faults, r.UpstreamFaults, r.WarmUpFaults
 	base.VersionFaults, base.RestoreFaults, base.FramingFaults, base.PartFaults = r.VersionFaults, r.RestoreFaults, r.FramingFaults, r.PartFaults
+	base.FloodFaults = r.FloodFaults
 	return base
 }
 
--- a/soak/router.go
+++ b/soak/router.go
@@ -101,6 +101,12 @@
 	}
 	// Half a core, and enough log lines to analyze a run of a few thousand requests.
 	s.Bounds, s.Processor, s.LogLines = cfg.Bounds, 0.5, 200
+	if cfg.FloodFaults {
+		s.Entry.LeaveWhenOverloaded, s.Files = true, floodedRouterFiles
+		if number == 0 {
+			s.Processor = weakProcessor
+		}
+	}
 	return s
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -232,6 +233,25 @@
 	}
 }
 
+// Guards against broken promises while a flooded router leaves the load balancer and returns, beside
+// the loss of other routers.
+func TestFloodedRouterLeavesTheLoadBalancer(t *testing.T) {
+	g := NewWithT(t)
+	cfg := soak.DefaultConfig()
+	cfg.Seed, cfg.Daemon, cfg.Slot, cfg.Duration, cfg.FloodFaults = 1, buildDaemon(t), 20, 16*time.Second, true
+	cfg.Dir = t.TempDir()
+	r, err := soak.ExecutePlan(cfg, []soak.Fault{
+		{At: 4 * time.Second, Kind: soak.ConnectionFlood, Target: 0, ActiveFor: 4 * time.Second},
+		{At: 9 * time.Second, Kind: soak.RouterKill, Target: 1, ActiveFor: 500 * time.Millisecond},
+		{At: 12 * time.Second, Kind: soak.ConnectionFlood, Target: 3, ActiveFor: 3 * time.Second},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Violations).To(BeEmpty())
+	log, err := os.ReadFile(filepath.Join(cfg.Dir, "r0-1.log"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(log)).To(And(ContainSubstring("router leaves the load balancer"), ContainSubstring("router returns to the load balancer")))
+}
+
 // Guards against overloading an upstream that turns cold while the platform is unavailable.
 func TestUpstreamThatTurnsColdInAnOutage(t *testing.T) {
 	cfg := soak.Regression{Seed: 350005, Faults: 1.2, UpstreamFaults: true, WarmUpFaults: true}.Config(soak.DefaultConfig())
