entry, fleet: grants are used though they are read late; lost routers don't count as processor share

Cause: a flooded router reads messages hundreds of milliseconds late, and a grant was given back after 500 ms: the routers that need to leave most would never have. And with a third of a domain cut off its processor share was missing from what must remain in rotation, so that no weak router could leave, besides the bound on routers out and lost together. Change: a grant is used for up to half a lease after the question, if the overload lasts.

--- a/entry/gate.go
+++ b/entry/gate.go
@@ -16,8 +16,9 @@
 	// The first requests of an overload are sent with each measurement. A hub that hasn't answered
 	// within unansweredTime is asked every refusedInterval.
 	unansweredTime = time.Second
-	// maxAnswerAge is the age of a request above which the grant for it isn't used.
-	maxAnswerAge = 500 * time.Millisecond
+	// maxAnswerAge is the age of a request above which the grant for it isn't used. A flooded router may
+	// read the answer hundreds of milliseconds late; half of the lease remains for the first renewal.
+	maxAnswerAge = LeaseTTL / 2
 )
 
 const (
--- a/entry/reason.go
+++ b/entry/reason.go
@@ -17,8 +17,8 @@
 	// TooManyUnavailable means that routers are unavailable, so that the load balancer could come to use all of
 	// them whether they are ready or not.
 	TooManyUnavailable
-	// TooLittleProcessor means that the routers in rotation would have too little of the failure domain's
-	// processor share.
+	// TooLittleProcessor means that the routers in rotation would have too little of the processor share of
+	// those that are available.
 	TooLittleProcessor
 	// NoBetterRouter means that other routers would accept fewer of the callers: they are weaker, or
 	// overloaded.
--- a/entry/state.go
+++ b/entry/state.go
@@ -8,8 +8,8 @@
 	// Unavailable of those that are lost or stopping, Overloaded of those that have asked to leave
 	// and may not.
 	Routers, Out, Unavailable, Overloaded int
-	// Processor is the processor share of all routers, InRotation of those that are neither out nor
-	// unavailable, Helpful of those of them that aren't overloaded, in cores.
+	// Processor is the processor share of the routers that aren't unavailable, InRotation of those of
+	// them that aren't out, Helpful of those that aren't overloaded either, in cores.
 	Processor, InRotation, Helpful float64
 	// Budget is the time for which routers may still be out, summed over routers.
 	Budget time.Duration
@@ -22,12 +22,12 @@
 func (t *Table) stateWithout(now time.Duration, leaving *vm) State {
 	s := State{Routers: len(t.vms), Budget: t.budget.left()}
 	for _, v := range t.vms {
-		s.Processor += v.Weight
 		switch {
 		case v == leaving || v.outUntil != 0:
 			s.Out++
 		case !v.Available:
 			s.Unavailable++
+			continue
 		case v.overloaded(now):
 			s.Overloaded++
 			s.InRotation += v.Weight
@@ -35,6 +35,7 @@
 			s.InRotation += v.Weight
 			s.Helpful += v.Weight
 		}
+		s.Processor += v.Weight
 	}
 	return s
 }
--- a/fleet/entry_test.go
+++ b/fleet/entry_test.go
@@ -94,6 +94,21 @@
 	})
 }
 
+// Guards against a flooded router that never leaves because it reads the hub's answers late.
+func TestFloodedRouterLeavesThoughItReadsLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := startEntryFleet(t, all)
+		const readDelay = 700 * time.Millisecond
+		f.net.setReadDelay(f.all[8].addr, readDelay)
+		f.floods[8].Store(true)
+		time.Sleep(leaveDecisionTime + readDelay)
+		g.Expect(f.out()).To(Equal([]int{8}))
+		time.Sleep(2 * time.Second)
+		g.Expect(f.out()).To(Equal([]int{8}), "its lease is renewed")
+	})
+}
+
 // Guards against routers that remain out for longer than a lease when the hub is lost, and against
 // ones that can't leave once another hub has taken over.
 func TestFloodedRouterOutlivesItsHub(t *testing.T) {
@@ -132,6 +147,7 @@
 					time.Sleep(100 * time.Millisecond)
 					g.Expect(f.out()).To(BeEmpty())
 				}
+				g.Expect(f.net.extensionsSent() > 0).To(Equal(enabled(8)), "without the setting nothing is sent")
 			})
 		})
 	}
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -79,6 +79,9 @@
 // Pull fetches the state of a peer.
 func (n *Node) Pull(ctx context.Context, addr netip.AddrPort) error { return n.pull(ctx, addr) }
 
+// ExtensionHeader is the first byte of a datagram with an extension.
+const ExtensionHeader = extensionHeader
+
 // MaxPullsServed is the number of peers that are served at the same time.
 const MaxPullsServed = maxPullsServed
 
--- a/fleet/memnet_test.go
+++ b/fleet/memnet_test.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/aspenswitch/aspenswitch/fleet"
 )
 
 // network is an in-memory transport between routers, in virtual time. Datagrams have
@@ -24,6 +26,8 @@
 	readDelay map[netip.AddrPort]time.Duration
 	// sent and bytes are the numbers of datagrams and of bytes sent, by sender.
 	sent, bytes map[netip.AddrPort]int
+	// extensions is the number of datagrams with an extension that all routers have sent.
+	extensions int
 }
 
 func newNetwork(seed uint64) *network {
@@ -68,6 +72,13 @@
 	return n.sent[at], n.bytes[at]
 }
 
+// extensionsSent returns the number of datagrams with an extension.
+func (n *network) extensionsSent() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.extensions
+}
+
 // endpoint is one router's transport.
 type endpoint struct {
 	net    *network
@@ -113,6 +124,9 @@
 	e.net.mu.Lock()
 	e.net.sent[e.at]++
 	e.net.bytes[e.at] += len(datagram)
+	if datagram[0] == fleet.ExtensionHeader {
+		e.net.extensions++
+	}
 	e.net.mu.Unlock()
 	peer, delay := e.net.route(e.at, to)
 	if peer == nil {
