--- a/dispatch/domain_demand_test.go
+++ b/dispatch/domain_demand_test.go
@@ -121,3 +121,37 @@
 	g.Expect(round(5 * time.Millisecond)).To(BeZero())
 	g.Expect(core.State(now).Counts.CopiedForDomain).To(BeNumerically(">", sessions/2))
 }
+
+// Guards against a session that is copied back and forth while the load of its domain rises and
+// falls.
+func TestSessionThatSpillsOverIsCopiedOnce(t *testing.T) {
+	g := NewWithT(t)
+	core := newLocalCore(2, "a", "b")
+	core.SeedCache(incarnation("e0"), []dispatch.Part{{ID: 5, Tokens: 6000}})
+	now, seq, copies, far := 2*time.Second, uint64(0), 0, 0
+	for range 10 {
+		for range 6 { // at the same moment
+			seq++
+			r := requestIn("a", seq, 5)
+			r.Target = 2 * time.Second
+			for _, d := range core.Submit(now, r) {
+				if d.Upstream == "e1" {
+					far++
+				}
+				if d.CopyFrom != "" {
+					copies++
+				}
+			}
+		}
+		for s := seq - 5; s <= seq; s++ {
+			core.Started(now+400*time.Millisecond, ticket(s))
+			core.Done(now+500*time.Millisecond, ticket(s), dispatch.Served, 500*time.Millisecond)
+		}
+		now += 3 * time.Second
+		seq++
+		g.Expect(submitIdle(core, now, requestIn("a", seq, 5)).Upstream).To(Equal("e0"))
+		now += 3 * time.Second
+	}
+	g.Expect(copies).To(Equal(1))
+	g.Expect(far).To(BeNumerically(">", 1))
+}
