dispatch, fleet: a group without room hands requests over to another one

Cause: a request belongs to one group of upstreams for good. Change: with Features.Handover, a home that has recently had no room asks up to four other homes of the service every 100 ms what they could serve in time, and hands a request over instead of refusing it if one has reported enough. Reports lose their value within 300 ms, and what was handed over is subtracted. The second home decides for good; its engine copies the session from where it is cached. Teams above their share get only half of a report, and none if they exceed the bound on spare service. A broken stream isn't handed over. The handover travels in fields of a refusal that earlier releases ignore.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -18,6 +18,7 @@
 	counts                Counts
 	averages              averages
 	refusals              refusalHistory
+	elsewhere             elsewhere
 	prefillYield          prefillYield
 	groupFit              prefillFit
 	// severalVersions is set if the upstreams have different software versions.
@@ -62,10 +63,14 @@
 	j := c.newJob(now, r)
 	j.reservedKV = r.Output
 	c.applyCacheHint(&j.Request)
+	c.setCopySource(j)
 	c.recordDemand(now, j)
 	c.shares.utilization = c.meanUtilization(now) / c.shares.span().coverage(now, utilizationWindow)
 	j.shareStatus = c.shares.shareStatus(now, r.Team)
 	c.counts.Submitted++
+	if r.HandedOver {
+		c.counts.TakenOver++
+	}
 	c.jobs[r.Ticket] = j
 	c.place(now, j)
 	return c.takeDecisions()
@@ -123,11 +128,12 @@
 func (c *Core) place(now time.Duration, j *job) {
 	best, ok := c.best(now, j)
 	if !ok {
-		c.refuse(now, j, choice{firstByte: max(c.timeUntilWarm(now, j), time.Second)})
-		return
+		best.firstByte = max(c.timeUntilWarm(now, j), time.Second)
 	}
 	if !best.admitted {
-		c.refuse(now, j, best)
+		if !c.handOver(now, j, best) {
+			c.refuse(now, j, best)
+		}
 		return
 	}
 	if c.ready(best.u, j, now) && !c.readyAheadOf(best.u, j, now) {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -9,6 +9,10 @@
 	state    state
 	// copyFrom is the upstream from which cached parts are copied, or nil.
 	copyFrom *upstream
+	// foreignSource is an upstream of another group that may have foreignTokens of the prompt cached,
+	// nil if there is none.
+	foreignSource *upstream
+	foreignTokens int
 	// warming is set if the upstream was warming up when the job was sent to it.
 	warming bool
 	sentAt  time.Duration
--- a/dispatch/prefill_plan.go
+++ b/dispatch/prefill_plan.go
@@ -24,7 +24,7 @@
 		if c.severalVersions {
 			source = c.copySource(now, cached, u.Version)
 		}
-		out[i] = c.planPrefill(u, &j.Request, cached[i], source, cached)
+		out[i] = c.planForeignCopy(c.planPrefill(u, &j.Request, cached[i], source, cached), u, j, cached[i])
 	}
 	return out
 }
@@ -47,7 +47,8 @@
 	for i, other := range c.upstreams {
 		cached[i] = other.cache.cachedPrefix(j.Parts)
 	}
-	return c.planPrefill(u, &j.Request, u.cache.cachedPrefix(j.Parts), c.copySource(now, cached, u.Version), cached)
+	own := u.cache.cachedPrefix(j.Parts)
+	return c.planForeignCopy(c.planPrefill(u, &j.Request, own, c.copySource(now, cached, u.Version), cached), u, j, own)
 }
 
 // copySource returns the index of the upstream with a software version that isn't banned and has
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -93,9 +93,11 @@
 	Allowance float64
 	// Group is the index of the group of upstreams whose home decided.
 	Group int
-	// HandOver is set with Refuse if the group has no room and the request may be placed in
-	// another group.
-	HandOver bool
+	// HandOver is set with Refuse if the group has no room for the request and the one with index
+	// HandOverGroup has reported some. CopyFrom is then the upstream that has most of the prompt
+	// cached.
+	HandOver      bool
+	HandOverGroup int
 	// RouterOverloaded is set if no reply of a home was processed because the submitting
 	// router is overloaded. Another router can take the request at once.
 	RouterOverloaded bool
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -70,6 +70,12 @@
 	s.account(now, team).addServed(now, s.span(), tokens)
 }
 
+// withdraw removes the tokens of a request that another group serves from the team's demand.
+func (s *shares) withdraw(now time.Duration, j *job) {
+	a := s.account(now, j.Team)
+	a.requested = max(a.requested-j.chargedTokens/s.span().coverage(now, s.window), 0)
+}
+
 // refund removes the tokens of a request that didn't run from the team's served tokens; its
 // demand is kept. If a reply is late, routers submit the request to several homes and each
 // counts it as served; without a refund the team would be limited to a part of its share.
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -45,6 +45,9 @@
 	Refused   int `json:"refused"`
 	// RefusedOverShare is the part of Refused that came from teams above their share.
 	RefusedOverShare int `json:"refusedOver"`
+	// HandedOver requests were left to another group, TakenOver ones came from another group.
+	HandedOver int `json:"handedOver"`
+	TakenOver  int `json:"takenOver"`
 }
 
 // State returns the core's state.
@@ -88,5 +91,6 @@
 	return Counts{
 		Submitted: c.Submitted - earlier.Submitted, Sent: c.Sent - earlier.Sent,
 		Refused: c.Refused - earlier.Refused, RefusedOverShare: c.RefusedOverShare - earlier.RefusedOverShare,
+		HandedOver: c.HandedOver - earlier.HandedOver, TakenOver: c.TakenOver - earlier.TakenOver,
 	}
 }
--- a/fleet/dump.go
+++ b/fleet/dump.go
@@ -162,6 +162,7 @@
 			Int("waiting", s.Waiting).Int("running", s.Running).Int64("served_tokens", int64(s.Served)).
 			Int64("room_tokens", int64(s.Capacity)).Int64("share_tokens", int64(s.FairShare)).Float64("over_use", s.OverShareTargetFraction).
 			Int("asked", since.Submitted).Int("sent", since.Sent).Int("refused", since.Refused).Int("refused_over", since.RefusedOverShare).
+			Int("handed_over", since.HandedOver).Int("taken_over", since.TakenOver).
 			Int64("lag_us", n.Lag().Microseconds()).Msg("decisions of a group")
 		if since.Refused > 0 {
 			n.logTeams(now, g, s.FairShare)
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -180,9 +180,13 @@
 }
 
 func (n *Node) handleExtension(now boottime.Time, from uint64, e *extension) {
-	if m := n.members[from]; m != nil && e.Entry != nil {
+	m := n.members[from]
+	if m != nil && e.Entry != nil {
 		n.handleEntryMessage(now, m, e.Entry)
 	}
+	if m != nil && e.Spare != nil {
+		n.handleSpareMessage(now, m, e.Spare)
+	}
 }
 
 func (n *Node) handleInfrequent(now boottime.Time, from uint64, m *infrequent) {
--- a/fleet/extension.go
+++ b/fleet/extension.go
@@ -12,6 +12,7 @@
 type extension struct {
 	From  uint64        `cbor:"0,keyasint"`
 	Entry *entryMessage `cbor:"1,keyasint,omitempty"`
+	Spare *spareMessage `cbor:"2,keyasint,omitempty"`
 }
 
 // extensionPacket is the encoding of a packet with an extension. It is an array of another length
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -34,6 +34,8 @@
 	// loggedCounts are the counts in the last log line, which was written at loggedAt.
 	loggedCounts dispatch.Counts
 	loggedAt     boottime.Time
+	// spareSoughtAt is when the homes of other groups were last asked for what they could serve.
+	spareSoughtAt boottime.Time
 }
 
 // groupIndex returns the group of a request. It distributes sessions over the groups, and
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -163,6 +163,7 @@
 		n.deliver(now, key, g.core.Tick(time.Duration(now)))
 	}
 	n.updateHomes(now)
+	n.seekSpare(now)
 	n.recentPeakMembers.observe(now, len(n.members)+1)
 	for _, g := range n.groups {
 		n.updateWarmUpGrant(now, g)
--- a/fleet/home.go
+++ b/fleet/home.go
@@ -20,7 +20,9 @@
 	if g == nil {
 		return
 	}
-	n.deliver(now, key, g.core.Submit(time.Duration(now), req.toDispatch(from, m.domain)))
+	r := req.toDispatch(from, m.domain)
+	r.HandedOver = n.groupOfRequest(n.feed.Snapshot(), req.Service, &r) != key.index
+	n.deliver(now, key, g.core.Submit(time.Duration(now), r))
 }
 
 // logRefusal logs a refusal with the figures that it is based on.
@@ -45,7 +47,7 @@
 }
 
 func (n *Node) deliverDecision(now boottime.Time, key groupKey, d dispatch.Decision) {
-	if d.Verdict == dispatch.Refuse {
+	if d.Verdict == dispatch.Refuse && !d.HandOver {
 		n.logRefusal(key, d)
 	}
 	if d.Ticket.Router == n.self {
@@ -56,11 +58,13 @@
 	if m == nil {
 		return
 	}
-	n.send(m.addr, &packet{Reply: &placeReply{
+	reply := &placeReply{
 		Seq: d.Ticket.Seq, Service: key.service, Group: n.groupNumberOf(key), Verdict: d.Verdict, Upstream: d.Upstream, CopyFrom: d.CopyFrom,
 		RetryAfterMs: millis(d.RetryAfter), PredictedFirstByteMs: millis(d.PredictedFirstByte), SinceFirstAttemptMs: millis(d.SinceFirstAttempt), OverShare: d.OverShare, Warming: d.Warming,
 		Allowance: float32(d.Allowance),
-	}})
+	}
+	encodeHandOver(reply, &d)
+	n.send(m.addr, &packet{Reply: reply})
 }
 
 // handleReport applies a report as the home of the group.
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -183,11 +183,13 @@
 		}
 		return
 	}
-	n.applyDecision(now, dispatch.Decision{
+	d := dispatch.Decision{
 		Ticket: dispatch.Ticket{Router: n.self, Seq: r.Seq}, Verdict: r.Verdict, Upstream: r.Upstream, CopyFrom: r.CopyFrom,
 		RetryAfter: duration(r.RetryAfterMs), PredictedFirstByte: duration(r.PredictedFirstByteMs), SinceFirstAttempt: duration(r.SinceFirstAttemptMs), OverShare: r.OverShare, Warming: r.Warming,
 		Allowance: validAllowance(r.Allowance),
-	})
+	}
+	decodeHandOver(&d)
+	n.applyDecision(now, d)
 }
 
 // validAllowance returns an allowance received from a peer, 0 (none given) if it is invalid.
@@ -210,6 +212,9 @@
 		p.retryAt = now.Add(max(queuedRetryInterval, d.PredictedFirstByte+fastTick))
 		return
 	}
+	if n.handOver(now, p, d) {
+		return
+	}
 	delete(n.pending, d.Ticket.Seq)
 	d.Group = p.key.index
 	if d.Verdict == dispatch.Send {
