--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -51,6 +51,9 @@
 	Near            int `json:"near"`
 	Far             int `json:"far"`
 	CopiedForDomain int `json:"copiedForDomain"`
+	// HandedOver requests were left to another group, TakenOver ones came from another group.
+	HandedOver int `json:"handedOver"`
+	TakenOver  int `json:"takenOver"`
 }
 
 // State returns the core's state.
@@ -95,5 +98,6 @@
 		Submitted: c.Submitted - earlier.Submitted, Sent: c.Sent - earlier.Sent,
 		Refused: c.Refused - earlier.Refused, RefusedOverShare: c.RefusedOverShare - earlier.RefusedOverShare,
 		Near: c.Near - earlier.Near, Far: c.Far - earlier.Far, CopiedForDomain: c.CopiedForDomain - earlier.CopiedForDomain,
+		HandedOver: c.HandedOver - earlier.HandedOver, TakenOver: c.TakenOver - earlier.TakenOver,
 	}
 }
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -34,11 +34,13 @@
 	// loggedCounts are the counts in the last log line, which was written at loggedAt.
 	loggedCounts dispatch.Counts
 	loggedAt     boottime.Time
+	// spareSoughtAt is when the homes of other groups were last asked for what they could serve.
+	spareSoughtAt boottime.Time
 }
 
 // groupIndex returns the group of a request. It distributes sessions over the groups, and
 // requests without a session by their sequence number.
-func (n *Node) groupIndex(service string, count int, parts []dispatch.Part, seq uint64) int {
+func (n *Node) groupIndex(s *feed.Snapshot, service string, count int, parts []dispatch.Part, seq uint64) int {
 	if count == 1 {
 		return 0
 	}
@@ -46,7 +48,11 @@
 	if len(parts) > 1 {
 		session = parts[len(parts)-2].ID
 	}
-	return int(xxhash.Sum64String(service+strconv.FormatUint(session, 16)) % uint64(count))
+	key := service + strconv.FormatUint(session, 16)
+	if n.cfg.Engine.Handover {
+		return weightedGroup(key, n.groupWeights.of(s, service, count))
+	}
+	return int(xxhash.Sum64String(key) % uint64(count))
 }
 
 // groupOfUpstream returns the index of an upstream's group, by the hash of its ID.
