gateway: callers turned away by a router that leaves come back once others get them

Cause: a connection that is turned away is told to come back after 0.05 s. The load balancer needs one to two seconds after the router has left, so its callers spend their retry at the same router. Change: while the router is out of the load balancer, 1 s. The constant response is chosen per batch; without the setting nothing changes. Result: TestRefusedCallersReturnOnceARouterHasLeft (0.05 and 1.00); go test ./gateway and the flood tests of ./platform pass.

--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -72,6 +72,7 @@
 	d.feed = feed.New(feed.DefaultConfig(s.Bounds.MaxRevocationDelay(), s.Bounds.MaxApplyDelay()), source, boottime.Now, log, node.ReadsPlatform, node.NotifyStateChange)
 	node.Attach(d.feed)
 	budget := retry.Budget{Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance, Window: s.Bounds.RetryWindow()}
+	cfg.OutOfRotation = node.OutOfRotation
 	d.gateway = gateway.New(cfg, d.feed, node, d.pool, budget, obs.NewLimitedLogger(log, s.LogLines), d.metrics)
 	return d, nil
 }
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -32,6 +32,9 @@
 	// and asked to retry. It is above MaxKeepAliveConns, since responses close the
 	// connections between the two limits and thereby free slots.
 	MaxConns int
+	// OutOfRotation reports whether this router has left the load balancer because it is overloaded. It
+	// may be nil.
+	OutOfRotation func() bool
 	// ListenBacklog is the maximum number of connections waiting to be accepted.
 	ListenBacklog int
 	// MaxRequests is the maximum number of concurrent requests. Each uses memory until it
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -37,9 +37,11 @@
 	log       *obs.LimitedLogger
 	// lastEmpty is when the queue was last observed to be empty.
 	lastEmpty time.Duration
-	// busyResponse is sent to refused connections; onRefused is called with their number.
-	busyResponse []byte
-	onRefused    func(n int, took time.Duration)
+	// busyResponse is sent to refused connections, or leavingResponse while outOfRotation returns true.
+	// onRefused is called with their number.
+	busyResponse, leavingResponse []byte
+	outOfRotation                 func() bool
+	onRefused                     func(n int, took time.Duration)
 }
 
 // connQueue is the queue of connections that wait to be accepted.
@@ -86,7 +88,8 @@
 	clock := systemClock()
 	return &boundedListener{
 		Listener: l, queue: queue, clock: clock, backlog: cfg.ListenBacklog, slots: make(chan struct{}, cfg.MaxConns), done: make(chan struct{}),
-		log: log, lastEmpty: clock.now(), busyResponse: busyRefusal().rawResponse(), onRefused: onRefused,
+		log: log, lastEmpty: clock.now(), busyResponse: busyRefusal().rawResponse(), leavingResponse: leavingRefusal().rawResponse(),
+		outOfRotation: cfg.OutOfRotation, onRefused: onRefused,
 	}, nil
 }
 
@@ -182,7 +185,7 @@
 	for refused < l.backlog && err == nil {
 		start := l.clock.now()
 		var n int
-		n, err = l.queue.refuse(l.busyResponse, refusalBatch)
+		n, err = l.queue.refuse(l.response(), refusalBatch)
 		took := l.clock.now() - start
 		refused += n
 		l.onRefused(n, took)
@@ -194,6 +197,14 @@
 	return refused, err
 }
 
+// response returns the response for refused connections.
+func (l *boundedListener) response() []byte {
+	if l.outOfRotation != nil && l.outOfRotation() {
+		return l.leavingResponse
+	}
+	return l.busyResponse
+}
+
 // Close implements net.Listener.
 func (l *boundedListener) Close() error {
 	l.closeOnce.Do(func() { close(l.done) })
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -109,6 +109,25 @@
 	g.Expect(most).To(BeNumerically("<=", memory/2/(gateway.ConnBytes+gateway.UnreadBytes)))
 }
 
+// Guards against callers that are told to come back to a router that leaves the load balancer before
+// others get their connections.
+func TestRefusedCallersReturnOnceARouterHasLeft(t *testing.T) {
+	for _, out := range []bool{false, true} {
+		g := NewWithT(t)
+		r := newHarnessWith(t, map[string]script{"u1": ok("done")}, func(cfg *gateway.Config) {
+			cfg.MaxConns, cfg.OutOfRotation = 1, func() bool { return out }
+		})
+		held, err := net.Dial("tcp", r.addr)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Eventually(func() int64 { return r.server.Load().OpenConnections }).Should(Equal(int64(1)))
+		resp, _, err := r.call("/safe/", nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(resp.Header.Get("Retry-After")).To(Equal(map[bool]string{false: "0.05", true: "1.00"}[out]))
+		g.Expect(held.Close()).To(Succeed())
+	}
+}
+
 // openUnlessRefused connects and sends the request. It returns the connection unless it was
 // refused, counts the refusals that have a response with Retry-After, and returns an error
 // if it could not connect.
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -85,3 +85,16 @@
 func busyRefusal() *refusal {
 	return notRun(codeRouterBusy, "this router is behind with its work; the request was not run", minRetryAfter)
 }
+
+// leavingRetryAfter is the Retry-After delay of a router that leaves the load balancer. New connections
+// go to other routers one to two seconds after it has left: at least half of the callers that wait for
+// a second reach them, and they come as evenly as they were refused. A caller that comes back sooner meets
+// this router again.
+const leavingRetryAfter = time.Second
+
+// leavingRefusal is the refusal of a connection by an overloaded router that leaves the load balancer.
+func leavingRefusal() *refusal {
+	r := busyRefusal()
+	r.retryAfter = leavingRetryAfter
+	return r
+}
