entry: a span that a peer asks for is never negative

Cause: the span in a question is a peer's number; a negative one would add to the time that may be used.

--- a/entry/table.go
+++ b/entry/table.go
@@ -163,7 +163,7 @@
 	if d.Reason != NoReason {
 		return d
 	}
-	d.Verdict, d.Span = Grant, min(span, MaxSpan, t.budget.left())
+	d.Verdict, d.Span = Grant, min(max(span, 0), MaxSpan, t.budget.left())
 	t.lease(now, v, d.Span)
 	return d
 }
