dispatch: a router to which a team's callers move may ask for their part at once

Cause: a home divides a team's rate over routers by what each asked for within the share window (4 s). When the callers of a team move to another router, for instance because theirs has left the load balancer, the new one gets a fiftieth of the rate at first and seconds to reach the whole: 45 of 4,113 requests sent in its first second. Change: a router's part is that within the last 300 ms, if it is a fifth or more there; otherwise that within the share window as before.

--- a/dispatch/account.go
+++ b/dispatch/account.go
@@ -65,5 +65,5 @@
 
 // routerFraction returns the fraction of the team's demand that comes through a router.
 func (a *account) routerFraction(now time.Duration, s span, router uint64) float64 {
-	return a.routers.requested(now, s.window, router) / s.coverage(now, s.window) / max(a.requested, minAccountTokens)
+	return a.routers.fraction(now, s.window, router)
 }
--- a/dispatch/allowance_test.go
+++ b/dispatch/allowance_test.go
@@ -125,3 +125,23 @@
 	// Twice the fair rate, which is half of 0.6 of the published throughput.
 	g.Expect(a.allowance()).To(BeNumerically(">", 0.8*0.6*capacity))
 }
+
+// Guards against a team whose callers move to another router, and that may ask for a small part of its
+// rate there for seconds.
+func TestRouterToWhichCallersMoveGetsTheirPart(t *testing.T) {
+	g := NewWithT(t)
+	const capacity = 300000
+	sim := newBusySimulation(10, capacity)
+	first, second, other := &testRouter{s: sim, router: 1}, &testRouter{s: sim, router: 2}, &testRouter{s: sim, router: 3}
+	run := func(at *testRouter, duration time.Duration) {
+		for end := sim.now + duration; sim.now < end; {
+			sim.step(10 * time.Millisecond)
+			at.submit("moves")
+			other.submit("other")
+		}
+	}
+	run(first, 5*time.Second)
+	run(second, 500*time.Millisecond)
+	// Half of 0.6 of the published throughput is the fair rate, and a router may ask for twice that.
+	g.Expect(second.allowance()).To(BeNumerically(">", 0.8*0.6*capacity))
+}
