dispatch: requests of others count; waiting requests leave an upstream that slows down

Cause: a home counts only its own requests, also beside routers that decide alone. A request that waits for an upstream stays there when it slows down. Upstreams that state no load paid for the state of those that do.

Change: an upstream's stated requests count as far as they exceed all that the home has had there for the age that a figure may have, so that neither sends nor ends since are counted twice, and at most up to one free slot. They only add, and expire. After a stated slowdown by half more than before, the requests that wait for the upstream are placed again. A prefill is measured over the time in which it ran, without the first-byte delay. What is learnt from reports is allocated with the first of them.

--- a/dispatch/average.go
+++ b/dispatch/average.go
@@ -69,8 +69,8 @@
 	for _, u := range c.upstreams {
 		failureRate.merge(now, &u.failureRate)
 		service.merge(now, &u.serviceMs)
-		if u.speed.stated() {
-			usualService.merge(now, &u.usualServiceMs)
+		if u.reported != nil {
+			usualService.merge(now, &u.reported.usualServiceMs)
 		}
 	}
 	c.averages.meanFailureRate = failureRate.mean(0)
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -69,7 +69,7 @@
 		time.Duration(u.utilization*float64(c.cfg.LoadPenalty)) +
 		time.Duration(u.excessFailureRate(now, c.currentAverages(now))*float64(c.cfg.FailurePenalty)) +
 		time.Duration(u.utilization*float64(j.Output)*float64(c.cfg.DecodePenalty)) +
-		time.Duration(float64(u.running)/float64(max(u.Slots, 1))*float64(c.cfg.LoadPenalty))
+		time.Duration(float64(u.occupied())/float64(max(u.Slots, 1))*float64(c.cfg.LoadPenalty))
 	return candidate
 }
 
@@ -96,7 +96,7 @@
 
 // serviceSlotWait returns the expected wait for a slot of a plain service.
 func (c *Core) serviceSlotWait(u *upstream, serviceTime time.Duration) time.Duration {
-	excess := u.running + len(u.queue) - u.Slots + 1
+	excess := u.occupied() + len(u.queue) - u.Slots + 1
 	if excess <= 0 {
 		return 0
 	}
--- a/dispatch/load_report.go
+++ b/dispatch/load_report.go
@@ -23,10 +23,11 @@
 func (r LoadReport) StatesSpeed() bool { return r.Stated() && r.Slowdown > 0 }
 
 // ObserveLoad records the load that an upstream stated.
-func (c *Core) ObserveLoad(now time.Duration, at Incarnation, r LoadReport) {
+func (c *Core) ObserveLoad(now time.Duration, at Incarnation, r LoadReport) []Decision {
 	if u := c.byID[at.ID]; u != nil && u.Same(at) {
 		c.observeLoad(now, u, r)
 	}
+	return c.takeDecisions()
 }
 
 // StartedWithLoad records the first byte of an answer and the load that its upstream stated.
@@ -44,6 +45,13 @@
 		return
 	}
 	u.update(now)
-	u.speed.observe(now-r.Age, r.Slowdown)
-	u.updateSlowdown(now)
+	previous := u.slowdown
+	u.observeLoad(now, r)
+	if u.slowdown > requeueSlowdown*previous && c.byID[u.ID] == u {
+		c.requeue(now, u)
+	}
 }
+
+// requeueSlowdown is the increase of the slowdown after which the requests that wait for an upstream are
+// placed again. Another one may serve them in time, or they are refused while their callers can still retry.
+const requeueSlowdown = 1.5
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -98,6 +98,7 @@
 	j.reservedKV = r.Output + max(r.Prompt-u.cache.cachedPrefix(r.Parts), 0)
 	c.jobs[r.Ticket] = j
 	j.cost = u.cost(&j.Request, u.cache.cachedPrefix(r.Parts), 0)
+	u.adoptRequest()
 	u.assign(j, now)
 	if hasStarted {
 		u.finishPrefill(j, now, false)
--- a/dispatch/prefill_queue.go
+++ b/dispatch/prefill_queue.go
@@ -61,6 +61,18 @@
 	return q.jobs[len(q.jobs)-1].prefillEndsAt + q.lateness(now, delay)
 }
 
+// rescale multiplies the predicted time of the prefill that isn't done yet by ratio.
+func (q *prefillQueue) rescale(now time.Duration, ratio float64) {
+	for i, j := range q.jobs {
+		left := j.cost
+		if i == 0 {
+			left = min(max(j.prefillEndsAt-now, 0), j.cost)
+		}
+		j.cost += time.Duration(float64(left) * (ratio - 1))
+	}
+	q.predict(0)
+}
+
 // remove removes a job whose first byte arrived, or that ended without one. It reports
 // whether the job was in the queue.
 func (q *prefillQueue) remove(now, delay time.Duration, j *job, firstByte bool) bool {
--- a/dispatch/present_speed.go
+++ b/dispatch/present_speed.go
@@ -38,51 +38,53 @@
 	meanSlowdownWindow = 30 * time.Second
 )
 
-func newPresentSpeed() presentSpeed { return presentSpeed{mean: 1} }
+// newPresentSpeed returns the estimate after the first report.
+func newPresentSpeed(at time.Duration, slowdown float64) presentSpeed {
+	p := presentSpeed{mean: 1, count: 1}
+	p.reports[0] = speedReport{at: at, slowdown: boundedSlowdown(slowdown)}
+	return p
+}
+
+// boundedSlowdown returns the slowdown that a report counts as. An upstream that is faster than usual is as
+// fast as its answers have shown.
+func boundedSlowdown(stated float64) float64 { return min(max(stated, 1), maxSlowdown) }
 
 // observe records a slowdown that was stated at the given time. Reports that are older than the newest one,
 // which were delayed, are ignored.
 func (p *presentSpeed) observe(at time.Duration, slowdown float64) {
-	// An upstream that is faster than usual is as fast as its answers have shown.
-	slowdown = min(max(slowdown, 1), maxSlowdown)
-	if p.count > 0 {
-		last := p.reports[p.newest]
-		if at <= last.at {
-			return
-		}
-		span := min(at-last.at, slowdownFade)
-		p.mean += (1 - math.Exp(-float64(span)/float64(meanSlowdownWindow))) * (slowdown - p.mean)
+	slowdown = boundedSlowdown(slowdown)
+	last := p.newestReport()
+	if at <= last.at {
+		return
 	}
+	span := min(at-last.at, slowdownFade)
+	p.mean += (1 - math.Exp(-float64(span)/float64(meanSlowdownWindow))) * (slowdown - p.mean)
 	p.newest = (p.newest + 1) % speedReports
 	p.reports[p.newest] = speedReport{at: at, slowdown: slowdown}
 	p.count = min(p.count+1, speedReports)
 }
 
-// stated reports whether the upstream has stated a slowdown.
-func (p *presentSpeed) stated() bool { return p.count > 0 }
+func (p *presentSpeed) newestReport() speedReport { return p.reports[p.newest] }
 
 // age returns the age of the newest report.
 func (p *presentSpeed) age(now time.Duration) time.Duration {
-	return max(now-p.reports[p.newest].at, 0)
+	return max(now-p.newestReport().at, 0)
 }
 
-// slowdown returns the expected slowdown, 1 if none was ever stated. It fades from the newest report to the mean.
+// slowdown returns the expected slowdown. It fades from the newest report to the mean.
 func (p *presentSpeed) slowdown(now time.Duration) float64 {
-	if !p.stated() {
-		return 1
-	}
 	weight := math.Exp(-float64(p.age(now)) / float64(slowdownFade))
-	return p.mean + weight*(p.reports[p.newest].slowdown-p.mean)
+	return p.mean + weight*(p.newestReport().slowdown-p.mean)
 }
 
 // meanSlowdown returns the mean slowdown of work that was done between two times, the later of
 // which is about that of the newest report. The speed is interpolated between reports.
 func (p *presentSpeed) meanSlowdown(from, to time.Duration) float64 {
-	if !p.stated() || to <= from {
-		return 1
+	if to <= from {
+		return p.newestReport().slowdown
 	}
 	done := 0.0
-	later := speedReport{at: to, slowdown: p.reports[p.newest].slowdown}
+	later := speedReport{at: to, slowdown: p.newestReport().slowdown}
 	for i := range p.count {
 		r := p.reports[(p.newest-i+speedReports)%speedReports]
 		if r.at >= later.at {
@@ -104,6 +106,6 @@
 // workBetween returns the work done from the given time, which is between those of two reports, until the later one.
 func workBetween(a, b speedReport, from time.Duration) float64 {
 	fraction := float64(from-a.at) / float64(b.at-a.at)
-	speed := (1-fraction)/a.slowdown + fraction/b.slowdown
+	speed := 1/a.slowdown + fraction*(1/b.slowdown-1/a.slowdown)
 	return float64(b.at-from) * (speed + 1/b.slowdown) / 2
 }
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -48,12 +48,10 @@
 	// learnt is the estimate from both, as of estimatedAt.
 	learnt      estimate
 	estimatedAt time.Duration
-	// speed is the present speed of the machine as stated by the upstream, and slowdown the estimate
-	// from it as of estimatedAt, 1 if it states none.
-	speed    presentSpeed
+	// reported is what the upstream states of its load, nil if it doesn't state its present speed, and
+	// slowdown the estimate of that speed as of estimatedAt, 1 if it doesn't.
+	reported *reportedLoad
 	slowdown float64
-	// usualServiceMs averages the service time of a plain service at the usual speed.
-	usualServiceMs average
 	// utilization is the averaged fraction of time in which there was a backlog.
 	utilization float64
 	updatedAt   time.Duration
@@ -80,7 +78,7 @@
 const defaultServiceMs = 40
 
 func newUpstream(now time.Duration, m Member, cfg *Config, yield *prefillYield, groupFit *prefillFit) *upstream {
-	u := &upstream{Member: m, cfg: cfg, prefillYield: yield, groupFit: groupFit, cache: newCache(), updatedAt: now, speed: newPresentSpeed(), slowdown: 1}
+	u := &upstream{Member: m, cfg: cfg, prefillYield: yield, groupFit: groupFit, cache: newCache(), updatedAt: now, slowdown: 1}
 	u.updateEstimate(now)
 	return u
 }
@@ -111,8 +109,8 @@
 // serviceTime returns the expected service time of a plain service.
 func (u *upstream) serviceTime(now time.Duration, averages *averages) time.Duration {
 	ms := u.serviceMs.value(now, averages.serviceTime)
-	if u.speed.stated() {
-		ms = u.usualServiceMs.value(now, averages.usualServiceTime) * u.slowdown
+	if u.reported != nil {
+		ms = u.reported.usualServiceMs.value(now, averages.usualServiceTime) * u.slowdown
 	}
 	return time.Duration(ms * float64(time.Millisecond))
 }
@@ -142,7 +140,7 @@
 // full reports whether the upstream has no free slot, or no room for kvTokens in its KV
 // cache.
 func (u *upstream) full(kvTokens int) bool {
-	if u.running >= u.Slots {
+	if u.occupied() >= u.Slots {
 		return true
 	}
 	return u.cfg.Engine && u.running > 0 && u.reservedKV+kvTokens > int(u.cfg.MaxKVFraction*float64(u.KVTokens))
@@ -206,7 +204,7 @@
 	j.usualCost = time.Duration(float64(j.cost) / u.slowdown)
 	u.prefills.add(now, u.learnt.delay, j)
 	j.prefillDeadline = now + 2*(u.backlog(now)+u.learnt.delay) + prefillGrace
-	u.running++
+	u.setRunning(now, u.running+1)
 	u.reservedKV += j.reservedKV
 	if u.cfg.Engine {
 		u.cache.insert(j, j.Parts, u.KVTokens-u.reservedKV)
@@ -249,7 +247,7 @@
 	if !ok {
 		return
 	}
-	predictedMs := milliseconds(j.usualCost) / u.learnt.factor * u.speed.meanSlowdown(now-measured, now)
+	predictedMs := milliseconds(j.usualCost) / u.learnt.factor * u.prefillSlowdown(now, measured, delayed)
 	limit := maxMeasuredRatio * predictedMs
 	if delayed {
 		limit += milliseconds(u.learnt.delay + maxMeasuredSlack)
@@ -274,7 +272,7 @@
 		u.finishPrefill(j, now, false)
 	}
 	u.throttle.removeStream(j)
-	u.running--
+	u.setRunning(now, u.running-1)
 	u.reservedKV -= j.reservedKV
 	if o == Served || o == Failed || o == Rejected {
 		u.lastResponseAt = now
