dispatch, fleet: stated loads in the dump, the group's line and refusals

Cause: operators don't see what upstreams state, nor whether a refusal rests on it.

Change: a group's state names how many upstreams state their speed, the mean slowdown with its age, those that are slow at present and the requests from elsewhere; its log line has them beside the learnt prefill factor. A refusal names the slowdown of its upstream. Tests of wrong, old and missing reports.

Result: go test ./dispatch and go test ./fleet pass.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -96,6 +96,7 @@
 	if u != nil {
 		details.Upstream, details.Backlog = u.ID, u.backlog(now)
 		details.Waiting, details.Running = len(u.queue), u.running
+		details.Slowdown = u.statedSlowdown()
 	}
 	return details
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -116,6 +116,8 @@
 	Waiting, Running int
 	// Warming is the number of upstreams of the group that were warming up.
 	Warming int
+	// Slowdown is the expected slowdown of Upstream, 0 if it doesn't state its present speed.
+	Slowdown float64
 }
 
 // Outcome is how a request ended at its upstream.
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -21,6 +21,10 @@
 	steps, idleSteps int
 	// onSend, if set, is called for each request that is sent.
 	onSend func(team string)
+	// onSendTo, if set, is called with the engine of each request that is sent.
+	onSendTo func(engine string)
+	// stated, if set, is what an engine states in its answers.
+	stated func(engine string) dispatch.LoadReport
 	// remoteUsage, if set, returns what a team got from other groups.
 	remoteUsage func(team string) dispatch.Usage
 	// prefillTime is the time that an engine takes for each prompt.
@@ -68,6 +72,9 @@
 		if s.onSend != nil {
 			s.onSend(s.team[d.Ticket.Seq])
 		}
+		if s.onSendTo != nil {
+			s.onSendTo(d.Upstream)
+		}
 		e := s.engines[d.Upstream]
 		if e == nil {
 			e = &fifoEngine{}
@@ -79,7 +86,7 @@
 
 func (s *simulation) step(d time.Duration) {
 	s.now += d
-	for _, e := range s.engines {
+	for id, e := range s.engines {
 		s.steps++
 		if len(e.jobs) == 0 {
 			s.idleSteps++
@@ -94,7 +101,11 @@
 			seq := e.jobs[0].seq
 			e.jobs = e.jobs[1:]
 			s.served[s.team[seq]]++
-			s.handle(s.c.Started(s.now, s.tickets[seq]))
+			load := dispatch.LoadReport{}
+			if s.stated != nil {
+				load = s.stated(id)
+			}
+			s.handle(s.c.StartedWithLoad(s.now, s.tickets[seq], load))
 			s.handle(s.c.Done(s.now, s.tickets[seq], dispatch.Served, time.Second))
 		}
 	}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -22,6 +22,8 @@
 	// means over the upstreams.
 	PrefillFactor  float64       `json:"prefillFactor"`
 	FirstByteDelay time.Duration `json:"firstByteDelay"`
+	// Stated is what the upstreams state of their load, nil if none states its present speed.
+	Stated *StatedLoad `json:"stated,omitempty"`
 	// Waiting and Running are the numbers of requests over all upstreams.
 	Waiting int `json:"waiting"`
 	Running int `json:"running"`
@@ -72,6 +74,7 @@
 		s.PrefillFactor /= float64(n)
 		s.FirstByteDelay /= time.Duration(n)
 	}
+	s.Stated = c.statedLoad(now)
 	return s
 }
 
