dispatch: requests of a lost router no longer hold up engines

Cause: a home predicts when an engine has prefilled what it was sent, and an engine whose first bytes are overdue counts as late by as much. Change: a job whose first byte is overdue leaves the backlog if its router has sent nothing since it was due. If the router has, the engine is what is late, as before.

--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -8,6 +8,7 @@
 
 // Started records the first byte of an answer.
 func (c *Core) Started(now time.Duration, t Ticket) []Decision {
+	c.contacts.record(now, t.Router)
 	j := c.jobs[t]
 	if j == nil || j.state == waiting {
 		return nil
@@ -20,6 +21,7 @@
 // Done records the end of a request, also of one that was never sent. took is the time
 // from sending it to the end of the answer.
 func (c *Core) Done(now time.Duration, t Ticket, o Outcome, took time.Duration) []Decision {
+	c.contacts.record(now, t.Router)
 	c.done(now, t, o, took)
 	return c.takeDecisions()
 }
@@ -66,6 +68,7 @@
 // served in time.
 func (c *Core) Tick(now time.Duration) []Decision {
 	for _, u := range c.upstreams {
+		c.finishUnreported(now, u)
 		c.refuseLate(now, u)
 		c.sendQueued(now, u)
 	}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -19,6 +19,7 @@
 	averages              averages
 	refusals              refusalHistory
 	elsewhere             elsewhere
+	contacts              routerContact
 	prefillYield          prefillYield
 	groupFit              prefillFit
 	// severalVersions is set if the upstreams have different software versions.
@@ -48,6 +49,7 @@
 // Submit decides on a request. Submitting a pending request again has no effect and
 // repeats the decision, because the reply may have been lost.
 func (c *Core) Submit(now time.Duration, r Request) []Decision {
+	c.contacts.record(now, r.Ticket.Router)
 	if j := c.jobs[r.Ticket]; j != nil {
 		d := Decision{Ticket: r.Ticket, Verdict: Wait}
 		if j.state != waiting {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -26,7 +26,9 @@
 	usualCost time.Duration
 	// prefillEndsAt is the predicted end of the prefill, see prefillQueue.
 	prefillEndsAt time.Duration
-	// prefillDeadline is the time after which the prefill is overdue.
+	// firstByteDueAt is the predicted time of the first byte when the job was sent, and
+	// prefillDeadline the time after which the prefill is overdue.
+	firstByteDueAt  time.Duration
 	prefillDeadline time.Duration
 	// chargedTokens is the charge against the team's share, see ChargedTokens.
 	chargedTokens float64
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -27,6 +27,8 @@
 	stated func(engine string) dispatch.LoadReport
 	// remoteUsage, if set, returns what a team got from other groups.
 	remoteUsage func(team string) dispatch.Usage
+	// unreported, if set, returns whether the start and end of a request aren't reported.
+	unreported func(dispatch.Ticket) bool
 	// prefillTime is the time that an engine takes for each prompt.
 	prefillTime time.Duration
 	// domain is the failure domain of the routers that submit requests.
@@ -102,6 +104,9 @@
 			}
 			seq := e.jobs[0].seq
 			e.jobs = e.jobs[1:]
+			if s.unreported != nil && s.unreported(s.tickets[seq]) {
+				continue
+			}
 			s.served[s.team[seq]]++
 			load := dispatch.LoadReport{}
 			if s.stated != nil {
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -203,6 +203,7 @@
 	j.upstream, j.state, j.sentAt = u, sent, now
 	j.usualCost = time.Duration(float64(j.cost) / u.slowdown)
 	u.prefills.add(now, u.learnt.delay, j)
+	j.firstByteDueAt = now + u.backlog(now) + u.learnt.delay
 	j.prefillDeadline = now + 2*(u.backlog(now)+u.learnt.delay) + prefillGrace
 	u.setRunning(now, u.running+1)
 	u.reservedKV += j.reservedKV
