dispatch: requests of a lost router free their slots of a plain service

Change: a request without an answer for five mean service times no longer counts as running if its router has sent nothing in the second half of that time. Its end, if it comes, counts once.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -30,6 +30,8 @@
 	// prefillDeadline the time after which the prefill is overdue.
 	firstByteDueAt  time.Duration
 	prefillDeadline time.Duration
+	// slotFreed is set once the job no longer counts as running, although it hasn't ended.
+	slotFreed bool
 	// chargedTokens is the charge against the team's share, see ChargedTokens.
 	chargedTokens float64
 	// reservedKV is the number of KV cache tokens that the job needs while it runs.
--- a/dispatch/router_contact.go
+++ b/dispatch/router_contact.go
@@ -20,10 +20,11 @@
 // since reports whether anything was received from a router after a time.
 func (r routerContact) since(at time.Duration, router uint64) bool { return r[router] > at }
 
-// finishUnreported removes jobs from the backlog of an engine whose first byte is overdue and whose
-// routers have sent nothing since it was due. If their routers have, the engine is what is late.
+// finishUnreported removes jobs from the backlog of an upstream whose first byte is overdue and whose
+// routers have sent nothing since it was due. If their routers have, the upstream is what is late.
 func (c *Core) finishUnreported(now time.Duration, u *upstream) {
 	if !c.cfg.Engine {
+		c.freeUnreported(now, u)
 		return
 	}
 	for len(u.prefills.jobs) > 0 {
@@ -34,3 +35,14 @@
 		u.finishPrefill(oldest, now, false)
 	}
 }
+
+// freeUnreported frees the slots of such jobs at a plain service.
+func (c *Core) freeUnreported(now time.Duration, u *upstream) {
+	limit := hungServiceTimes * time.Duration(u.serviceMs.mean(defaultServiceMs)*float64(time.Millisecond))
+	for _, j := range u.prefills.jobs {
+		if !j.slotFreed && now-j.sentAt > limit && !c.contacts.since(j.sentAt+limit/2, j.Ticket.Router) {
+			j.slotFreed = true
+			u.setRunning(now, u.running-1)
+		}
+	}
+}
--- a/dispatch/spare.go
+++ b/dispatch/spare.go
@@ -18,7 +18,7 @@
 		}
 		u.update(now)
 		if !c.cfg.Engine {
-			free := max(u.Slots-u.running-len(u.queue), 0)
+			free := max(u.Slots-u.occupied()-len(u.queue), 0)
 			s.Work += time.Duration(free) * u.serviceTime(now, c.currentAverages(now))
 			continue
 		}
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -273,7 +273,9 @@
 		u.finishPrefill(j, now, false)
 	}
 	u.throttle.removeStream(j)
-	u.setRunning(now, u.running-1)
+	if !j.slotFreed {
+		u.setRunning(now, u.running-1)
+	}
 	u.reservedKV -= j.reservedKV
 	if o == Served || o == Failed || o == Rejected {
 		u.lastResponseAt = now
