dispatch: room is reserved for refused requests until their callers return

Cause: a Retry-After named a time at which a like request would be served, and nobody kept that room; whoever came first took it. Change: with Features.Reservations, an engine group's core has a calendar of the next 5 s in slots of 50 ms. A refused request of a team within its share gets the first slot that has room for its predicted work (prefill, slots or memory, whichever binds), at or after the predicted time and within a third of the time left; its Retry-After points there. The caller who returns goes before new requests of its priority and share status, new requests count the reserved work as ahead of them, and the room is freed when the caller doesn't return. A team gets at most half of a slot's room. Lost engines void what no longer fits. Counters: made, kept, missed, unused, void. Plain services and requests without parts are decided as before. Result: tests of dispatch pass (-race).

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -29,6 +29,9 @@
 // prefill takes most of the target, only the wait is limited, because waiting less does
 // not shorten the prefill.
 func (c *Core) admit(now time.Duration, j *job, candidate choice) bool {
+	if j.hasReservation() {
+		return candidate.firstByte < j.Timeout
+	}
 	if j.overShare() && c.shares.exceedsMaxUsage(now, j.Team) {
 		return false
 	}
@@ -75,9 +78,13 @@
 		c.refusals.record(now, f, refusedRequest{firstAttemptAt: j.submittedAt - j.sinceFirstAttempt, deadlineAt: j.submittedAt + j.Timeout})
 	}
 	delete(c.jobs, j.Ticket)
+	details := c.refusalDetails(now, j, candidate.u)
 	retryAfter := max(candidate.firstByte-max(j.Target, 0)/2, minRetryAfter)
+	if c.reserves() {
+		retryAfter = c.returnTime(now, j, candidate, retryAfter, &details)
+	}
 	c.decisions = append(c.decisions, Decision{
-		Ticket: j.Ticket, Verdict: Refuse, RetryAfter: retryAfter, PredictedFirstByte: candidate.firstByte, SinceFirstAttempt: j.sinceFirstAttempt, OverShare: j.overShare(), Details: c.refusalDetails(now, j, candidate.u),
+		Ticket: j.Ticket, Verdict: Refuse, RetryAfter: retryAfter, PredictedFirstByte: candidate.firstByte, SinceFirstAttempt: j.sinceFirstAttempt, OverShare: j.overShare(), Details: details,
 		Allowance: c.shares.allowance(now, j.Ticket.Router, j.Team),
 	})
 }
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -63,6 +63,7 @@
 	} else if u.full(j.reservedKV) {
 		wait += fullEngineWait
 	}
+	wait += c.reservedAhead(now, j, wait)
 	candidate := choice{u: u, wait: wait, firstByte: wait + cost + u.learnt.delay}
 	candidate.score = candidate.firstByte +
 		time.Duration(c.cfg.RecomputeWeight*float64(recompute)) +
@@ -87,7 +88,8 @@
 	probe.cost = cost
 	total := time.Duration(0)
 	for _, q := range u.queue {
-		if !c.before(&probe, q, now) {
+		// A reserved request goes first; the queue's length is what it delays.
+		if !c.before(&probe, q, now) || j.hasReservation() {
 			total += q.cost
 		}
 	}
--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -12,7 +12,11 @@
 	if j == nil || j.state == waiting {
 		return nil
 	}
+	if j.state == sent {
+		j.startedAt = now
+	}
 	j.upstream.firstByte(j, now)
+	c.sendReserved(now)
 	c.sendQueuedToMember(now, j.upstream)
 	return c.takeDecisions()
 }
@@ -32,13 +36,16 @@
 	delete(c.jobs, t)
 	u := j.upstream
 	if j.state == waiting {
+		c.cancelReservation(now, j)
 		u.queue = slices.DeleteFunc(u.queue, func(q *job) bool { return q == j })
 		return
 	}
 	if j.state == sent && o.notRun() {
 		c.shares.refund(now, j)
 	}
+	c.recordResidence(now, j, o)
 	u.finish(j, now, o, took)
+	c.sendReserved(now)
 	c.sendQueuedToMember(now, u)
 }
 
@@ -65,6 +72,8 @@
 // Tick sends the requests that have become ready and refuses those that can no longer be
 // served in time.
 func (c *Core) Tick(now time.Duration) []Decision {
+	c.advanceReservations(now)
+	c.sendReserved(now)
 	for _, u := range c.upstreams {
 		c.refuseLate(now, u)
 		c.sendQueued(now, u)
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -20,6 +20,12 @@
 	refusals              refusalHistory
 	prefillYield          prefillYield
 	groupFit              prefillFit
+	// reservations is nil until there is one. offeredLoad, groupYield and residence are kept only
+	// if the core reserves.
+	reservations *reservations
+	offeredLoad  offeredLoad
+	groupYield   groupYield
+	residence    residence
 	// severalVersions is set if the upstreams have different software versions.
 	severalVersions bool
 	// warmUpGranted is set while this core may send to upstreams that are warming up.
@@ -57,12 +63,14 @@
 		c.decisions = append(c.decisions, d)
 		return c.takeDecisions()
 	}
+	c.advanceReservations(now)
 	j := c.newJob(now, r)
 	j.reservedKV = r.Output
 	c.applyCacheHint(&j.Request)
 	c.recordDemand(now, j)
 	c.shares.utilization = c.meanUtilization(now) / c.shares.windowCoverage(now, utilizationWindow)
 	j.shareStatus = c.shares.shareStatus(now, r.Team)
+	c.claimReservation(now, j)
 	c.counts.Submitted++
 	c.jobs[r.Ticket] = j
 	c.place(now, j)
@@ -124,6 +132,7 @@
 		c.refuse(now, j, choice{firstByte: max(c.timeUntilWarm(now, j), time.Second)})
 		return
 	}
+	c.recordOffered(now, j, best)
 	if !best.admitted {
 		c.refuse(now, j, best)
 		return
@@ -145,6 +154,7 @@
 	u.probing.Count()
 	j.warming = warming
 	u.assign(j, now)
+	c.endReservation(now, j, true)
 	c.counts.Sent++
 	c.shares.addServed(now, j.Team, j.chargedTokens)
 	d := Decision{
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -12,6 +12,8 @@
 	// warming is set if the upstream was warming up when the job was sent to it.
 	warming bool
 	sentAt  time.Duration
+	// startedAt is when the first byte arrived, 0 if that is unknown.
+	startedAt time.Duration
 	// inherited is set if the job was sent before this core became the home, so that sentAt is
 	// too late.
 	inherited bool
@@ -37,6 +39,8 @@
 	// decoded tokens when this answer started.
 	deadlineAt     time.Duration
 	decodedAtStart float64
+	// reservation is the one with which the caller has returned, or nil.
+	reservation *reservation
 }
 
 type state uint8
@@ -67,9 +71,17 @@
 	if a.continuesStream() != b.continuesStream() {
 		return a.continuesStream()
 	}
+	if aDue, bDue := a.reservationDue(now), b.reservationDue(now); aDue != bDue {
+		return aDue
+	} else if aDue {
+		return a.reservation.at < b.reservation.at
+	}
 	if aLate, bLate := a.late(now), b.late(now); aLate != bLate {
 		return bLate
 	}
+	if a.hasVoidReservation() != b.hasVoidReservation() {
+		return a.hasVoidReservation()
+	}
 	if a.shareStatus == overFleetShare && a.Team != b.Team {
 		return c.shares.recentUsage(now, a.Team) < c.shares.recentUsage(now, b.Team)
 	}
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -130,8 +130,11 @@
 		if !c.cfg.Engine {
 			late = now > j.targetAt
 		}
+		if j.hasReservation() {
+			late = j.missesDeadline(now, start, delay)
+		}
 		if late {
-			c.refuse(now, j, choice{u: u, firstByte: j.Target + start})
+			c.refuse(now, j, choice{u: u, firstByte: j.Target + start, wait: start, plan: prefillPlan{cost: j.cost}})
 			return true
 		}
 		start += j.cost
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -116,6 +116,10 @@
 	Waiting, Running int
 	// Warming is the number of upstreams of the group that were warming up.
 	Warming int
+	// Reserved is the time until room is reserved for the caller, 0 if none is. NoRoom is set if
+	// none is expected before the caller must return.
+	Reserved time.Duration
+	NoRoom   bool
 }
 
 // Outcome is how a request ended at its upstream.
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -34,6 +34,8 @@
 	// OverShareTargetFraction is the fraction of the target that requests of teams above
 	// their share may wait.
 	OverShareTargetFraction float64 `json:"overUse"`
+	// Reservations is the number of callers for whom room is reserved and who haven't returned.
+	Reservations int `json:"reservations"`
 	// Counts are totals since the core was created.
 	Counts Counts `json:"counts"`
 }
@@ -45,11 +47,23 @@
 	Refused   int `json:"refused"`
 	// RefusedOverShare is the part of Refused that came from teams above their share.
 	RefusedOverShare int `json:"refusedOver"`
+	// Reservations is the number of refusals for which room was reserved. It was kept if the
+	// caller returned in time and its request was sent within sendTolerance, missed if the request
+	// was refused again or sent later, unused if the caller did not return in time, and void if
+	// engines were lost or slowed down before.
+	Reservations       int `json:"reserved"`
+	ReservationsKept   int `json:"reservedKept"`
+	ReservationsMissed int `json:"reservedMissed"`
+	ReservationsUnused int `json:"reservedUnused"`
+	ReservationsVoid   int `json:"reservedVoid"`
 }
 
 // State returns the core's state.
 func (c *Core) State(now time.Duration) State {
 	s := State{Upstreams: len(c.upstreams), Served: c.shares.totalServed, OverShareTargetFraction: c.overShareFraction(now), Counts: c.counts}
+	if c.reservations != nil {
+		s.Reservations = len(c.reservations.byFingerprint)
+	}
 	s.FairShare, s.Capacity = finite(c.shares.fairShare), finite(c.shares.availableCapacity(now))
 	for _, u := range c.upstreams {
 		u.update(now)
@@ -88,5 +102,11 @@
 	return Counts{
 		Submitted: c.Submitted - earlier.Submitted, Sent: c.Sent - earlier.Sent,
 		Refused: c.Refused - earlier.Refused, RefusedOverShare: c.RefusedOverShare - earlier.RefusedOverShare,
+		Reservations: c.Reservations - earlier.Reservations, ReservationsKept: c.ReservationsKept - earlier.ReservationsKept,
+		ReservationsMissed: c.ReservationsMissed - earlier.ReservationsMissed, ReservationsUnused: c.ReservationsUnused - earlier.ReservationsUnused,
+		ReservationsVoid: c.ReservationsVoid - earlier.ReservationsVoid,
 	}
 }
+
+// Plus returns the sum of the counts.
+func (c Counts) Plus(other Counts) Counts { return c.Since(Counts{}.Since(other)) }
