fleet, lab: reservations in logs and simulations

Cause: an operator has to see whether reserved room is used, and the decision has to be played under load. Change: decision lines have reserved_ms or no_room_expected; a group line has the counts once there was a reservation. A simulation takes the features of the homes, surges of all teams and the time that a retry takes; its result has the refusals per request and the homes' counts.

--- a/fleet/dump.go
+++ b/fleet/dump.go
@@ -154,12 +154,17 @@
 		if since.Submitted == 0 {
 			continue
 		}
-		n.log.Info().Str("event", "group").Str("group", g.name).Bool("home", g.home == n.self).
+		line := n.log.Info().Str("event", "group").Str("group", g.name).Bool("home", g.home == n.self).
 			Int("upstreams", s.Upstreams).Int("banned", s.Banned).Int("warming", s.Warming).Float64("use", s.Utilization).Int64("unread_ms", s.Backlog.Milliseconds()).
 			Int("waiting", s.Waiting).Int("running", s.Running).Int64("served_tokens", int64(s.Served)).
 			Int64("room_tokens", int64(s.Capacity)).Int64("share_tokens", int64(s.FairShare)).Float64("over_use", s.OverShareTargetFraction).
 			Int("asked", since.Submitted).Int("sent", since.Sent).Int("refused", since.Refused).Int("refused_over", since.RefusedOverShare).
-			Int64("lag_us", n.Lag().Microseconds()).Msg("decisions of a group")
+			Int64("lag_us", n.Lag().Microseconds())
+		if s.Counts.Reservations > 0 {
+			line.Int("reserved", since.Reservations).Int("reserved_kept", since.ReservationsKept).Int("reserved_missed", since.ReservationsMissed).
+				Int("reserved_unused", since.ReservationsUnused).Int("reserved_void", since.ReservationsVoid)
+		}
+		line.Msg("decisions of a group")
 		if since.Refused > 0 {
 			n.logTeams(now, g, s.FairShare)
 		}
--- a/fleet/home.go
+++ b/fleet/home.go
@@ -31,7 +31,14 @@
 			Int64("served_tokens", int64(b.Served)).Int64("share_tokens", int64(b.Share)).
 			Int64("predicted_ms", d.PredictedFirstByte.Milliseconds()).Str("upstream", b.Upstream).
 			Int64("unread_ms", b.Backlog.Milliseconds()).Int("waiting", b.Waiting).Int("running", b.Running).Int("warming", b.Warming).
-			Int64("retry_after_ms", d.RetryAfter.Milliseconds()).Msg("refused by the home")
+			Int64("retry_after_ms", d.RetryAfter.Milliseconds())
+		if b.Reserved > 0 {
+			e.Int64("reserved_ms", b.Reserved.Milliseconds())
+		}
+		if b.NoRoom {
+			e.Bool("no_room_expected", true)
+		}
+		e.Msg("refused by the home")
 	})
 }
 
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -1,6 +1,10 @@
 package lab
 
-import "time"
+import (
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/dispatch"
+)
 
 // Fleet describes the simulated fleet and its faults.
 type Fleet struct {
@@ -27,6 +31,8 @@
 	HomeReplacements []HomeReplacement
 	// CrashingPart, if not nil, is a prompt part on which engines crash.
 	CrashingPart *CrashingPart
+	// Features are the decisions that the cores of the homes have enabled.
+	Features dispatch.Features
 }
 
 // HomeReplacement replaces a home by one without any state.
--- a/lab/load.go
+++ b/lab/load.go
@@ -6,14 +6,17 @@
 	"time"
 )
 
-// Surge is a period in which one team requests a multiple of its base rate.
+// Surge is a period in which one team, or all of them, request a multiple of their base rate.
 type Surge struct {
-	// Team is the rank by size; 0 is the largest.
+	// Team is the rank by size, 0 for the largest, or AllTeams.
 	Team     int
 	Factor   float64
 	From, To time.Duration
 }
 
+// AllTeams is the Team of a surge of all teams.
+const AllTeams = -1
+
 // Load describes the requests of one simulation.
 type Load struct {
 	Sheet *Sheet
@@ -24,6 +27,9 @@
 	Seed     uint64
 	// MaxRetries is how often a refused caller retries.
 	MaxRetries int
+	// RetryDelay is the time that a retry takes in addition to its Retry-After: connections and
+	// the messages between caller and router.
+	RetryDelay time.Duration
 }
 
 // arrival is one request of a load.
@@ -71,7 +77,7 @@
 
 func (l Load) rate(base float64, team int, at time.Duration) float64 {
 	for _, surge := range l.Surges {
-		if team == surge.Team && at >= surge.From && at < surge.To {
+		if (team == surge.Team || surge.Team == AllTeams) && at >= surge.From && at < surge.To {
 			base *= surge.Factor
 		}
 	}
--- a/lab/policy.go
+++ b/lab/policy.go
@@ -88,7 +88,9 @@
 
 // newHomePolicy returns the policy of one of several homes that divide the engines.
 func (s *simulation) newHomePolicy(cfg dispatch.Config, delay time.Duration, homeIndex, homeCount int) *corePolicy {
+	cfg.Features = s.fleet.Features
 	c := &corePolicy{sim: s, core: dispatch.New(cfg), delay: delay, homeIndex: homeIndex, homeCount: homeCount}
+	s.cores = append(s.cores, c.core)
 	c.setEngines(0)
 	c.scheduleOutages(s.fleet.EngineOutages)
 	c.tick()
--- a/lab/simulation.go
+++ b/lab/simulation.go
@@ -21,10 +21,12 @@
 	routers    []*router
 	requests   map[uint64]*request
 	policy     placementPolicy
-	rng        *rand.Rand
-	result     Result
-	earnings   *ledger
-	fairness   *fairnessMeter
+	// cores are those of all homes, also of replaced ones.
+	cores    []*dispatch.Core
+	rng      *rand.Rand
+	result   Result
+	earnings *ledger
+	fairness *fairnessMeter
 	// crash is nil unless the fleet has a CrashingPart.
 	crash *crashState
 	// seq is the number of the latest attempt.
@@ -87,6 +89,10 @@
 	// OnTime, Late, Refused, TimedOut and Failed are fractions of the requests. Failed ones met
 	// engines that crashed.
 	OnTime, Late, Refused, TimedOut, Failed float64
+	// Refusals is the number of refusals per request.
+	Refusals float64
+	// Counts are the sums over all homes.
+	Counts dispatch.Counts
 	// RedundantPrefill is the fraction of the prefilled tokens that were shared parts cached at
 	// another engine.
 	RedundantPrefill float64
@@ -280,8 +286,9 @@
 func (s *simulation) refused(r *request, retryAfter time.Duration) {
 	s.endTrial(r)
 	s.fairness.at(s.clock.now, r.team).underserved = true
+	s.result.Refusals++
 	if r.attempts <= s.load.MaxRetries {
-		s.clock.after(min(retryAfter, s.remaining(r)/retryDelayDivisor), func() {
+		s.clock.after(min(retryAfter, s.remaining(r)/retryDelayDivisor)+s.load.RetryDelay, func() {
 			if !r.ended {
 				s.attempt(r)
 			}
@@ -338,6 +345,7 @@
 	n := res.offered
 	res.OnTime, res.Late, res.Refused, res.TimedOut = res.OnTime/n, res.Late/n, res.Refused/n, res.TimedOut/n
 	res.Failed /= n
+	res.Refusals /= n
 	offered := make([]int, len(s.load.Sheet.Classes))
 	for _, r := range s.requests {
 		offered[r.class]++
@@ -357,6 +365,9 @@
 	if s.crash != nil {
 		res.Crash = s.crash.result
 	}
+	for _, core := range s.cores {
+		res.Counts = res.Counts.Plus(core.State(s.clock.now).Counts)
+	}
 	res.RedundantPrefill = float64(redundant) / float64(max(prefilled, 1))
 	return res
 }
