dispatch: late returns leave the engines to first attempts

Cause: in an overload a caller that returns soon is refused again or takes the place of a first attempt, whose answer would be in time. Teams above their share, who have no reservations, make up most refusals. Reservations of teams that were above their part of the group, but not of the fleet, were missed, because new requests of others went first although they had counted the reserved work as ahead of them. Tests of dispatch pass (-race).

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -36,7 +36,7 @@
 		return false
 	}
 	if j.sinceFirstAttempt > 0 && candidate.firstByte-candidate.wait > j.Target {
-		return candidate.wait <= c.maxLateBacklog(j) && candidate.firstByte < j.Timeout
+		return c.admitLate(j, candidate)
 	}
 	fraction := c.cfg.TargetFraction
 	if j.overShare() {
@@ -50,17 +50,6 @@
 	return candidate.firstByte <= limit
 }
 
-// maxLateBacklog returns the maximum wait at an engine for a request that will be late:
-// the backlog window for a team within its share, which is entitled to the capacity after
-// requests that can still be in time, and a third of it for teams above their share, which
-// only get spare capacity.
-func (c *Core) maxLateBacklog(j *job) time.Duration {
-	if j.overShare() {
-		return c.cfg.BacklogWindow / 3
-	}
-	return c.cfg.BacklogWindow
-}
-
 // minRetryAfter keeps callers from retrying in a tight loop.
 const minRetryAfter = 100 * time.Millisecond
 
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -6,8 +6,6 @@
 type reservation struct {
 	fingerprint Fingerprint
 	team        string
-	// status is the team's status when the request was refused.
-	status shareStatus
 	// at is when the caller was asked to return, and deadlineAt when it gives up.
 	at, deadlineAt time.Duration
 	// work is the predicted work in group time, and taken where it is in the calendar.
--- a/dispatch/reservations.go
+++ b/dispatch/reservations.go
@@ -68,7 +68,7 @@
 		return nil
 	}
 	x := &reservation{
-		fingerprint: f, team: j.Team, status: j.shareStatus, at: min(max(slotStart(slot), earliest), latest), deadlineAt: j.deadlineAt,
+		fingerprint: f, team: j.Team, at: min(max(slotStart(slot), earliest), latest), deadlineAt: j.deadlineAt,
 		work: work, taken: append([]slotWork(nil), taken...),
 	}
 	r.add(x, slot, j.Priority)
@@ -117,7 +117,8 @@
 	delete(c.reservations.byFingerprint, f)
 	x.returned, j.reservation = true, x
 	c.reservations.unsent++
-	j.shareStatus = min(j.shareStatus, x.status)
+	// New requests count the reserved work as ahead of them, whatever the team got meanwhile.
+	j.shareStatus = withinShare
 	if x.due(now) {
 		// The job counts as queued or sent from now on.
 		c.reservations.release(x)
@@ -202,8 +203,11 @@
 // unreserved is the predicted time until a like request would be accepted.
 func (c *Core) returnTime(now time.Duration, j *job, candidate choice, unreserved time.Duration, details *RefusalDetails) time.Duration {
 	c.endReservation(now, j, false)
-	if candidate.u == nil || j.overShare() || j.HandedOver {
+	switch {
+	case candidate.u == nil || j.HandedOver:
 		return unreserved
+	case j.overShare():
+		return c.spareReturnTime(now, j, candidate, unreserved)
 	}
 	if x := c.reserve(now, j, candidate); x != nil {
 		details.Reserved = x.at - now
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -21,6 +21,8 @@
 	steps, idleSteps int
 	// onSend, if set, is called for each request that is sent.
 	onSend func(team string)
+	// onRefuse, if set, is called for each refusal.
+	onRefuse func(dispatch.Decision)
 	// remoteUsage, if set, returns what a team got from other groups.
 	remoteUsage func(team string) dispatch.Usage
 	// prefillTime is the time that an engine takes for each prompt.
@@ -62,6 +64,9 @@
 		if d.Allowance != 0 {
 			s.allowances[d.Ticket.Router] = d.Allowance
 		}
+		if d.Verdict == dispatch.Refuse && s.onRefuse != nil {
+			s.onRefuse(d)
+		}
 		if d.Verdict != dispatch.Send {
 			continue
 		}
