--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -29,11 +29,14 @@
 // prefill takes most of the target, only the wait is limited, because waiting less does
 // not shorten the prefill.
 func (c *Core) admit(now time.Duration, j *job, candidate choice) bool {
+	if j.hasReservation() {
+		return candidate.firstByte < j.Timeout
+	}
 	if j.overShare() && c.shares.exceedsMaxUsage(now, j.Team) {
 		return false
 	}
 	if j.sinceFirstAttempt > 0 && candidate.firstByte-candidate.wait > j.Target {
-		return candidate.wait <= c.maxLateBacklog(j) && candidate.firstByte < j.Timeout
+		return c.admitLate(j, candidate)
 	}
 	fraction := c.cfg.TargetFraction
 	if j.overShare() {
@@ -47,17 +50,6 @@
 	return candidate.firstByte <= limit
 }
 
-// maxLateBacklog returns the maximum wait at an engine for a request that will be late:
-// the backlog window for a team within its share, which is entitled to the capacity after
-// requests that can still be in time, and a third of it for teams above their share, which
-// only get spare capacity.
-func (c *Core) maxLateBacklog(j *job) time.Duration {
-	if j.overShare() {
-		return c.cfg.BacklogWindow / 3
-	}
-	return c.cfg.BacklogWindow
-}
-
 // minRetryAfter keeps callers from retrying in a tight loop.
 const minRetryAfter = 100 * time.Millisecond
 
@@ -75,9 +67,13 @@
 		c.refusals.record(now, f, refusedRequest{firstAttemptAt: j.submittedAt - j.sinceFirstAttempt, deadlineAt: j.submittedAt + j.Timeout})
 	}
 	delete(c.jobs, j.Ticket)
+	details := c.refusalDetails(now, j, candidate.u)
 	retryAfter := max(candidate.firstByte-max(j.Target, 0)/2, minRetryAfter)
+	if c.reserves() {
+		retryAfter = c.returnTime(now, j, candidate, retryAfter, &details)
+	}
 	c.decisions = append(c.decisions, Decision{
-		Ticket: j.Ticket, Verdict: Refuse, RetryAfter: retryAfter, PredictedFirstByte: candidate.firstByte, SinceFirstAttempt: j.sinceFirstAttempt, OverShare: j.overShare(), Details: c.refusalDetails(now, j, candidate.u),
+		Ticket: j.Ticket, Verdict: Refuse, RetryAfter: retryAfter, PredictedFirstByte: candidate.firstByte, SinceFirstAttempt: j.sinceFirstAttempt, OverShare: j.overShare(), Details: details,
 		Allowance: c.shares.allowance(now, j.Ticket.Router, j.Team),
 	})
 }
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -22,6 +22,12 @@
 	contacts              routerContact
 	prefillYield          prefillYield
 	groupFit              prefillFit
+	// reservations is nil until there is one. offeredLoad, groupYield and residence are kept only
+	// if the core reserves.
+	reservations *reservations
+	offeredLoad  offeredLoad
+	groupYield   groupYield
+	residence    residence
 	// severalVersions is set if the upstreams have different software versions.
 	severalVersions bool
 	// warmUpGranted is set while this core may send to upstreams that are warming up.
@@ -61,6 +67,7 @@
 		c.decisions = append(c.decisions, d)
 		return c.takeDecisions()
 	}
+	c.advanceReservations(now)
 	j := c.newJob(now, r)
 	j.reservedKV = r.Output
 	c.applyCacheHint(&j.Request)
@@ -68,6 +75,7 @@
 	c.recordDemand(now, j)
 	c.shares.utilization = c.meanUtilization(now) / c.shares.span().coverage(now, utilizationWindow)
 	j.shareStatus = c.shares.shareStatus(now, r.Team)
+	c.claimReservation(now, j)
 	c.counts.Submitted++
 	if r.HandedOver {
 		c.counts.TakenOver++
@@ -128,7 +136,9 @@
 // place chooses the best upstream and then sends, queues or refuses the request.
 func (c *Core) place(now time.Duration, j *job) {
 	best, ok := c.best(now, j)
-	if !ok {
+	if ok {
+		c.recordOffered(now, j, best)
+	} else {
 		best.firstByte = max(c.timeUntilWarm(now, j), time.Second)
 	}
 	if !best.admitted {
@@ -157,6 +167,7 @@
 	u.probing.Count()
 	j.warming = warming
 	u.assign(j, now)
+	c.endReservation(now, j, true)
 	c.counts.Sent++
 	c.countDistance(j, u)
 	c.shares.addServed(now, j.Team, j.chargedTokens)
--- a/dispatch/handover_test.go
+++ b/dispatch/handover_test.go
@@ -23,8 +23,8 @@
 	return cfg
 }
 
-// fill submits requests until the group has no room for another one, and returns the next number.
-func fill(c *dispatch.Core, now time.Duration) uint64 {
+// fillGroup submits requests until the group has no room for another one, and returns the next number.
+func fillGroup(c *dispatch.Core, now time.Duration) uint64 {
 	for seq := uint64(1); ; seq++ {
 		if d := c.Submit(now, request(seq, "a", 1000+seq))[0]; d.Verdict == dispatch.Refuse {
 			return seq + 1
@@ -38,7 +38,7 @@
 	g := NewWithT(t)
 	c := newHandoverCore(2)
 	now := 2 * time.Second
-	seq := fill(c, now)
+	seq := fillGroup(c, now)
 	g.Expect(c.SeeksSpare(now)).To(BeTrue())
 	c.SetSpare(now, 1, dispatch.Spare{})
 	c.SetSpare(now, 3, dispatch.Spare{Work: time.Second})
@@ -54,7 +54,7 @@
 	g := NewWithT(t)
 	c := newHandoverCore(2)
 	now := 2 * time.Second
-	r := request(fill(c, now), "b", 5)
+	r := request(fillGroup(c, now), "b", 5)
 	c.SetSpare(now, 1, dispatch.Spare{Work: time.Hour})
 	r.HandedOver = true
 	d := c.Submit(now, r)[0]
@@ -67,7 +67,7 @@
 	g := NewWithT(t)
 	c := newHandoverCore(2)
 	now := 2 * time.Second
-	r := request(fill(c, now), "b", 5)
+	r := request(fillGroup(c, now), "b", 5)
 	c.SetSpare(now, 1, dispatch.Spare{Work: time.Hour})
 	r.Version = "v1"
 	g.Expect(c.Submit(now, r)[0].HandOver).To(BeFalse())
@@ -78,7 +78,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		c := newHandoverCore(1)
 		now := 2 * time.Second
-		seq := fill(c, now)
+		seq := fillGroup(c, now)
 		work := time.Duration(rapid.IntRange(0, 2000).Draw(t, "work")) * time.Millisecond
 		c.SetSpare(now, 2, dispatch.Spare{Work: work})
 		handed := time.Duration(0)
@@ -131,7 +131,7 @@
 	c.SetSpare(now, 1, dispatch.Spare{Work: time.Second})
 	var r dispatch.Request
 	var d dispatch.Decision
-	for seq := fill(c, now); !d.HandOver; seq++ {
+	for seq := fillGroup(c, now); !d.HandOver; seq++ {
 		r = request(seq, "b", 5)
 		d = c.Submit(now, r)[0]
 	}
@@ -152,6 +152,6 @@
 	c := newHandoverCore(3)
 	now := 2 * time.Second
 	g.Expect(c.Spare(now).Work).To(Equal(3 * dispatch.DefaultConfig(true).BacklogWindow))
-	fill(c, now)
+	fillGroup(c, now)
 	g.Expect(c.Spare(now).Work).To(BeZero())
 }
--- a/dispatch/load_report_test.go
+++ b/dispatch/load_report_test.go
@@ -13,9 +13,9 @@
 	"github.com/aspenswitch/aspenswitch/dispatch"
 )
 
-// recordPlay submits random requests to a core, answers them and returns all decisions and the final
+// recordLoadPlay submits random requests to a core, answers them and returns all decisions and the final
 // state. load is what the upstreams state in their answers.
-func recordPlay(cfg dispatch.Config, seed uint64, load func(*rand.Rand) dispatch.LoadReport) (decisions []dispatch.Decision, end dispatch.State) {
+func recordLoadPlay(cfg dispatch.Config, seed uint64, load func(*rand.Rand) dispatch.LoadReport) (decisions []dispatch.Decision, end dispatch.State) {
 	c := dispatch.New(cfg)
 	c.SetMembers(0, engines(6))
 	c.SetCapacity(300e3)
@@ -72,12 +72,12 @@
 		on := off
 		on.LoadReports = true
 		for seed := range uint64(4) {
-			decisions, end := recordPlay(off, seed, noLoad)
+			decisions, end := recordLoadPlay(off, seed, noLoad)
 			for name, play := range map[string]func() ([]dispatch.Decision, dispatch.State){
-				"off":         func() ([]dispatch.Decision, dispatch.State) { return recordPlay(off, seed, anyLoad) },
-				"none stated": func() ([]dispatch.Decision, dispatch.State) { return recordPlay(on, seed, noLoad) },
+				"off":         func() ([]dispatch.Decision, dispatch.State) { return recordLoadPlay(off, seed, anyLoad) },
+				"none stated": func() ([]dispatch.Decision, dispatch.State) { return recordLoadPlay(on, seed, noLoad) },
 				"no speed": func() ([]dispatch.Decision, dispatch.State) {
-					return recordPlay(on, seed, func(rnd *rand.Rand) dispatch.LoadReport {
+					return recordLoadPlay(on, seed, func(rnd *rand.Rand) dispatch.LoadReport {
 						return dispatch.LoadReport{Running: rnd.IntN(99), Waiting: rnd.IntN(99), Slots: 64}
 					})
 				},
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -123,6 +123,10 @@
 	Warming int
 	// Slowdown is the expected slowdown of Upstream, 0 if it doesn't state its present speed.
 	Slowdown float64
+	// Reserved is the time until room is reserved for the caller, 0 if none is. NoRoom is set if
+	// none is expected before the caller must return.
+	Reserved time.Duration
+	NoRoom   bool
 }
 
 // Outcome is how a request ended at its upstream.
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -18,8 +18,10 @@
 	// group's engines alone.
 	fairShare, groupShare float64
 	updatedAt             time.Duration
-	// maxUsage is the usage that no team may exceed while another one waits for service.
-	maxUsage Usage
+	// maxUsage is the usage that no team may exceed while another one waits for service,
+	// leastServed the waiting teams that it was computed from.
+	maxUsage    Usage
+	leastServed leastServedTeams
 	// totalServed is what all teams together were served within the window.
 	totalServed float64
 	// utilization is the fraction of time in which the upstreams had a backlog.
@@ -99,7 +101,7 @@
 	if now-s.updatedAt >= shareUpdateInterval {
 		s.updatedAt = now
 		s.computeShares(now)
-		s.maxUsage = s.computeMaxUsage(now)
+		s.maxUsage, s.leastServed = s.computeMaxUsage(now)
 	}
 }
 
@@ -115,7 +117,10 @@
 	waitingServedFraction = 0.6
 )
 
-// computeMaxUsage returns the maximum usage of a team.
+// leastServedTeams are the waiting teams with the lowest usage of each window.
+type leastServedTeams struct{ window, recent string }
+
+// computeMaxUsage returns the maximum usage of a team and the teams that determine it.
 //
 // A team may be delayed before its requests reach a home, for instance if all its callers
 // use one overloaded router. Without a maximum, its unused share would go to any other
@@ -123,20 +128,25 @@
 // capacity would go to the team with the most requests: one team got 1.5 million tokens
 // per second while another with the same demand got 0.65 million. Up to the max-min fair
 // share no team is limited.
-func (s *shares) computeMaxUsage(now time.Duration) Usage {
+func (s *shares) computeMaxUsage(now time.Duration) (Usage, leastServedTeams) {
 	lowest := Usage{Window: math.Inf(1), Recent: math.Inf(1)}
-	for _, a := range s.accounts {
+	var teams leastServedTeams
+	for name, a := range s.accounts {
 		a.decay(now, s.span())
 		if !s.isWaiting(now, a) {
 			continue
 		}
-		lowest.Window = min(lowest.Window, a.total())
-		lowest.Recent = min(lowest.Recent, a.totalRecent())
+		if u := a.total(); u < lowest.Window {
+			lowest.Window, teams.window = u, name
+		}
+		if u := a.totalRecent(); u < lowest.Recent {
+			lowest.Recent, teams.recent = u, name
+		}
 	}
 	return Usage{
 		Window: max(maxUsageRatio*lowest.Window, s.fairShare),
 		Recent: max(maxUsageRatio*lowest.Recent, maxFairRate*s.rate(s.fairShare)),
-	}
+	}, teams
 }
 
 // isWaiting reports whether a team waits for service: a request was refused, and the team
@@ -150,11 +160,14 @@
 	return share * float64(rateWindow) / float64(s.window)
 }
 
-// exceedsMaxUsage reports whether a team must leave spare capacity to others.
+// exceedsMaxUsage reports whether a team must leave spare capacity to others. The least served
+// team isn't compared with its own usage of the last update: in the first moments of load that
+// doubles within shareUpdateInterval.
 func (s *shares) exceedsMaxUsage(now time.Duration, team string) bool {
 	s.refresh(now)
 	a := s.account(now, team)
-	return a.total() > s.maxUsage.Window || a.totalRecent() > s.maxUsage.Recent
+	return a.total() > s.maxUsage.Window && team != s.leastServed.window ||
+		a.totalRecent() > s.maxUsage.Recent && team != s.leastServed.recent
 }
 
 // minAccountTokens is the number of tokens below which usage is dropped: an account is
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -25,6 +25,8 @@
 	onSendTo func(engine string)
 	// stated, if set, is what an engine states in its answers.
 	stated func(engine string) dispatch.LoadReport
+	// onRefuse, if set, is called for each refusal.
+	onRefuse func(dispatch.Decision)
 	// remoteUsage, if set, returns what a team got from other groups.
 	remoteUsage func(team string) dispatch.Usage
 	// unreported, if set, returns whether the start and end of a request aren't reported.
@@ -70,6 +72,9 @@
 		if d.Allowance != 0 {
 			s.allowances[d.Ticket.Router] = d.Allowance
 		}
+		if d.Verdict == dispatch.Refuse && s.onRefuse != nil {
+			s.onRefuse(d)
+		}
 		if d.Verdict != dispatch.Send {
 			continue
 		}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -36,6 +36,8 @@
 	// OverShareTargetFraction is the fraction of the target that requests of teams above
 	// their share may wait.
 	OverShareTargetFraction float64 `json:"overUse"`
+	// Reservations is the number of callers for whom room is reserved and who haven't returned.
+	Reservations int `json:"reservations"`
 	// Counts are totals since the core was created.
 	Counts Counts `json:"counts"`
 }
@@ -56,11 +58,23 @@
 	// HandedOver requests were left to another group, TakenOver ones came from another group.
 	HandedOver int `json:"handedOver"`
 	TakenOver  int `json:"takenOver"`
+	// Reservations is the number of refusals for which room was reserved. It was kept if the
+	// caller returned in time and its request was sent within sendTolerance, missed if the request
+	// was refused again or sent later, unused if the caller did not return in time, and void if
+	// engines were lost or slowed down before.
+	Reservations       int `json:"reserved"`
+	ReservationsKept   int `json:"reservedKept"`
+	ReservationsMissed int `json:"reservedMissed"`
+	ReservationsUnused int `json:"reservedUnused"`
+	ReservationsVoid   int `json:"reservedVoid"`
 }
 
 // State returns the core's state.
 func (c *Core) State(now time.Duration) State {
 	s := State{Upstreams: len(c.upstreams), Served: c.shares.totalServed, OverShareTargetFraction: c.overShareFraction(now), Counts: c.counts}
+	if c.reservations != nil {
+		s.Reservations = len(c.reservations.byFingerprint)
+	}
 	s.FairShare, s.Capacity = finite(c.shares.fairShare), finite(c.shares.availableCapacity(now))
 	for _, u := range c.upstreams {
 		u.update(now)
@@ -102,5 +116,11 @@
 		Refused: c.Refused - earlier.Refused, RefusedOverShare: c.RefusedOverShare - earlier.RefusedOverShare,
 		Near: c.Near - earlier.Near, Far: c.Far - earlier.Far, CopiedForDomain: c.CopiedForDomain - earlier.CopiedForDomain,
 		HandedOver: c.HandedOver - earlier.HandedOver, TakenOver: c.TakenOver - earlier.TakenOver,
+		Reservations: c.Reservations - earlier.Reservations, ReservationsKept: c.ReservationsKept - earlier.ReservationsKept,
+		ReservationsMissed: c.ReservationsMissed - earlier.ReservationsMissed, ReservationsUnused: c.ReservationsUnused - earlier.ReservationsUnused,
+		ReservationsVoid: c.ReservationsVoid - earlier.ReservationsVoid,
 	}
 }
+
+// Plus returns the sum of the counts.
+func (c Counts) Plus(other Counts) Counts { return c.Since(Counts{}.Since(other)) }
--- a/dispatch/wrong_reports_test.go
+++ b/dispatch/wrong_reports_test.go
@@ -19,9 +19,9 @@
 		off := dispatch.DefaultConfig(engine)
 		on := off
 		on.LoadReports = true
-		want, wantEnd := recordPlay(off, 1, noLoad)
+		want, wantEnd := recordLoadPlay(off, 1, noLoad)
 		for _, slowdown := range []float64{1, 0.01} {
-			got, end := recordPlay(on, 1, func(*rand.Rand) dispatch.LoadReport { return dispatch.LoadReport{Slots: 64, Slowdown: slowdown} })
+			got, end := recordLoadPlay(on, 1, func(*rand.Rand) dispatch.LoadReport { return dispatch.LoadReport{Slots: 64, Slowdown: slowdown} })
 			g.Expect(got).To(HaveLen(len(want)))
 			for i, d := range got {
 				g.Expect([]any{d.Ticket, d.Verdict, d.Upstream}).To(Equal([]any{want[i].Ticket, want[i].Verdict, want[i].Upstream}))
@@ -140,7 +140,7 @@
 		g := NewWithT(t)
 		cfg := dispatch.DefaultConfig(rapid.Bool().Draw(t, "engine"))
 		cfg.LoadReports = true
-		decisions, end := recordPlay(cfg, rapid.Uint64().Draw(t, "seed"), anyLoad)
+		decisions, end := recordLoadPlay(cfg, rapid.Uint64().Draw(t, "seed"), anyLoad)
 		for _, d := range decisions {
 			g.Expect(d.PredictedFirstByte).To(BeNumerically(">=", 0))
 			g.Expect(d.PredictedFirstByte).To(BeNumerically("<", time.Minute))
--- a/fleet/dump.go
+++ b/fleet/dump.go
@@ -169,6 +169,10 @@
 			line.Float64("prefill_factor", s.PrefillFactor).Int("state_load", l.Upstreams).Float64("slowdown", l.Slowdown).
 				Int64("slowdown_age_ms", l.Age.Milliseconds()).Int("slow", l.Slow).Int("other_requests", l.OtherRequests)
 		}
+		if s.Counts.Reservations > 0 {
+			line.Int("reserved", since.Reservations).Int("reserved_kept", since.ReservationsKept).Int("reserved_missed", since.ReservationsMissed).
+				Int("reserved_unused", since.ReservationsUnused).Int("reserved_void", since.ReservationsVoid)
+		}
 		line.Msg("decisions of a group")
 		if since.Refused > 0 {
 			n.logTeams(now, g, s.FairShare)
--- a/fleet/home.go
+++ b/fleet/home.go
@@ -37,6 +37,12 @@
 		if b.Slowdown > 0 {
 			e.Float64("slowdown", b.Slowdown)
 		}
+		if b.Reserved > 0 {
+			e.Int64("reserved_ms", b.Reserved.Milliseconds())
+		}
+		if b.NoRoom {
+			e.Bool("no_room_expected", true)
+		}
 		e.Msg("refused by the home")
 	})
 }
--- a/lab/domains.go
+++ b/lab/domains.go
@@ -51,7 +51,7 @@
 
 // locality returns the configuration with the fleet's locality.
 func (f *Fleet) locality(cfg dispatch.Config) dispatch.Config {
-	cfg.Locality = f.Domains != nil && f.Domains.Locality
+	cfg.Locality = cfg.Locality || f.Domains != nil && f.Domains.Locality
 	return cfg
 }
 
