--- a/dispatch/late_returns_test.go
+++ b/dispatch/late_returns_test.go
@@ -18,7 +18,7 @@
 		c := newReservingCore(1)
 		now := start
 		r := smallRequest(0, "a", 1)
-		r.Timeout = time.Second // too short for a reservation behind the backlog
+		r.Timeout = 600 * time.Millisecond // too short for a reservation behind the backlog
 		refused := uint64(0)
 		for ; ; refused++ {
 			r.Ticket = ticket(refused)
@@ -28,13 +28,13 @@
 				break
 			}
 		}
-		now += 340 * time.Millisecond
+		now += 200 * time.Millisecond
 		serve(c, now, refused)
 		again := r
 		if busy {
 			c.Submit(now, smallRequest(500, "b", 500))
 		}
-		again.Ticket, again.Target, again.Timeout = ticket(600), 100*time.Millisecond, 660*time.Millisecond
+		again.Ticket, again.Target, again.Timeout = ticket(600), 0, 400*time.Millisecond
 		expected := dispatch.Send
 		if busy {
 			expected = dispatch.Refuse
--- a/dispatch/reservations_test.go
+++ b/dispatch/reservations_test.go
@@ -10,14 +10,15 @@
 )
 
 // newReservingCore returns a core for n engines that keeps room for refused requests and has had
-// little to do until start.
+// little to do until start. All teams are within their share.
 func newReservingCore(n int) *dispatch.Core {
 	cfg := dispatch.DefaultConfig(true)
 	cfg.Reservations = true
 	c := dispatch.New(cfg)
 	c.SetMembers(time.Second, engines(n))
+	c.SetCapacity(1e6)
 	c.Submit(2*time.Second, request(earlier, "a", earlier))
-	c.Started(3*time.Second, ticket(earlier))
+	c.Started(2250*time.Millisecond, ticket(earlier))
 	c.Done(3*time.Second, ticket(earlier), dispatch.Served, time.Second)
 	return c
 }
@@ -25,7 +26,7 @@
 // smallRequest returns a request that an engine prefills in 60 ms.
 func smallRequest(seq uint64, team string, session uint64) dispatch.Request {
 	r := request(seq, team, session)
-	r.Prompt = 2000
+	r.Prompt, r.Target = 2000, 400*time.Millisecond
 	r.Parts[0].Tokens, r.Parts[1].Tokens = 500, 1500
 	return r
 }
@@ -69,25 +70,25 @@
 	g := NewWithT(t)
 	c := newReservingCore(2)
 	now := start
-	refused, d := fill(c, now, "a", 0)
+	sent, _ := fill(c, now, "a", 0)
+	const refused, again = 400, 500
+	r := smallRequest(refused, "a", refused)
+	r.Target = 100 * time.Millisecond // it will be late, so that only its reservation puts it first
+	d := c.Submit(now, r)[0]
 	g.Expect(d.Details.Reserved).To(BeNumerically(">", 0))
 	g.Expect(d.RetryAfter).To(Equal(d.Details.Reserved))
+
 	now += d.RetryAfter
-	serve(c, now, refused)
+	serve(c, now, sent)
 	waiting, _ := fill(c, now, "b", 100)
-
-	const again = 500
-	ds := verdicts(c.Submit(now, returned(refused, again, "a", d.RetryAfter)))
-	for ; ds[again].Verdict == dispatch.Wait; now += 10 * time.Millisecond {
-		for seq := uint64(100); seq < waiting; seq++ {
-			ds = verdicts(c.Started(now, ticket(seq)))
-			if len(ds) > 0 {
-				break
-			}
-		}
-		g.Expect(ds).NotTo(BeEmpty())
+	r.Ticket, r.Timeout = ticket(again), r.Timeout-d.RetryAfter
+	g.Expect(c.Submit(now, r)[0].Verdict).To(Equal(dispatch.Wait))
+	var ds []dispatch.Decision
+	for seq := uint64(100); seq < waiting && len(ds) == 0; seq++ {
+		ds = c.Started(now, ticket(seq))
 	}
-	g.Expect(ds[again].Verdict).To(Equal(dispatch.Send))
+	g.Expect(ds[0].Ticket.Seq).To(Equal(uint64(again)))
+	g.Expect(ds[0].Verdict).To(Equal(dispatch.Send))
 	g.Expect(c.State(now).Counts.ReservationsKept).To(Equal(1))
 }
 
@@ -168,12 +169,12 @@
 	now := start
 	fill(c, now, "a", 0)
 	r := smallRequest(500, "b", 500)
-	r.Timeout = time.Second // the backlog is longer than a third of it
+	r.Timeout = 600 * time.Millisecond // the backlog is longer than a third of it
 	d := c.Submit(now, r)[0]
 	g.Expect(d.Verdict).To(Equal(dispatch.Refuse))
 	g.Expect(d.Details.NoRoom).To(BeTrue())
 	g.Expect(d.Details.Reserved).To(BeZero())
-	g.Expect(d.RetryAfter).To(Equal(time.Second))
+	g.Expect(d.RetryAfter).To(Equal(r.Timeout))
 }
 
 // Guards against a team that reserves all room with many requests: another one finds some.
