upstream: the header of a response is limited in bytes and time

Cause: Pool reads a header with http.ReadResponse straight from the connection. The parser keeps a line until it ends, and grows it by copying; nothing limits a line, the number of lines, or interim responses. Ruled out: the body (read in pieces of 64 KB and 16 KB) and the request.

Change: the first byte that isn't of a status line ends the attempt; all headers of an exchange together have 32 KB, one header has 2 s from its first byte while bytes arrive (silence doesn't count). MalformedResponseError names the reason; the gateway logs upstream_malformed, counts malformed_responses{reason}, retries as after a broken connection and never says 'not run'. A malformed response is no crash: garbage followed by a close no longer counts toward quarantine.

--- a/gateway/broken_conn.go
+++ b/gateway/broken_conn.go
@@ -25,7 +25,7 @@
 // it was handling the request. A crash breaks every request on the upstream; the content key
 // shows which of them breaks on each upstream that it is sent to.
 func (s *Server) reportBrokenConn(r *request, err error) {
-	if !closedByUpstream(err) {
+	if s.reportMalformed(r, err) || !closedByUpstream(err) {
 		return
 	}
 	contentKey := r.ensureContentKey()
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/aspenswitch/aspenswitch/eventstream"
+	"github.com/aspenswitch/aspenswitch/upstream"
 )
 
 // stats are the gateway's counters and latency histograms.
@@ -23,6 +24,8 @@
 	noPath tally.Counter
 	// brokenStreams counts upstreams' streams that ended before they were complete, by framing.
 	brokenStreams map[eventstream.Framing]tally.Counter
+	// malformed counts upstreams' responses that were malformed or exceeded a limit, by reason.
+	malformed map[upstream.MalformedReason]tally.Counter
 	// withheld counts requests that were placed by a home and then not sent, by reason.
 	withheld  map[withheldReason]tally.Counter
 	firstByte tally.Histogram
@@ -39,6 +42,7 @@
 		unknownVersion: scope.Counter("unknown_version"),
 		noPath:         scope.Counter("no_path"),
 		brokenStreams:  map[eventstream.Framing]tally.Counter{},
+		malformed:      map[upstream.MalformedReason]tally.Counter{},
 		withheld:       map[withheldReason]tally.Counter{},
 		firstByte:      scope.Histogram("first_byte_seconds", latencyBuckets),
 		placement:      scope.Histogram("placing_seconds", latencyBuckets),
@@ -49,6 +53,9 @@
 	for _, framing := range []eventstream.Framing{eventstream.NoBody, eventstream.Length, eventstream.Chunked, eventstream.Connection} {
 		s.brokenStreams[framing] = scope.Tagged(map[string]string{"framing": framing.String()}).Counter("broken_streams")
 	}
+	for _, reason := range upstream.MalformedReasons {
+		s.malformed[reason] = scope.Tagged(map[string]string{"reason": string(reason)}).Counter("malformed_responses")
+	}
 	for _, reason := range []withheldReason{withheldEvacuated, withheldWarming, withheldRegion, withheldVersion} {
 		s.withheld[reason] = scope.Tagged(map[string]string{"reason": string(reason)}).Counter("withheld")
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -96,6 +96,7 @@
 		r.stop()
 		return nil, err
 	}
+	c.header = headerLimit{maxBytes: p.cfg.MaxHeaderBytes, maxTime: p.cfg.MaxHeaderTime}
 	resp, err := readResponse(c, request)
 	if err != nil {
 		r.stop()
@@ -161,7 +162,7 @@
 // readFinalResponse reads a response header, skipping interim responses (status 1xx).
 func readFinalResponse(c *poolConn, req *http.Request) (*http.Response, error) {
 	for {
-		resp, err := http.ReadResponse(c.br, req)
+		resp, err := readHeader(c, req)
 		if err != nil {
 			return nil, err
 		}
@@ -171,6 +172,45 @@
 	}
 }
 
+// readHeader reads one response header.
+func readHeader(c *poolConn, req *http.Request) (*http.Response, error) {
+	c.header.begin()
+	defer c.header.end()
+	if err := expectProtocol(c); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(c.br, req)
+	if err == nil {
+		return resp, nil
+	}
+	// The parser may report what it has read instead of the limit at which the read ended.
+	if _, limitErr := c.header.room(); limitErr != nil {
+		return nil, limitErr
+	}
+	if isConnError(err) {
+		return nil, err
+	}
+	return nil, &MalformedResponseError{Reason: InvalidHeader, Bytes: c.header.received, Cause: err}
+}
+
+// protocolName is the start of every status line (RFC 9112, section 4).
+const protocolName = "HTTP/"
+
+// expectProtocol waits for the start of a status line. It returns an error at the first byte that
+// doesn't belong to one, since a line that doesn't end might never be parsed.
+func expectProtocol(c *poolConn) error {
+	for i := range len(protocolName) {
+		start, err := c.br.Peek(i + 1)
+		if err != nil {
+			return err
+		}
+		if start[i] != protocolName[i] {
+			return &MalformedResponseError{Reason: NotHTTP, Bytes: c.header.received}
+		}
+	}
+	return nil
+}
+
 // Read implements io.Reader on the body. It returns io.EOF only if the body is complete.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
--- /dev/null
+++ b/upstream/malformed_test.go
@@ -0,0 +1,179 @@
+package upstream_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/aspenswitch/aspenswitch/upstream"
+)
+
+// maxSentBytes ends a test whose client never closes the connection.
+const maxSentBytes = 256 << 20
+
+// sendUntilClosed writes unit again and again until the peer closes the connection.
+func sendUntilClosed(w io.Writer, unit string) {
+	block := bytes.Repeat([]byte(unit), max(1, (32<<10)/len(unit)))
+	for sent := 0; sent < maxSentBytes; sent += len(block) {
+		if _, err := w.Write(block); err != nil {
+			return
+		}
+	}
+}
+
+// endless serves connections on which the bytes after start never end.
+func endless(t *testing.T, start, unit string) *fakeUpstream {
+	return serve(t, func(c net.Conn, r *bufio.Reader) {
+		if _, _, err := readRequest(r); err != nil {
+			return
+		}
+		if _, err := io.WriteString(c, start); err == nil {
+			sendUntilClosed(c, unit)
+		}
+	})
+}
+
+// allocatedBytes returns the bytes of heap that f allocates, which bound the bytes that it holds.
+func allocatedBytes(f func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	f()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
+
+// Guards against response headers without an end, which took all memory of the process until the
+// deadline of the request.
+func TestEndlessResponseHeader(t *testing.T) {
+	for name, c := range map[string]struct {
+		start, unit string
+		reason      upstream.MalformedReason
+	}{
+		"bytes that are not HTTP":   {"", "\xa5", upstream.NotHTTP},
+		"not HTTP after a few":      {"HTTP", "\xa5", upstream.NotHTTP},
+		"status line":               {"HTTP/1.1 200 OK", "\xa5", upstream.HeaderTooLarge},
+		"protocol version":          {"HTTP/1.", "1", upstream.HeaderTooLarge},
+		"header line":               {"HTTP/1.1 200 OK\r\nX: ", "\xa5", upstream.HeaderTooLarge},
+		"header name":               {"HTTP/1.1 200 OK\r\n", "a", upstream.HeaderTooLarge},
+		"folded header line":        {"HTTP/1.1 200 OK\r\nX: a\r\n", " b\r\n", upstream.HeaderTooLarge},
+		"header lines":              {"HTTP/1.1 200 OK\r\n", "X: a\r\n", upstream.HeaderTooLarge},
+		"interim responses":         {"", "HTTP/1.1 103 Early Hints\r\n\r\n", upstream.HeaderTooLarge},
+		"header of a second answer": {response("2", "other"), "\xa5", upstream.NotHTTP},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s, p := endless(t, c.start, c.unit), newPool(t)
+			const timeout = 10 * time.Second
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			started := time.Now()
+			var err error
+			allocated := allocatedBytes(func() { _, err = p.Do(ctx, s.request("1", "")) })
+			t.Logf("%d bytes allocated, %v, %v", allocated, time.Since(started), err)
+			var malformed *upstream.MalformedResponseError
+			g.Expect(err).To(BeAssignableToTypeOf(&upstream.RequestError{}))
+			g.Expect(upstream.NotSent(err)).To(BeFalse(), "the request may have run")
+			g.Expect(errors.As(err, &malformed)).To(BeTrue(), "%v", err)
+			g.Expect(malformed.Reason).To(Equal(c.reason))
+			g.Expect(len(err.Error())).To(BeNumerically("<", 512), "the text is logged")
+			g.Expect(time.Since(started)).To(BeNumerically("<", timeout/4), "judged before the deadline")
+			g.Expect(allocated).To(BeNumerically("<", 16*upstream.DefaultPoolConfig().MaxHeaderBytes))
+		})
+	}
+}
+
+// Guards against slow response headers, which held the attempt until its deadline.
+func TestSlowResponseHeaderIsJudgedBeforeTheDeadline(t *testing.T) {
+	for name, c := range map[string]struct {
+		start  string
+		reason upstream.MalformedReason
+	}{
+		"not HTTP":    {"", upstream.NotHTTP},
+		"header line": {"HTTP/1.1 200 OK\r\nX: ", upstream.HeaderTooSlow},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+				if _, _, err := readRequest(r); err != nil {
+					return
+				}
+				_, err := io.WriteString(conn, c.start)
+				for ; err == nil; time.Sleep(5 * time.Millisecond) {
+					_, err = io.WriteString(conn, "x")
+				}
+			})
+			cfg := upstream.DefaultPoolConfig()
+			cfg.MaxHeaderTime = 200 * time.Millisecond
+			p := upstream.NewPool(cfg)
+			defer p.Close()
+			const timeout = 10 * time.Second
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			started := time.Now()
+			_, err := p.Do(ctx, s.request("1", ""))
+			var malformed *upstream.MalformedResponseError
+			g.Expect(errors.As(err, &malformed)).To(BeTrue(), "%v", err)
+			g.Expect(malformed.Reason).To(Equal(c.reason))
+			g.Expect(time.Since(started)).To(BeNumerically("<", timeout/4))
+		})
+	}
+}
+
+// Guards against a limit on the time of the header that also ends an answer whose upstream is silent
+// for longer.
+func TestUpstreamMayTakeLongBeforeAndBetweenHeaders(t *testing.T) {
+	g := NewWithT(t)
+	cfg := upstream.DefaultPoolConfig()
+	cfg.MaxHeaderTime = 50 * time.Millisecond
+	p := upstream.NewPool(cfg)
+	defer p.Close()
+	s := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if _, _, err := readRequest(r); err != nil {
+			return
+		}
+		for range 3 {
+			time.Sleep(3 * cfg.MaxHeaderTime)
+			_, _ = io.WriteString(c, "HTTP/1.1 102 Processing\r\n\r\n")
+		}
+		time.Sleep(3 * cfg.MaxHeaderTime)
+		_, _ = io.WriteString(c, response("1", "ok"))
+	})
+	resp, err := p.Do(context.Background(), s.request("1", ""))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Close()
+	g.Expect(io.ReadAll(resp)).To(Equal([]byte("ok")))
+}
+
+// Guards against a limit that counts the bytes of bodies, or of earlier responses on the connection.
+func TestLimitOfTheHeaderIsForOneHeader(t *testing.T) {
+	g := NewWithT(t)
+	p := newPool(t)
+	body := strings.Repeat("x", 900)
+	filler := "X-Filler: " + strings.Repeat("y", int(upstream.DefaultPoolConfig().MaxHeaderBytes/2)) + "\r\n"
+	s := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			if _, _, err := readRequest(r); err != nil {
+				return
+			}
+			if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n"+filler+"Content-Length: 900\r\n\r\n"+body); err != nil {
+				return
+			}
+		}
+	})
+	for range 8 {
+		resp, err := p.Do(context.Background(), s.request("1", ""))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(io.ReadAll(resp)).To(Equal([]byte(body)))
+		resp.Close()
+	}
+	g.Expect(s.conns).To(HaveLen(1))
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -33,6 +33,11 @@
 	// TCPUserTimeout is how long sent data may remain unacknowledged before the
 	// connection is closed. There is no other sign of a path that drops all packets.
 	TCPUserTimeout time.Duration
+	// MaxHeaderBytes limits the headers of a response, including those of interim responses.
+	MaxHeaderBytes int64
+	// MaxHeaderTime limits the time from the first to the last byte of a header. An upstream
+	// sends a header at once; only lost packets stretch it.
+	MaxHeaderTime time.Duration
 	// MaxIdlePerUpstream is the maximum number of idle connections per upstream.
 	MaxIdlePerUpstream int
 }
@@ -45,10 +50,16 @@
 		KeepAliveMargin:      700 * time.Millisecond,
 		MaxIdleNonRepeatable: 1500 * time.Millisecond,
 		TCPUserTimeout:       1500 * time.Millisecond,
+		MaxHeaderBytes:       defaultMaxHeaderBytes,
+		MaxHeaderTime:        2 * time.Second,
 		MaxIdlePerUpstream:   64,
 	}
 }
 
+// defaultMaxHeaderBytes is twice the header that callers may send by default, since upstreams may
+// return headers of the request. A few hundred such headers take a few megabytes.
+const defaultMaxHeaderBytes = 32 << 10
+
 // Pool manages connections to upstreams. Unlike http.Transport it never sends a request
 // twice, and it determines from the bytes written whether a request may have been sent.
 type Pool struct {
@@ -100,6 +111,21 @@
 	// expires is the time at which the connection is closed if it is still idle.
 	expires time.Time
 	reused  bool
+	header  headerLimit
+}
+
+// Read implements net.Conn. It enforces the limits of a response header while one is read.
+func (c *poolConn) Read(b []byte) (int, error) {
+	if !c.header.active {
+		return c.Conn.Read(b)
+	}
+	room, err := c.header.room()
+	if err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(b[:min(int64(len(b)), room)])
+	c.header.add(n, time.Now())
+	return n, err
 }
 
 // readBufferSize is the size of a connection's read buffer in bytes. A response header
@@ -128,7 +154,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &poolConn{Conn: conn, br: bufio.NewReaderSize(conn, readBufferSize), addr: addr, started: request.Started}, nil
+	c := &poolConn{Conn: conn, addr: addr, started: request.Started}
+	c.br = bufio.NewReaderSize(c, readBufferSize)
+	return c, nil
 }
 
 // popIdle removes and returns the most recently used idle connection, or nil if there is
