upstream, gateway: bodies that nobody needs no longer hold an attempt

Callers saw: an upstream that rejects a request, or first repeats another request's response, and then doesn't end that body, held the request until its deadline; it was neither retried nor refused.

Cause: two places read a body only to reuse the connection, and wait for its end: the body of a rejection (at most 64 KB, but for any time), and that of a response with another request's ID (any number of bytes).

Change: a rejection's body has 50 ms (it is sent with its header), a repeated response's 1 MB and 1 s; then the connection is closed and the attempt judged: 'not run' after the rejection's header, which is complete, and 'may have run' after a body of another request (reason mismatched_body). Chunk lines and trailers without an end were already bounded by the read buffer; the error is a MalformedResponseError (invalid_body) now, so that its line and counter differ from a broken connection's. TestEndlessChunkLine: five places, 10 s deadline, all judged at once.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/eventstream"
@@ -56,8 +57,7 @@
 // handleRejection handles the response of an upstream that didn't run the request.
 func (s *Server) handleRejection(r *request, resp *upstream.Response) (result, dispatch.Outcome) {
 	r.record.cause = "upstream rejected the request with " + strconv.Itoa(resp.Status)
-	// Reading the body to its end allows the connection to be reused.
-	_, _ = io.CopyN(io.Discard, resp, maxBufferedBody)
+	resp.Discard(maxBufferedBody, maxRejectionTime)
 	retryAfter := defaultRetryAfter
 	if r.record.upstreamRetryAfter > 0 {
 		// The upstream is now excluded, so the caller's next request is sent to another one.
@@ -68,6 +68,10 @@
 	return res, dispatch.Rejected
 }
 
+// maxRejectionTime limits the wait for the body of a rejection, which an upstream sends with its
+// header. The request may be retried meanwhile.
+const maxRejectionTime = 50 * time.Millisecond
+
 // maxBufferedBody is how many bytes of a body are buffered before the response is relayed, so
 // that a smaller response that is interrupted can still be replaced by a retry.
 const maxBufferedBody = 64 << 10
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -73,3 +73,28 @@
 	g.Expect(r.requests()).To(HaveLen(1))
 	g.Expect(r.logs.String()).To(ContainSubstring(`"reason":"header_too_large"`))
 }
+
+// Guards against rejections whose body doesn't end, which held the request until its deadline.
+func TestRejectionIsJudgedWithoutTheEndOfItsBody(t *testing.T) {
+	const header = "HTTP/1.1 503 Busy\r\nX-Id: %s\r\nX-Not-Run: 1\r\n"
+	for name, u1 := range map[string]script{
+		"endless": endless(header+"\r\n", "a"),
+		"stalled": func(req *http.Request, w io.Writer) bool {
+			_, err := fmt.Fprintf(w, header+"Content-Length: 9\r\n\r\nabc", req.Header.Get("X-Id"))
+			time.Sleep(3 * time.Second)
+			return err == nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := newHarness(t, map[string]script{"u1": u1, "u2": ok("right")})
+			started := time.Now()
+			resp, body, err := r.call("/unsafe/x", nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+			g.Expect(body).To(Equal("right"))
+			g.Expect(time.Since(started)).To(BeNumerically("<", 750*time.Millisecond), "half of the deadline")
+			g.Expect(r.placer.reportedOutcomes()).To(Equal([]dispatch.Outcome{dispatch.Rejected, dispatch.Served}))
+		})
+	}
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -152,13 +153,35 @@
 		if request.IDHeader == "" || id == request.ID {
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+		if err := skipBody(c, resp.Body); err != nil {
+			return nil, err
+		}
+		if resp.Close {
 			return nil, ErrMismatchedResponse
 		}
 	}
 	return nil, ErrMismatchedResponse
 }
 
+// maxSkippedBytes and maxSkippedTime limit the body of a response to another request. Upstreams
+// repeat responses that they have already sent, so its body arrives at once.
+const (
+	maxSkippedBytes = 1 << 20
+	maxSkippedTime  = time.Second
+)
+
+// skipBody reads the body of a response to another request.
+func skipBody(c *poolConn, body io.Reader) error {
+	n, err := c.discard(body, maxSkippedBytes, maxSkippedTime)
+	switch {
+	case err == nil, errors.Is(err, os.ErrDeadlineExceeded):
+		return &MalformedResponseError{Reason: MismatchedBody, Bytes: n}
+	case err == io.EOF:
+		return nil
+	}
+	return ErrMismatchedResponse
+}
+
 // readFinalResponse reads a response header, skipping interim responses (status 1xx).
 func readFinalResponse(c *poolConn, req *http.Request) (*http.Response, error) {
 	for {
@@ -214,12 +237,22 @@
 // Read implements io.Reader on the body. It returns io.EOF only if the body is complete.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
-	if err == io.EOF {
+	switch {
+	case err == nil:
+	case err == io.EOF:
 		r.complete = true
+	case !isConnError(err):
+		err = &MalformedResponseError{Reason: InvalidBody, Bytes: int64(n), Cause: err}
 	}
 	return n, err
 }
 
+// Discard reads the rest of the body, so that the connection can be reused. It gives up, and Close
+// closes the connection, after maxBytes bytes or maxTime.
+func (r *Response) Discard(maxBytes int64, maxTime time.Duration) {
+	_, _ = r.conn.discard(r, maxBytes, maxTime)
+}
+
 // Complete reports whether the body was read to its regular end.
 func (r *Response) Complete() bool { return r.complete }
 
--- a/upstream/malformed.go
+++ b/upstream/malformed.go
@@ -20,16 +20,20 @@
 	HeaderTooSlow MalformedReason = "header_too_slow"
 	// InvalidHeader is for a status line or a header that can't be parsed.
 	InvalidHeader MalformedReason = "invalid_header"
+	// InvalidBody is for a body whose chunks can't be parsed.
+	InvalidBody MalformedReason = "invalid_body"
+	// MismatchedBody is for a response to another request whose body doesn't end.
+	MismatchedBody MalformedReason = "mismatched_body"
 )
 
 // MalformedReasons are all reasons.
-var MalformedReasons = []MalformedReason{NotHTTP, HeaderTooLarge, HeaderTooSlow, InvalidHeader}
+var MalformedReasons = []MalformedReason{NotHTTP, HeaderTooLarge, HeaderTooSlow, InvalidHeader, InvalidBody, MismatchedBody}
 
 // MalformedResponseError is returned for bytes that are not a response, or for a response that
 // exceeds a limit. The upstream is reachable and may have run the request.
 type MalformedResponseError struct {
 	Reason MalformedReason
-	// Bytes is the number of bytes that were received of the response.
+	// Bytes is the number of bytes that were received of the part of the response that Reason names.
 	Bytes int64
 	// Cause is the parser's error, nil if there is none.
 	Cause error
--- a/upstream/malformed_test.go
+++ b/upstream/malformed_test.go
@@ -177,3 +177,83 @@
 	}
 	g.Expect(s.conns).To(HaveLen(1))
 }
+
+// Guards against bodies of responses to other requests that never end, which held the attempt until
+// its deadline.
+func TestEndlessBodyOfAnotherRequestsResponse(t *testing.T) {
+	const header = "HTTP/1.1 200 OK\r\nId: other\r\n"
+	for name, c := range map[string]struct {
+		start, unit string
+		pause       time.Duration
+	}{
+		"fast":           {header + "\r\n", "\xa5", 0},
+		"fast in chunks": {header + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n", 0},
+		"slow":           {header + "\r\n", "\xa5", 10 * time.Millisecond},
+		"stalled":        {header + "Content-Length: 5\r\n\r\nab", "", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+				if _, _, err := readRequest(r); err != nil {
+					return
+				}
+				_, err := io.WriteString(conn, c.start)
+				switch {
+				case err != nil:
+				case c.unit == "":
+					_, _ = io.Copy(io.Discard, r)
+				case c.pause == 0:
+					sendUntilClosed(conn, c.unit)
+				default:
+					for ; err == nil; time.Sleep(c.pause) {
+						_, err = io.WriteString(conn, c.unit)
+					}
+				}
+			})
+			const timeout = 10 * time.Second
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			started := time.Now()
+			_, err := newPool(t).Do(ctx, s.request("1", ""))
+			var malformed *upstream.MalformedResponseError
+			g.Expect(errors.As(err, &malformed)).To(BeTrue(), "%v", err)
+			g.Expect(malformed.Reason).To(Equal(upstream.MismatchedBody))
+			g.Expect(time.Since(started)).To(BeNumerically("<", timeout/4))
+		})
+	}
+}
+
+// Guards against chunk lines and trailers without an end, and against their text in the log.
+func TestEndlessChunkLine(t *testing.T) {
+	const header = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct{ start, unit string }{
+		"chunk length":    {header, "\xa5"},
+		"chunk extension": {header + "4;", "a"},
+		"chunk end":       {header + "1\r\na", "b"},
+		"trailer":         {header + "1\r\na\r\n0\r\n", "X: a\r\n"},
+		"trailer line":    {header + "1\r\na\r\n0\r\nX: ", "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := endless(t, c.start, c.unit)
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			started := time.Now()
+			var err error
+			allocated := allocatedBytes(func() {
+				var resp *upstream.Response
+				if resp, err = newPool(t).Do(ctx, s.request("1", "")); err == nil {
+					_, err = io.Copy(io.Discard, resp)
+					resp.Close()
+				}
+			})
+			t.Logf("%d bytes allocated, %v, %v", allocated, time.Since(started), err)
+			var malformed *upstream.MalformedResponseError
+			g.Expect(errors.As(err, &malformed)).To(BeTrue(), "%v", err)
+			g.Expect(malformed.Reason).To(Equal(upstream.InvalidBody))
+			g.Expect(len(err.Error())).To(BeNumerically("<", 512), "the text is logged")
+			g.Expect(time.Since(started)).To(BeNumerically("<", 2500*time.Millisecond))
+			g.Expect(allocated).To(BeNumerically("<", 16*upstream.DefaultPoolConfig().MaxHeaderBytes))
+		})
+	}
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -132,6 +133,22 @@
 // and several events fit into it.
 const readBufferSize = 2 << 10
 
+// discard reads body to its end and returns io.EOF, nil if the body is longer than maxBytes, or
+// another error, which is os.ErrDeadlineExceeded after maxTime.
+func (c *poolConn) discard(body io.Reader, maxBytes int64, maxTime time.Duration) (int64, error) {
+	if err := c.SetReadDeadline(time.Now().Add(maxTime)); err != nil {
+		return 0, err
+	}
+	n, err := io.CopyN(io.Discard, body, maxBytes+1)
+	if err == nil {
+		return n, nil
+	}
+	if resetErr := c.SetReadDeadline(time.Time{}); resetErr != nil {
+		return n, resetErr
+	}
+	return n, err
+}
+
 // get returns a connection that was last used within maxIdle, or a new one.
 //
 // A connection to an earlier incarnation of the upstream isn't used. After a power loss
