gateway: an event without an end is cut off at 4 MiB

Callers saw: on a streaming route an upstream's bytes without an end of an event were relayed until the deadline.

Cause: an event that is too large to be held (64 KB) is relayed as it arrives, since large events are legitimate; nothing bounded it after that.

Change: eventstream.Buffer counts the bytes since the last complete event; beyond 4 MiB, the largest request bodies in use, the stream is judged malformed (event_too_large): cut off at once, not complete, no crash. A resumed stream, which is refused at 64 KB as before, now has the same reason. A plain response without a length can't be told from a long one, so that it is still relayed, in 16 KB pieces, until the deadline; it never looks complete.

--- a/eventstream/buffer.go
+++ b/eventstream/buffer.go
@@ -15,6 +15,8 @@
 	// complete is the length of the complete events in data; taken is the length of what Take
 	// has returned.
 	complete, taken int
+	// open is the number of bytes since the last complete event, taken or not.
+	open int64
 }
 
 // Write adds received bytes. It returns ErrEventTooLarge if an incomplete event has more than
@@ -22,14 +24,16 @@
 func (b *Buffer) Write(p []byte) error {
 	b.discardTaken()
 	start := len(b.data)
+	last := start
 	b.data = append(b.data, p...)
 	for read := start; read < len(b.data); {
 		n, ended := b.scanner.Next(b.data[read:])
 		read += n
 		if ended {
-			b.complete = read
+			b.complete, last, b.open = read, read, 0
 		}
 	}
+	b.open += int64(len(b.data) - last)
 	if len(b.data)-b.complete > b.MaxBytes {
 		return ErrEventTooLarge
 	}
@@ -57,6 +61,10 @@
 	return rest
 }
 
+// OpenBytes returns the number of bytes since the last complete event. It also counts those that
+// TakeAll has returned.
+func (b *Buffer) OpenBytes() int64 { return b.open }
+
 // Scanner returns the position of the stream after all bytes written so far.
 func (b *Buffer) Scanner() *Scanner { return &b.scanner }
 
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,7 +15,7 @@
 	"github.com/aspenswitch/aspenswitch/dispatch"
 )
 
-// maxSentBytes ends a test in which the gateway never closes the connection.
+// maxSentBytes is the number of bytes after which an endless response is sent slowly.
 const maxSentBytes = 256 << 20
 
 // endless responds with start, followed by unit until the gateway closes the connection.
@@ -26,12 +27,14 @@
 			}
 		}
 		block := bytes.Repeat([]byte(unit), (32<<10)/len(unit))
-		for sent := 0; sent < maxSentBytes; sent += len(block) {
+		for sent := 0; ; sent += len(block) {
 			if _, err := w.Write(block); err != nil {
 				return false
 			}
+			if sent >= maxSentBytes {
+				time.Sleep(20 * time.Millisecond)
+			}
 		}
-		return false
 	}
 }
 
@@ -98,3 +101,85 @@
 		})
 	}
 }
+
+// Guards against bodies without an end: the gateway must neither hold them nor make them look complete,
+// and an event without an end must not be relayed until the deadline.
+func TestEndlessBody(t *testing.T) {
+	const header = "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\n"
+	const chunked, stream = "Transfer-Encoding: chunked\r\n", "Content-Type: text/event-stream\r\n"
+	for name, c := range map[string]struct {
+		path, start, unit string
+		reason            string
+	}{
+		"response until the connection ends": {"/safe/x", header + "\r\n", "\xa5", ""},
+		"response in chunks":                 {"/safe/x", header + chunked + "\r\n", "4\r\nabcd\r\n", ""},
+		"stream in chunks":                   {"/stream/x", header + stream + chunked + "\r\n", "400\r\n" + strings.Repeat("\xa5", 1<<10) + "\r\n", "event_too_large"},
+		"stream until the connection ends":   {"/stream/x", header + stream + "\r\n", "\xa5", "event_too_large"},
+		"untyped stream":                     {"/stream/x", header + "\r\n", "\xa5", "event_too_large"},
+		"stream that may be resumed":         {"/resume/x", header + stream + "\r\n", "\xa5", "event_too_large"},
+		"after an event":                     {"/resume/x", header + stream + "\r\nid: 1\ndata: 1\n\n", "\xa5", "event_too_large"},
+		"comments":                           {"/resume/x", header + stream + "\r\n", ":\n", "event_too_large"},
+		"lines of one event":                 {"/resume/x", header + stream + "\r\n", "data: a\n", "event_too_large"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := newHarness(t, map[string]script{"u1": endless(c.start, c.unit)})
+			const deadline = 1500 * time.Millisecond
+			started := time.Now()
+			var received int64
+			var err error
+			var peak uint64
+			stop := sampleHeap(&peak)
+			received, err = r.discardResponse(c.path)
+			took := time.Since(started)
+			stop()
+			t.Logf("caller received %d bytes in %v, heap grew by %d: %v", received, took, peak, err)
+			g.Expect(err).To(HaveOccurred(), "the response must not look complete")
+			g.Expect(peak).To(BeNumerically("<", 8<<20))
+			if c.reason != "" {
+				g.Expect(took).To(BeNumerically("<", deadline/2))
+				g.Expect(r.logs.String()).To(ContainSubstring(`"reason":"` + c.reason + `"`))
+			}
+		})
+	}
+}
+
+// sampleHeap stores the largest growth of the heap until the returned function is called.
+func sampleHeap(peak *uint64) (stop func()) {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	before, done, ended := m.HeapAlloc, make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			runtime.ReadMemStats(&m)
+			if m.HeapAlloc > before {
+				*peak = max(*peak, m.HeapAlloc-before)
+			}
+			select {
+			case <-done:
+				return
+			case <-time.After(2 * time.Millisecond):
+			}
+		}
+	}()
+	return func() { close(done); <-ended }
+}
+
+// discardResponse sends a request and counts the bytes of its response's body.
+func (r *harness) discardResponse(path string) (int64, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+r.addr+path, strings.NewReader("hello"))
+	if err != nil {
+		return 0, err
+	}
+	req.Host = "h"
+	req.Header = http.Header{names.RequestID: {"id1"}, names.Deadline: {"1500"}, names.APIKey: {"k1"}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return io.Copy(io.Discard, resp.Body)
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -36,8 +36,13 @@
 	events eventstream.Buffer
 }
 
-// maxEventBytes limits the bytes of an event that are held until it is complete.
-const maxEventBytes = 64 << 10
+const (
+	// maxEventBytes limits the bytes of an event that are held until it is complete.
+	maxEventBytes = 64 << 10
+	// maxRelayedEventBytes limits an event. It is as large as the largest request bodies in use, and an
+	// event is at most one whole answer.
+	maxRelayedEventBytes = 4 << 20
+)
 
 func newRelay(w http.ResponseWriter, route *routing.Route) *relay {
 	return &relay{
@@ -174,9 +179,9 @@
 // upstream may stop in the middle of an event, and the next one starts with a complete event.
 func (l *relay) forward(a *upstream.Response, data []byte, resumed bool, kind content) error {
 	err := l.events.Write(data)
-	if err != nil && resumed {
-		// The start of the event may be a part that the caller already has.
-		return err
+	// The start of an event of a resumed stream may be a part that the caller already has.
+	if err != nil && resumed || l.events.OpenBytes() > maxRelayedEventBytes && kind.endsWithEvent(a.Framing) {
+		return &upstream.MalformedResponseError{Reason: upstream.EventTooLarge, Bytes: l.events.OpenBytes(), Cause: err}
 	}
 	if !l.resumable || kind == otherContent || err != nil {
 		l.resumable = false
--- a/upstream/malformed.go
+++ b/upstream/malformed.go
@@ -22,12 +22,14 @@
 	InvalidHeader MalformedReason = "invalid_header"
 	// InvalidBody is for a body whose chunks can't be parsed.
 	InvalidBody MalformedReason = "invalid_body"
+	// EventTooLarge is for an event of a stream that exceeds its limit.
+	EventTooLarge MalformedReason = "event_too_large"
 	// MismatchedBody is for a response to another request whose body doesn't end.
 	MismatchedBody MalformedReason = "mismatched_body"
 )
 
 // MalformedReasons are all reasons.
-var MalformedReasons = []MalformedReason{NotHTTP, HeaderTooLarge, HeaderTooSlow, InvalidHeader, InvalidBody, MismatchedBody}
+var MalformedReasons = []MalformedReason{NotHTTP, HeaderTooLarge, HeaderTooSlow, InvalidHeader, InvalidBody, EventTooLarge, MismatchedBody}
 
 // MalformedResponseError is returned for bytes that are not a response, or for a response that
 // exceeds a limit. The upstream is reachable and may have run the request.
