upstream: a response's headers have 16 KB, which fits the memory of a pending request

Cause: 32 KB, the limit of the commit before, together with the copies of the parser takes more than the 64 KB that Config.Fit counts for a pending request with its body.

--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/aspenswitch/aspenswitch/gateway"
 	"github.com/aspenswitch/aspenswitch/registry"
+	"github.com/aspenswitch/aspenswitch/upstream"
 )
 
 // memoryInUse returns the bytes used by the process's heap objects and stacks.
@@ -31,6 +32,10 @@
 type silentUpstream struct {
 	l         net.Listener
 	bytesRead atomic.Int64
+	// partial, if not empty, is sent once partialAfter bytes of a request have been read.
+	partial      string
+	partialAfter int
+	partialsSent atomic.Int64
 }
 
 func newSilentUpstream(t *testing.T) *silentUpstream {
@@ -54,12 +59,19 @@
 func (m *silentUpstream) drain(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	var buf [512]byte
-	for {
+	for total := 0; ; {
 		n, err := c.Read(buf[:])
 		m.bytesRead.Add(int64(n))
 		if err != nil {
 			return
 		}
+		if m.partial != "" && total < m.partialAfter && total+n >= m.partialAfter {
+			if _, err := io.WriteString(c, m.partial); err != nil {
+				return
+			}
+			m.partialsSent.Add(1)
+		}
+		total += n
 	}
 }
 
@@ -96,6 +108,37 @@
 	g.Expect(perRequest).To(BeNumerically("<", gateway.RequestBytes))
 }
 
+// Guards against incomplete headers of responses that take more memory than Config.Fit assumes for
+// the pending requests.
+func TestMemoryOfIncompleteResponseHeaders(t *testing.T) {
+	g := NewWithT(t)
+	const conns, size = 300, 18000
+	r := newHarness(t, map[string]script{"u1": ok("done")})
+	silent := newSilentUpstream(t)
+	silent.partial = "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("a", int(upstream.DefaultPoolConfig().MaxHeaderBytes)-100)
+	silent.partialAfter = size
+	raw := func(size int) string {
+		return fmt.Sprintf("POST /unsafe/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k1\r\nX-Left: 60000\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+	}
+	all := make([]net.Conn, conns)
+	for i := range all {
+		all[i] = requestOnce(t, r.addr, raw(5))
+	}
+	idle := memoryInUse()
+	reg := registry.New()
+	reg.Put(0, registry.Upstream{ID: "u1", Service: "llm", Address: silent.l.Addr().String(), Revision: 2})
+	r.publish(reg.View(), "k1")
+	for _, c := range all {
+		_, err := io.WriteString(c, raw(size))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Eventually(silent.partialsSent.Load, time.Second, time.Millisecond).Should(BeNumerically("==", conns))
+	time.Sleep(100 * time.Millisecond)
+	perRequest := (memoryInUse() - idle) / conns
+	t.Logf("a pending request with an incomplete header takes %d bytes", perRequest)
+	g.Expect(perRequest).To(BeNumerically("<", gateway.RequestBytes))
+}
+
 // Guards against limits that together exceed the memory of the VM, so that its process is killed in
 // a flood of connections.
 func TestMemoryOfAllPartsFitsTheVM(t *testing.T) {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -57,9 +57,9 @@
 	}
 }
 
-// defaultMaxHeaderBytes is twice the header that callers may send by default, since upstreams may
-// return headers of the request. A few hundred such headers take a few megabytes.
-const defaultMaxHeaderBytes = 32 << 10
+// defaultMaxHeaderBytes is the limit that also holds for callers by default. An incomplete header
+// takes up to three times its size while it is parsed, which must fit into the memory of a pending request.
+const defaultMaxHeaderBytes = 16 << 10
 
 // Pool manages connections to upstreams. Unlike http.Transport it never sends a request
 // twice, and it determines from the bytes written whether a request may have been sent.
