upstream: idle connections that receive data are closed within a second

Cause: an idle connection is checked for unread data only when it is used again, or closed when it expires, up to its Keep-Alive timeout. What an upstream sends on it without an end fills the kernel's receive buffer, which counts as memory of the process; there are up to 64 such connections per upstream. TestIdleConnectionThatReceivesBytesIsClosed fails without the check: the connection stays open under a Keep-Alive timeout of an hour.

Not measured: the kernel's memory per connection.

--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -185,6 +185,7 @@
 )
 
 func (d *FleetDaemon) closeExpiredConnections(ctx context.Context) {
+	limited := obs.NewLimitedLogger(d.log, d.settings.LogLines)
 	ticker := time.NewTicker(idleSweepInterval)
 	defer ticker.Stop()
 	for {
@@ -192,7 +193,12 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			d.pool.CloseExpired(now)
+			for _, address := range d.pool.CloseExpired(now) {
+				d.metrics.Scope.Counter("unsolicited_data").Inc(1)
+				limited.Warn("unsolicited_data", func(e *obs.Event) {
+					e.Str("address", address).Msg("closed an idle connection on which an upstream sent data")
+				})
+			}
 		}
 	}
 }
--- a/upstream/malformed_test.go
+++ b/upstream/malformed_test.go
@@ -257,3 +257,47 @@
 		})
 	}
 }
+
+// Guards against idle connections on which an upstream sends bytes that stay in the kernel's memory.
+func TestIdleConnectionThatReceivesBytesIsClosed(t *testing.T) {
+	g := NewWithT(t)
+	closed := make(chan struct{})
+	s := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if _, _, err := readRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=3600\r\nContent-Length: 2\r\n\r\nok")
+		time.Sleep(100 * time.Millisecond)
+		sendUntilClosed(c, "\xa5")
+		close(closed)
+	})
+	p := newPool(t)
+	resp, err := p.Do(context.Background(), s.request("1", ""))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(io.ReadAll(resp)).To(Equal([]byte("ok")))
+	resp.Close()
+	g.Expect(p.Idle()).To(Equal(1))
+	time.Sleep(300 * time.Millisecond)
+	g.Expect(p.CloseExpired(time.Now().Add(2 * time.Second))).To(Equal([]string{s.listener.Addr().String()}))
+	g.Expect(p.Idle()).To(BeZero())
+	g.Eventually(closed, time.Second).Should(BeClosed())
+}
+
+// Guards against a check that closes sound idle connections.
+func TestSoundIdleConnectionStaysOpen(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if _, _, err := readRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, response("1", "ok"))
+		_, _ = io.Copy(io.Discard, r)
+	})
+	p := newPool(t)
+	resp, err := p.Do(context.Background(), s.request("1", ""))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(io.ReadAll(resp)).To(Equal([]byte("ok")))
+	resp.Close()
+	g.Expect(p.CloseExpired(time.Now().Add(2 * time.Second))).To(BeEmpty())
+	g.Expect(p.Idle()).To(Equal(1))
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -101,6 +101,17 @@
 	return p.dials
 }
 
+// Idle returns the number of idle connections.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, list := range p.idle {
+		n += len(list)
+	}
+	return n
+}
+
 // poolConn is a pooled connection. It carries one request at a time.
 type poolConn struct {
 	net.Conn
@@ -111,6 +122,8 @@
 	lastUsed time.Time
 	// expires is the time at which the connection is closed if it is still idle.
 	expires time.Time
+	// checked is when the idle connection was last checked for unread data.
+	checked time.Time
 	reused  bool
 	header  headerLimit
 }
@@ -158,7 +171,7 @@
 	addr := request.Address
 	for c := p.popIdle(addr); c != nil; c = p.popIdle(addr) {
 		now := time.Now()
-		if now.Before(c.expires) && now.Sub(c.lastUsed) < maxIdle && c.started == request.Started && c.noUnreadData() {
+		if now.Before(c.expires) && now.Sub(c.lastUsed) < maxIdle && c.started == request.Started && c.connState() == idleSound {
 			c.reused = true
 			return c, nil
 		}
@@ -198,6 +211,7 @@
 		return
 	}
 	c.lastUsed = time.Now()
+	c.checked = c.lastUsed
 	c.expires = c.lastUsed.Add(idle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -222,42 +236,22 @@
 	return p.cfg.IdleTimeout
 }
 
-// noUnreadData reports whether an idle connection is open and has received no data. An
-// upstream may send a second response after the first, or close the connection; in both
-// cases it must not be reused.
-func (c *poolConn) noUnreadData() bool {
-	if c.br.Buffered() > 0 {
-		return false
-	}
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
-	noData := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		_, _, recvErr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		noData = recvErr == unix.EAGAIN
-		return true
-	})
-	return err == nil && noData
-}
-
-// CloseExpired closes the idle connections that have expired by now.
-func (p *Pool) CloseExpired(now time.Time) {
+// CloseExpired closes the idle connections that have expired by now, and those whose upstream has
+// closed them or sent data. It returns the addresses of upstreams that sent data without a request.
+func (p *Pool) CloseExpired(now time.Time) (unsolicited []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for addr, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Before(c.expires) {
+			state := c.idleState(now)
+			if state == idleSound {
 				kept = append(kept, c)
 				continue
 			}
+			if state == idleUnread {
+				unsolicited = append(unsolicited, addr)
+			}
 			_ = c.Close()
 		}
 		if len(kept) == 0 {
@@ -266,6 +260,7 @@
 		}
 		p.idle[addr] = kept
 	}
+	return unsolicited
 }
 
 // Close closes idle connections.
