--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -54,10 +55,14 @@
 	}
 	nodeCfg := nodeConfig(s)
 	nodeCfg.CachedParts = func(ctx context.Context, address string) (fleet.CacheReport, error) {
-		return platform.FetchCachedParts(ctx, d.pool, address)
+		report, err := platform.FetchCachedParts(ctx, d.pool, address)
+		d.countMalformed(err)
+		return report, err
 	}
 	nodeCfg.WarmUpLeft = func(ctx context.Context, u *registry.Upstream, healthPath string) (time.Duration, error) {
-		return platform.FetchWarmUpLeft(ctx, d.pool, u, healthPath)
+		left, err := platform.FetchWarmUpLeft(ctx, d.pool, u, healthPath)
+		d.countMalformed(err)
+		return left, err
 	}
 	if s.Entry.LeaveWhenOverloaded {
 		nodeCfg.EntryLoad, nodeCfg.Metrics = d.entryLoad, d.metrics.Scope
@@ -77,6 +82,15 @@
 	return d, nil
 }
 
+// countMalformed counts a malformed response to a request of the router itself, as the gateway does
+// for callers' requests.
+func (d *FleetDaemon) countMalformed(err error) {
+	var malformed *upstream.MalformedResponseError
+	if errors.As(err, &malformed) {
+		d.metrics.Scope.Tagged(map[string]string{"reason": string(malformed.Reason)}).Counter("malformed_responses").Inc(1)
+	}
+}
+
 func gatewayConfig(s settings.Fleet) gateway.Config {
 	cfg := gateway.DefaultConfig()
 	cfg.Headers = platform.HTTPHeaders()
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -229,7 +229,17 @@
 	}
 }
 
+// maxCacheReports is the number of cache reports that are read at the same time, each of which takes up
+// to a few megabytes.
+const maxCacheReports = 4
+
 func (n *Node) requestCacheReport(key groupKey, u *registry.Upstream) {
+	select {
+	case n.cacheReports <- struct{}{}:
+		defer func() { <-n.cacheReports }()
+	case <-n.done:
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), cacheReportTimeout)
 	defer cancel()
 	report, err := n.cfg.CachedParts(ctx, u.Address)
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -45,6 +45,8 @@
 	readsPlatform     atomic.Bool
 	datagramsSent     atomic.Int64
 	pulling           atomic.Bool
+	// cacheReports limits how many cache reports are read at the same time.
+	cacheReports chan struct{}
 	// controlLag is the moving average of the time that placement requests and ticks wait
 	// for the control goroutine, in nanoseconds. Other events, such as packets, aren't
 	// timed.
@@ -119,7 +121,8 @@
 		cfg: cfg, now: now, log: log, net: t, random: rand.New(rand.NewPCG(cfg.RandomSeed, 0)),
 		limited: obs.NewLimitedLogger(log, logLinesPerSecond),
 		events:  make(chan any, eventQueueSize), done: make(chan struct{}),
-		members: map[uint64]*member{}, byIP: map[string]*member{}, groups: map[groupKey]*group{},
+		cacheReports: make(chan struct{}, maxCacheReports),
+		members:      map[uint64]*member{}, byIP: map[string]*member{}, groups: map[groupKey]*group{},
 		pending: map[uint64]*pending{}, inFlight: map[uint64]*inFlightRequest{}, sessionUpstreams: map[uint64]dispatch.Incarnation{},
 		usageInterval: minUsageInterval, groupCounts: newGroupCounts(cfg.GroupSize),
 		availability: availability.NewTable(), streams: newStreamState(), entry: newEntryState(cfg.Metrics),
--- a/upstream/malformed.go
+++ b/upstream/malformed.go
@@ -22,6 +22,8 @@
 	InvalidHeader MalformedReason = "invalid_header"
 	// InvalidBody is for a body whose chunks can't be parsed.
 	InvalidBody MalformedReason = "invalid_body"
+	// BodyTooLarge is for a body that is read as a whole and exceeds its limit.
+	BodyTooLarge MalformedReason = "body_too_large"
 	// EventTooLarge is for an event of a stream that exceeds its limit.
 	EventTooLarge MalformedReason = "event_too_large"
 	// MismatchedBody is for a response to another request whose body doesn't end.
@@ -29,7 +31,7 @@
 )
 
 // MalformedReasons are all reasons.
-var MalformedReasons = []MalformedReason{NotHTTP, HeaderTooLarge, HeaderTooSlow, InvalidHeader, InvalidBody, EventTooLarge, MismatchedBody}
+var MalformedReasons = []MalformedReason{NotHTTP, HeaderTooLarge, HeaderTooSlow, InvalidHeader, InvalidBody, BodyTooLarge, EventTooLarge, MismatchedBody}
 
 // MalformedResponseError is returned for bytes that are not a response, or for a response that
 // exceeds a limit. The upstream is reachable and may have run the request.
