upstream, callers, feeds: answers without an end are bounded for the router's own API, too

Cause, the same class elsewhere: clients that go through http.Transport hold up to 10 MB of a header by default, and a completion that isn't streamed was read as a whole without any limit.

Change: response headers have 16 KB at upstream.Client, at the clients of the platform and of the bundle service; load reports 4 KB. http.Transport's error for a header over its limit has no type; Client gives it one, and a test fails should its text change. The own API counts malformed_responses{reason}. Not tested with a run of their own: the limits of the platform's, the bundle service's and the load reports' headers.

--- a/bundlefeed/client.go
+++ b/bundlefeed/client.go
@@ -22,6 +22,9 @@
 // escaping it.
 const maxResponseBytes = 3 << 20
 
+// maxHeaderBytes limits the header of a response, which has a few short fields.
+const maxHeaderBytes = 16 << 10
+
 // Client reads the bundle and the list of VMs from the platform.
 type Client struct {
 	baseURL string
@@ -35,7 +38,7 @@
 // this timeout detects it.
 func NewClient(baseURL string, wait time.Duration) *Client {
 	return &Client{baseURL: baseURL, http: &http.Client{
-		Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: wait},
+		Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: wait, MaxResponseHeaderBytes: maxHeaderBytes},
 		Timeout:   wait + watchMargin,
 	}}
 }
--- a/callers/completions.go
+++ b/callers/completions.go
@@ -73,12 +73,16 @@
 	return body, nil
 }
 
+// maxBufferedBytes limits a response that is held until it is complete. It is four times the largest
+// event of a stream, since a response that isn't streamed has all of them.
+const maxBufferedBytes = 4 * maxEventBytes
+
 // relayBuffered relays a response that is not streamed. It reads the whole body
 // first, since a part that was sent to the caller can't be withdrawn if the rest is
 // lost.
 func (p *proxyRequest) relayBuffered(slot *router.Slot, resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(upstream.LimitBody(resp.Body, maxBufferedBytes))
 	if err != nil {
 		return &upstream.RequestError{Sent: true, Cause: err}
 	}
--- a/callers/proxy_request.go
+++ b/callers/proxy_request.go
@@ -161,6 +161,11 @@
 		Attempt:         p.rec.attempts,
 	})
 	p.server.log.Warn().Err(err).Str("request", p.rec.id).Str("upstream", slot.Upstream.Name).Bool("again", d.Retry).Msg("request to upstream failed")
+	var malformed *upstream.MalformedResponseError
+	if errors.As(err, &malformed) {
+		reason := map[string]string{"reason": string(malformed.Reason)}
+		p.server.router.Metrics().Scope.Tagged(reason).Counter("malformed_responses").Inc(1)
+	}
 	if errors.Is(err, errLeaseExpired) {
 		slot.Release()
 	} else {
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -126,10 +126,11 @@
 // overall timeout, since each call has a deadline.
 func platformClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     10 * time.Second,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost:    1,
+		IdleConnTimeout:        10 * time.Second,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: upstream.DefaultPoolConfig().MaxHeaderBytes,
 	}}
 }
 
--- a/router/watch.go
+++ b/router/watch.go
@@ -99,7 +99,7 @@
 
 // pollLoads polls the load reports of the upstreams whose home is this router.
 func (r *Router) pollLoads() {
-	client := &http.Client{Timeout: time.Second}
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{MaxResponseHeaderBytes: maxLoadReportBytes}}
 	for r.sleep(r.cfg.LoadPollInterval) {
 		var homes []sched.Upstream
 		r.inspect(func(c *controller) { homes = c.node.HomedUpstreams() })
@@ -109,7 +109,7 @@
 	}
 }
 
-// maxLoadReportBytes limits how much of a load report is read.
+// maxLoadReportBytes limits how much of a load report is read, and its header.
 const maxLoadReportBytes = 4 << 10
 
 func (r *Router) pollLoad(client *http.Client, u sched.Upstream) {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,8 @@
 	IdleTimeout time.Duration
 	// HeaderTimeout limits the wait for the response header.
 	HeaderTimeout time.Duration
+	// MaxHeaderBytes limits the headers of a response, including those of interim responses.
+	MaxHeaderBytes int64
 	// KeepAlive configures the TCP keep-alive probes, which detect a broken path below
 	// HTTP.
 	KeepAlive net.KeepAliveConfig
@@ -32,10 +35,11 @@
 // DefaultConfig returns the configuration for upstreams of the same region.
 func DefaultConfig() Config {
 	return Config{
-		DialTimeout:   time.Second,
-		IdleTimeout:   10 * time.Second,
-		HeaderTimeout: 5 * time.Minute,
-		KeepAlive:     net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 5},
+		DialTimeout:    time.Second,
+		IdleTimeout:    10 * time.Second,
+		HeaderTimeout:  5 * time.Minute,
+		MaxHeaderBytes: defaultMaxHeaderBytes,
+		KeepAlive:      net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 5},
 	}
 }
 
@@ -57,15 +61,28 @@
 func newTransport(cfg Config, disableReuse bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: cfg.DialTimeout, KeepAliveConfig: cfg.KeepAlive}
 	return &http.Transport{
-		DialContext:           dialer.DialContext,
-		DisableCompression:    true,
-		DisableKeepAlives:     disableReuse,
-		MaxIdleConnsPerHost:   maxIdlePerUpstream,
-		IdleConnTimeout:       30 * time.Second,
-		ResponseHeaderTimeout: cfg.HeaderTimeout,
+		DialContext:            dialer.DialContext,
+		DisableCompression:     true,
+		DisableKeepAlives:      disableReuse,
+		MaxIdleConnsPerHost:    maxIdlePerUpstream,
+		IdleConnTimeout:        30 * time.Second,
+		ResponseHeaderTimeout:  cfg.HeaderTimeout,
+		MaxResponseHeaderBytes: cfg.MaxHeaderBytes,
 	}
 }
 
+// headerLimitText is part of the error of http.Transport for a header that exceeds its limit. The
+// error has no type.
+const headerLimitText = "server response headers exceeded"
+
+// markMalformed gives the error of a header that exceeds the limit its type.
+func (c *Client) markMalformed(err error) error {
+	if !strings.Contains(err.Error(), headerLimitText) {
+		return err
+	}
+	return &MalformedResponseError{Reason: HeaderTooLarge, Bytes: c.cfg.MaxHeaderBytes, Cause: err}
+}
+
 // RequestError is returned for a request that received no response.
 type RequestError struct {
 	// Sent is true if the request may have reached the upstream. If it is false, the
@@ -104,7 +121,7 @@
 	resp, err := transport.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		cancel(err)
-		return nil, &RequestError{Sent: sent.Load(), Cause: err}
+		return nil, &RequestError{Sent: sent.Load(), Cause: c.markMalformed(err)}
 	}
 	resp.Body = newIdleBody(resp.Body, c.cfg.IdleTimeout, cancel)
 	return resp, nil
--- a/upstream/malformed_test.go
+++ b/upstream/malformed_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"runtime"
 	"strings"
 	"testing"
@@ -301,3 +302,31 @@
 	g.Expect(p.CloseExpired(time.Now().Add(2 * time.Second))).To(BeEmpty())
 	g.Expect(p.Idle()).To(Equal(1))
 }
+
+// Guards against headers without an end at the client that is used for bundles' upstreams.
+func TestClientLimitsEndlessHeaders(t *testing.T) {
+	for name, c := range map[string]struct{ start, unit string }{
+		"status line":       {"HTTP/1.1 200 OK", "\xa5"},
+		"header line":       {"HTTP/1.1 200 OK\r\nX: ", "\xa5"},
+		"header lines":      {"HTTP/1.1 200 OK\r\n", "X: a\r\n"},
+		"interim responses": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := endless(t, c.start, c.unit)
+			client := upstream.NewClient(upstream.DefaultConfig())
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.listener.Addr().String(), nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			var malformed *upstream.MalformedResponseError
+			allocated := allocatedBytes(func() { _, err = client.Do(req, true) })
+			t.Logf("%d bytes allocated: %v", allocated, err)
+			g.Expect(errors.As(err, &malformed)).To(BeTrue(), "%v", err)
+			g.Expect(malformed.Reason).To(Equal(upstream.HeaderTooLarge))
+			g.Expect(upstream.NotSent(err)).To(BeFalse())
+			g.Expect(allocated).To(BeNumerically("<", 1<<20), "less than the body of a request may take")
+		})
+	}
+}
