fleet: messages of peers without an end are bounded

Cause, the same class at a peer: a router that serves its state reads a request line, or a text in it, until it ends, for 2 s, for eight connections at a time. TestEndlessRequestForTheState, with the limits out of reach: 128 to 134 MB received and 134 to 537 MB allocated on one connection; now 48 KB allocated, closed at once. A router that fetches a state had a limit of 16 MiB, which took up to 59 MB of heap; with 8 MiB it takes up to 29 MB (bound of the test: four times the limit). 12,000 upstreams and the largest configuration take under 5 MB.

Change: limitedConn on both sides, with the typed MessageTooLargeError where JSON-RPC says only 'closed', and a log line (pull_rejected). JSON-RPC's own log lines are discarded, since they quote what was received.

--- a/fleet/pull.go
+++ b/fleet/pull.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"log"
 	"net"
 	"net/netip"
 	"time"
@@ -45,8 +47,11 @@
 	// maxPullsServed is the number of peers that are served at the same time, each of which
 	// takes a few megabytes. Others are rejected and turn to another peer.
 	maxPullsServed = 8
-	// maxStateBytes limits what is read from a peer. 12,000 upstreams take 2.4 MB.
-	maxStateBytes = 16 << 20
+	// maxStateBytes limits what is read from a peer. 12,000 upstreams take 2.4 MB and the largest
+	// configuration 1 MB, in base64. A reader may hold it three times while it decodes it.
+	maxStateBytes = 8 << 20
+	// maxPullRequestBytes limits what a peer sends to fetch the state: one message of 200 bytes.
+	maxPullRequestBytes = 4 << 10
 )
 
 // pullFrom starts to fetch a peer's state, unless a fetch is in progress.
@@ -78,8 +83,9 @@
 			return Error.Wrap(err)
 		}
 	}
-	stream := jsonrpc2.NewBufferedStream(&limitedConn{Conn: conn, left: maxStateBytes}, jsonrpc2.VSCodeObjectCodec{})
-	rpc := jsonrpc2.NewConn(ctx, stream, noopHandler{})
+	limited := &limitedConn{Conn: conn, limit: maxStateBytes}
+	stream := jsonrpc2.NewBufferedStream(limited, jsonrpc2.VSCodeObjectCodec{})
+	rpc := jsonrpc2.NewConn(ctx, stream, noopHandler{}, discardRPCLog)
 	defer func() { _ = rpc.Close() }()
 	requestedAt := n.now()
 	var reply stateReply
@@ -87,7 +93,7 @@
 	if err := rpc.Call(ctx, methodState, stateParams{
 		ConfigVersion: known.ConfigVersion, Revision: revision.Counter(known.Revision), Epoch: revision.Epoch(known.Revision), Compact: true,
 	}, &reply); err != nil {
-		return Error.Wrap(err)
+		return Error.Wrap(limited.err(err))
 	}
 	state := reply.PeerState
 	if len(reply.Compact) > 0 {
@@ -134,15 +140,25 @@
 	defer cancel()
 	// If the deadline can't be set, the connection is broken and the RPC fails below.
 	_ = conn.SetDeadline(time.Now().Add(firstPullTimeout))
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
-	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(n.serveState))
+	limited := &limitedConn{Conn: conn, limit: maxPullRequestBytes}
+	stream := jsonrpc2.NewBufferedStream(limited, jsonrpc2.VSCodeObjectCodec{})
+	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(n.serveState), discardRPCLog)
 	select {
 	case <-ctx.Done():
 	case <-rpc.DisconnectNotify():
 	}
 	_ = rpc.Close()
+	if err := limited.err(nil); err != nil {
+		n.limited.Warn("pull_rejected", func(e *obs.Event) {
+			e.Stringer("from", conn.RemoteAddr()).Err(err).Msg("closed the connection of a peer that fetched the state")
+		})
+	}
 }
 
+// discardRPCLog discards the messages of JSON-RPC about broken connections. They are not in the format
+// of the log, and quote what was received.
+var discardRPCLog = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 func (n *Node) serveState(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 	if req.Method != methodState {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
