peer: memory for a message grows with what has arrived, not with its announced size

Cause, found while looking for the same class at peers: the codec allocated the size that a peer announces, up to 8 MiB, before a byte of the message had come. Longer messages were refused before, too.

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -46,10 +46,14 @@
 	if size > maxMessage {
 		return Error.New("message of %d bytes exceeds the limit of %d bytes", size, maxMessage)
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(s.reader, data); err != nil {
+	// The memory grows with what has arrived, not with the announced size.
+	data, err := io.ReadAll(io.LimitReader(s.reader, int64(size)))
+	if err != nil {
 		return err
 	}
+	if uint64(len(data)) < size {
+		return io.ErrUnexpectedEOF
+	}
 	return json.Unmarshal(data, v)
 }
 
