daemon: requests at the readiness, control and metrics listeners are bounded

Cause, the same class at a caller: these listeners kept the default of net/http, 1 MiB of header a connection, and no bound on the time of a body.

--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -185,7 +185,7 @@
 
 // serveAuxiliary serves the readiness, control or metrics listener until the process exits.
 func (d *FleetDaemon) serveAuxiliary(l net.Listener, h http.Handler) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: auxReadHeaderTimeout, IdleTimeout: auxIdleTimeout}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: auxReadHeaderTimeout, IdleTimeout: auxIdleTimeout, ReadTimeout: auxReadTimeout, MaxHeaderBytes: auxMaxHeaderBytes}
 	if err := server.Serve(l); err != nil {
 		d.log.Error().Str("event", "listener").Stringer("address", l.Addr()).Err(err).Msg("listener failed")
 	}
@@ -193,6 +193,10 @@
 
 const (
 	auxReadHeaderTimeout = 3 * time.Second
+	// auxReadTimeout limits a whole request; none has a body that is used.
+	auxReadTimeout = 5 * time.Second
+	// auxMaxHeaderBytes limits the header of a request, which has a few short fields.
+	auxMaxHeaderBytes = 8 << 10
 	auxIdleTimeout       = 20 * time.Second
 	// idleSweepInterval is the time between two searches for expired idle connections. It is
 	// well below the margin by which the pool closes a connection before the upstream does.
