feed: changes that are too large for one watch are listed instead

Cause: a watch whose answer exceeds the limit fails like any other, and the feed asks again after the same revision; that answer only grows, until the platform discards its history.

A log line and oversizedWatches in the dump tell it from a platform that doesn't answer.

--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -197,7 +197,7 @@
 	auxReadTimeout = 5 * time.Second
 	// auxMaxHeaderBytes limits the header of a request, which has a few short fields.
 	auxMaxHeaderBytes = 8 << 10
-	auxIdleTimeout       = 20 * time.Second
+	auxIdleTimeout    = 20 * time.Second
 	// idleSweepInterval is the time between two searches for expired idle connections. It is
 	// well below the margin by which the pool closes a connection before the upstream does.
 	idleSweepInterval = 300 * time.Millisecond
@@ -283,15 +283,17 @@
 	Placement     settings.Placement `json:"placement"`
 	Entry         settings.Entry     `json:"entry"`
 	PlatformCalls int64              `json:"platformCalls"`
-	Connections   int64              `json:"upstreamConnectionsOpened"`
-	Datagrams     int64              `json:"datagramsSent"`
-	Node          fleet.Dump         `json:"node"`
+	// OversizedWatches counts the platform's answers that were too large to be read.
+	OversizedWatches int64      `json:"oversizedWatches"`
+	Connections      int64      `json:"upstreamConnectionsOpened"`
+	Datagrams        int64      `json:"datagramsSent"`
+	Node             fleet.Dump `json:"node"`
 }
 
 func (d *FleetDaemon) dump() fleetDump {
 	return fleetDump{
 		Ready: d.Ready(), Stopping: d.gateway.Stopping(), ConfigVersion: d.feed.Snapshot().ConfigVersion(), Placement: d.settings.Placement, Entry: d.settings.Entry,
-		PlatformCalls: d.feed.Calls(), Connections: d.pool.Dials(), Datagrams: d.node.Datagrams(), Node: d.node.Dump(),
+		PlatformCalls: d.feed.Calls(), OversizedWatches: d.feed.Oversized(), Connections: d.pool.Dials(), Datagrams: d.node.Datagrams(), Node: d.node.Dump(),
 	}
 }
 
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -33,6 +33,8 @@
 	// the newest.
 	confirmedAt atomic.Int64
 	calls       atomic.Int64
+	// oversized counts watches whose answer was too large.
+	oversized atomic.Int64
 	// listing is owned by the goroutine that reads the platform.
 	listing listing
 
@@ -68,6 +70,9 @@
 // Calls returns the number of calls made to the platform.
 func (f *Feed) Calls() int64 { return f.calls.Load() }
 
+// Oversized returns the number of watches whose answer was too large.
+func (f *Feed) Oversized() int64 { return f.oversized.Load() }
+
 // ConfirmedAt returns the time as of which the snapshot was confirmed, or 0 if it
 // never was.
 func (f *Feed) ConfirmedAt() boottime.Time { return boottime.Time(f.confirmedAt.Load()) }
--- a/feed/read.go
+++ b/feed/read.go
@@ -40,6 +40,12 @@
 		f.log.Warn().Str("event", "platform").Int64("after", after).Msg("history no longer available; listing again")
 		return f.list(ctx)
 	}
+	if errors.Is(err, ErrAnswerTooLarge) {
+		// The pages of a listing are bounded, and the state is smaller than its history.
+		f.oversized.Add(1)
+		f.log.Warn().Str("event", "platform").Int64("after", after).Err(err).Msg("changes are too large to be read at once; listing instead")
+		return f.list(ctx)
+	}
 	if err != nil {
 		f.recordFailure(ctx, err, sentAt)
 		return false
--- a/feed/source.go
+++ b/feed/source.go
@@ -17,6 +17,10 @@
 // longer keeps.
 var ErrHistoryGone = errs.New("feed: history after this revision is no longer available")
 
+// ErrAnswerTooLarge is returned by a watch whose answer exceeds the source's limit. The answer to the
+// same watch only grows.
+var ErrAnswerTooLarge = errs.New("feed: the answer to the watch is too large")
+
 // Source reads what operators and upstreams publish. All reads are linearizable.
 type Source interface {
 	// List reads a page of the full state: the first one if after is empty, else the one that
@@ -24,7 +28,8 @@
 	// first page. Later changes may or may not be included.
 	List(ctx context.Context, after string) (Page, error)
 	// Watch returns the changes after a revision, waiting for them for at most wait. It returns
-	// ErrHistoryGone if the platform was restored since.
+	// ErrHistoryGone if the platform was restored since, and ErrAnswerTooLarge if there are too many
+	// to be read at once.
 	Watch(ctx context.Context, after int64, wait time.Duration) (Batch, error)
 }
 
