gateway: requests are admitted by the bytes of their bodies

Cause: a pending request counted as 64 KB whatever its body, and readBody allocated the whole announced size before a byte had arrived; with no limit in force any size.

Without room: 503, not run, at once, with the time after which bodies give back their room; the rest of the body is discarded afterwards, so that a caller that reads only after it has sent can read the refusal. An absent limit means 4 MiB. Counter bodies_without_room.

--- a/gateway/broken_conn.go
+++ b/gateway/broken_conn.go
@@ -16,7 +16,7 @@
 func (r *request) ensureContentKey() quarantine.Key {
 	if !r.hasContentKey {
 		r.hasContentKey = true
-		r.contentKey = quarantine.NewContentKey(r.teamName(), r.in.Method, r.in.Host, r.in.RequestURI, r.body)
+		r.contentKey = quarantine.NewContentKey(r.teamName(), r.in.Method, r.in.Host, r.in.RequestURI, r.body.bytes)
 	}
 	return r.contentKey
 }
--- /dev/null
+++ b/gateway/large_bodies_test.go
@@ -0,0 +1,139 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/aspenswitch/aspenswitch/gateway"
+	"github.com/aspenswitch/aspenswitch/registry"
+)
+
+// discardBodies starts an upstream that keeps no bodies and responds to large ones after 300 ms.
+func discardBodies(t *testing.T) (address string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		n, _ := io.Copy(io.Discard, req.Body)
+		if n > 1<<10 {
+			time.Sleep(300 * time.Millisecond)
+		}
+		w.Header().Set("X-Id", req.Header.Get("X-Id"))
+		w.Header().Set("X-Seal", "s")
+	})}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+// Guards against large bodies of one team that take the memory of the process, or the room of other
+// teams' requests.
+func TestLargeBodiesOfOneTeam(t *testing.T) {
+	const bodyBytes, pieces, callers = 1 << 20, 16, 100 // the harness allows bodies of 1 MiB
+	for _, c := range []struct {
+		name      string
+		megabytes int64
+		chunked   bool
+		complete  bool
+	}{
+		{"134 MB", 134, false, true}, {"134 MB, chunked", 134, true, true}, {"134 MB, bodies that stop", 134, false, false}, {"256 MB", 256, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			memory := c.megabytes << 20
+			var cfg gateway.Config
+			r := newHarnessWith(t, map[string]script{"u1": ok("")}, func(config *gateway.Config) { config.Fit(memory, 4100); cfg = *config })
+			reg := registry.New()
+			reg.Put(0, registry.Upstream{ID: "u1", Service: "llm", Address: discardBodies(t), Revision: 2})
+			r.publish(reg.View(), "k1", "k2")
+			defer debug.SetMemoryLimit(debug.SetMemoryLimit(cfg.RuntimeMemory))
+			var served, refused, unanswered atomic.Int64
+			var senders sync.WaitGroup
+			stop := make(chan struct{})
+			piece := make([]byte, bodyBytes/pieces)
+			if c.chunked {
+				piece = fmt.Appendf(nil, "%x\r\n%s\r\n", len(piece), piece)
+			}
+			send := func() {
+				conn, err := net.Dial("tcp", r.addr)
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				framing := fmt.Sprintf("Content-Length: %d", bodyBytes)
+				if c.chunked {
+					framing = "Transfer-Encoding: chunked"
+				}
+				_, _ = fmt.Fprintf(conn, "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k2\r\nX-Left: 1900\r\n%s\r\n\r\n", framing)
+				for i := range pieces {
+					if !c.complete && i == pieces-1 {
+						time.Sleep(time.Second)
+						return
+					}
+					if _, err := conn.Write(piece); err != nil {
+						break
+					}
+					time.Sleep(40 * time.Millisecond)
+				}
+				if c.chunked {
+					_, _ = io.WriteString(conn, "0\r\n\r\n")
+				}
+				status := make([]byte, len("HTTP/1.1 200"))
+				_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+				if _, err := io.ReadFull(conn, status); err != nil {
+					unanswered.Add(1)
+					return
+				}
+				switch string(status) {
+				case "HTTP/1.1 200":
+					served.Add(1)
+				case "HTTP/1.1 503":
+					refused.Add(1)
+					time.Sleep(500 * time.Millisecond) // a Retry-After delay
+				}
+			}
+			var peak uint64
+			stopSampling := sampleHeap(&peak)
+			for range callers {
+				senders.Go(func() {
+					for {
+						select {
+						case <-stop:
+							return
+						default:
+							send()
+						}
+					}
+				})
+			}
+			others, othersServed := 0, 0
+			for end := time.Now().Add(3 * time.Second); time.Now().Before(end); others++ {
+				resp, body, err := r.call("/unsafe/x", nil)
+				if err == nil && resp.StatusCode == http.StatusOK {
+					othersServed++
+				} else {
+					t.Logf("not served: %v %s", err, body)
+				}
+			}
+			close(stop)
+			stopSampling()
+			senders.Wait()
+			t.Logf("heap grew by %d MB of %d for the runtime; large bodies: %d served, %d refused, %d without an answer; others: %d of %d served", peak>>20, cfg.RuntimeMemory>>20, served.Load(), refused.Load(), unanswered.Load(), othersServed, others)
+			g.Expect(peak).To(BeNumerically("<", cfg.RuntimeMemory))
+			g.Expect(float64(othersServed)).To(BeNumerically(">=", 0.95*float64(others)))
+			if c.complete {
+				g.Expect(served.Load()).To(BeNumerically(">", 0))
+				g.Expect(refused.Load()).To(BeNumerically(">", 0))
+				g.Expect(unanswered.Load()).To(BeZero(), "callers must be able to read the refusal")
+			}
+		})
+	}
+}
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -118,8 +118,8 @@
 		"untyped stream":                     {"/stream/x", header + "\r\n", "\xa5", "event_too_large"},
 		"stream that may be resumed":         {"/resume/x", header + stream + "\r\n", "\xa5", "event_too_large"},
 		"after an event":                     {"/resume/x", header + stream + "\r\nid: 1\ndata: 1\n\n", "\xa5", "event_too_large"},
-		"comments":                           {"/resume/x", header + stream + "\r\n", ":\n", "event_too_large"},
-		"lines of one event":                 {"/resume/x", header + stream + "\r\n", "data: a\n", "event_too_large"},
+		"comments":                           {"/resume/x", header + stream + "\r\n", ":" + strings.Repeat("a", 1<<10) + "\n", "event_too_large"},
+		"lines of one event":                 {"/resume/x", header + stream + "\r\n", "data: " + strings.Repeat("a", 1<<10) + "\n", "event_too_large"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -10,6 +10,9 @@
 	// RequestBytes is the additional memory of a pending request: its body, its upstream
 	// connection and their buffers.
 	RequestBytes = 64 << 10
+	// IncludedBodyBytes is the part of a body that RequestBytes includes. What a body takes beyond it
+	// is taken from the room of other requests.
+	IncludedBodyBytes = 32 << 10
 	// ProgramBytes is the memory of the program's code and data and of its libraries.
 	ProgramBytes = 20 << 20
 )
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -27,6 +27,8 @@
 	code       string
 	message    string
 	retryAfter time.Duration
+	// bodyUnread is set if the rest of the request's body must be discarded after the response.
+	bodyUnread bool
 }
 
 // Error implements error.
@@ -62,6 +64,11 @@
 func (r *refusal) write(w http.ResponseWriter) {
 	body := r.body()
 	r.setHeaders(w.Header(), len(body))
+	if r.bodyUnread {
+		// Otherwise net/http reads a part of the body before it sends the response.
+		_ = http.NewResponseController(w).EnableFullDuplex() // HTTP/1 always supports it
+		w.Header().Set("Connection", "close")
+	}
 	w.WriteHeader(r.status)
 	_, _ = w.Write(body) // the caller may have disconnected
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -25,7 +25,7 @@
 	route   *routing.Route
 	team    *routing.Team
 	service string
-	body    []byte
+	body    heldBody
 	arrived time.Time
 	// deadline is when the caller must have a response: the earlier of its own deadline
 	// and the route's timeout, minus Config.DeadlineMargin.
@@ -161,6 +161,9 @@
 // maxDeadlineMs is one day. It prevents a caller's value from overflowing a time.Duration.
 const maxDeadlineMs = 24 * 3600 * 1000
 
+// defaultMaxBodyBytes limits a body if the configuration has no limit.
+const defaultMaxBodyBytes = 4 << 20
+
 // readBody buffers the whole body, up to the configured limit, so that the request can be
 // sent again on a retry.
 func (s *Server) readBody(r *request) *refusal {
@@ -168,43 +171,42 @@
 		return nil
 	}
 	limit := r.state.Table.Config.Limits.MaxBodyBytes
-	if limit > 0 && r.in.ContentLength > limit {
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	if r.in.ContentLength > limit {
 		// A connection that is closed with unread bytes is reset, and the caller
 		// would see the reset instead of the response.
 		_, _ = io.CopyN(io.Discard, r.in.Body, maxDiscard)
-		return permanentRefusal(http.StatusRequestEntityTooLarge, "body_too_large", "the body is over the limit")
+		return refuseLargeBody()
 	}
-	var body io.Reader = r.in.Body
-	if limit > 0 {
-		body = io.LimitReader(body, limit+1)
-	}
-	raw, err := readSized(body, r.in.ContentLength)
-	if err != nil {
-		if errors.Is(err, context.Canceled) {
-			return notRun("caller_left", "the caller left before its request was read", 0)
-		}
-		return permanentRefusal(http.StatusBadRequest, "bad_body", "the body could not be read")
-	}
-	if limit > 0 && int64(len(raw)) > limit {
-		return permanentRefusal(http.StatusRequestEntityTooLarge, "body_too_large", "the body is over the limit")
+	r.body = heldBody{budget: s.bodies, team: r.teamName(), requests: s.activeRequests.Load}
+	err := r.body.read(r.in.Body, r.in.ContentLength, limit)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, errNoRoom):
+		r.body.release()
+		s.stats.bodiesWithoutRoom.Inc(1)
+		s.teams.update(r.teamName(), func(l *TeamLoad) { l.RouterFull++ })
+		refused := notRun("no_body_room", "this router has no room for the body; the request was not run", s.bodies.retryAfter())
+		refused.bodyUnread = true
+		return refused
+	case errors.Is(err, errBodyTooLarge):
+		return refuseLargeBody()
+	case errors.Is(err, context.Canceled):
+		return notRun("caller_left", "the caller left before its request was read", 0)
 	}
-	r.body = raw
-	return nil
+	return permanentRefusal(http.StatusBadRequest, "bad_body", "the body could not be read")
+}
+
+func refuseLargeBody() *refusal {
+	return permanentRefusal(http.StatusRequestEntityTooLarge, "body_too_large", "the body is over the limit")
 }
 
 // maxDiscard limits how much of an oversized body is read and discarded.
 const maxDiscard = 16 << 20
 
-// readSized reads src into a buffer of the announced size, or to its end if size is unknown.
-func readSized(src io.Reader, size int64) ([]byte, error) {
-	if size <= 0 {
-		return io.ReadAll(src)
-	}
-	raw := make([]byte, size)
-	n, err := io.ReadFull(src, raw)
-	return raw[:n], err
-}
-
 // readPrompt parses the headers that describe the prompt. Invalid numbers count as missing,
 // since they only affect placement.
 func (s *Server) readPrompt(r *request) {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -50,7 +50,8 @@
 		// for as long as their responses run. The content key is computed first, since it is
 		// needed if the response is interrupted.
 		r.ensureContentKey()
-		r.body, call.Body = nil, nil
+		r.body.release()
+		call.Body = nil
 	}
 	r.tried = append(r.tried, id)
 	r.record.attempts++
@@ -175,7 +176,7 @@
 	}
 	r.record.resumedAfter = h.Get(lastEventID)
 	return &upstream.Request{
-		Address: u.Address, Started: u.Started, Method: r.in.Method, URI: r.in.RequestURI, Host: r.in.Host, Header: h, Body: r.body,
+		Address: u.Address, Started: u.Started, Method: r.in.Method, URI: r.in.RequestURI, Host: r.in.Host, Header: h, Body: r.body.bytes,
 		IDHeader: n.RequestID, ID: r.id, Repeatable: r.route.Kind == routing.Safe || r.route.Repeatable(),
 	}
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -38,6 +38,7 @@
 
 	shedder *shedder
 	teams   teamLoads
+	bodies  *bodyBudget
 
 	// mu guards budget.
 	mu     sync.Mutex
@@ -65,7 +66,7 @@
 	baseCtx, cancelRequests := context.WithCancelCause(context.Background())
 	return &Server{
 		cfg: cfg, state: state, placer: placer, pool: pool, budget: budget,
-		log: log, stats: newStats(metrics.Scope), start: time.Now(), shedder: newShedder(cfg.Shed), availability: newUpstreamAvailability(), path: newUpstreamPath(),
+		log: log, stats: newStats(metrics.Scope), start: time.Now(), shedder: newShedder(cfg.Shed), availability: newUpstreamAvailability(), path: newUpstreamPath(), bodies: newBodyBudget(cfg.MaxRequests),
 		baseCtx: baseCtx, cancelRequests: cancelRequests,
 	}
 }
@@ -209,7 +210,8 @@
 	s.counts.received.Add(1)
 	active := s.activeRequests.Add(1)
 	defer s.activeRequests.Add(-1)
-	r, refused := s.accept(in, active > int64(s.cfg.MaxRequests))
+	r, refused := s.accept(in, s.bodies.full(active-1))
+	defer r.body.release()
 	truncated := false
 	if refused == nil {
 		refused, truncated = s.serve(w, r)
@@ -229,6 +231,9 @@
 		r.record.retryAfter = refused.retryAfter
 		r.record.cause = joinCause(refused.code, r.record.cause)
 		refused.write(w)
+		if refused.bodyUnread {
+			s.discardBody(w, in)
+		}
 	}
 	s.finish(r)
 	if truncated {
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -22,6 +22,8 @@
 	unknownVersion tally.Counter
 	// noPath counts requests that were refused because this router reached no upstream.
 	noPath tally.Counter
+	// bodiesWithoutRoom counts requests that were refused because there was no room for their body.
+	bodiesWithoutRoom tally.Counter
 	// brokenStreams counts upstreams' streams that ended before they were complete, by framing.
 	brokenStreams map[eventstream.Framing]tally.Counter
 	// malformed counts upstreams' responses that were malformed or exceeded a limit, by reason.
@@ -34,18 +36,19 @@
 
 func newStats(scope tally.Scope) *stats {
 	s := &stats{
-		requests:       scope.Counter("requests"),
-		outcomes:       map[string]tally.Counter{},
-		other:          scope.Tagged(map[string]string{"outcome": "other"}).Counter("answers"),
-		refused:        scope.Counter("refusals"),
-		quarantined:    scope.Counter("quarantined"),
-		unknownVersion: scope.Counter("unknown_version"),
-		noPath:         scope.Counter("no_path"),
-		brokenStreams:  map[eventstream.Framing]tally.Counter{},
-		malformed:      map[upstream.MalformedReason]tally.Counter{},
-		withheld:       map[withheldReason]tally.Counter{},
-		firstByte:      scope.Histogram("first_byte_seconds", latencyBuckets),
-		placement:      scope.Histogram("placing_seconds", latencyBuckets),
+		requests:          scope.Counter("requests"),
+		outcomes:          map[string]tally.Counter{},
+		other:             scope.Tagged(map[string]string{"outcome": "other"}).Counter("answers"),
+		refused:           scope.Counter("refusals"),
+		quarantined:       scope.Counter("quarantined"),
+		unknownVersion:    scope.Counter("unknown_version"),
+		noPath:            scope.Counter("no_path"),
+		bodiesWithoutRoom: scope.Counter("bodies_without_room"),
+		brokenStreams:     map[eventstream.Framing]tally.Counter{},
+		malformed:         map[upstream.MalformedReason]tally.Counter{},
+		withheld:          map[withheldReason]tally.Counter{},
+		firstByte:         scope.Histogram("first_byte_seconds", latencyBuckets),
+		placement:         scope.Histogram("placing_seconds", latencyBuckets),
 	}
 	for _, name := range []string{"ran", "not-run", "unknown", "cancelled", "cut"} {
 		s.outcomes[name] = scope.Tagged(map[string]string{"outcome": name}).Counter("answers")
