gateway: a body that hasn't arrived by the request's deadline is refused

Cause, the same class at a caller: nothing bounded the time of a body. A caller that stops sending held its connection, its place among the pending requests and the room of what had arrived until it left. TestBodyThatStopsIsRefusedAtTheDeadline: the connection was still open after 5 s; now 503, not run, at the deadline (0.5 s), and the connection is closed. Counter late_bodies. The deadline ends with the body, since the server reads on to detect that the caller leaves (TestBodyDeadlineEndsWithTheBody).

--- a/gateway/large_bodies_test.go
+++ b/gateway/large_bodies_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -137,3 +138,44 @@
 		})
 	}
 }
+
+// Guards against a body that never arrives and holds its connection, and its room, without a bound.
+func TestBodyThatStopsIsRefusedAtTheDeadline(t *testing.T) {
+	g := NewWithT(t)
+	r := newHarness(t, map[string]script{"u1": ok("done")})
+	conn, err := net.Dial("tcp", r.addr)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	started := time.Now()
+	_, err = io.WriteString(conn, "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k1\r\nX-Left: 500\r\nContent-Length: 100000\r\n\r\nabc")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	response, err := io.ReadAll(conn)
+	g.Expect(err).NotTo(HaveOccurred(), "the connection must be closed")
+	g.Expect(string(response)).To(And(HavePrefix("HTTP/1.1 503"), ContainSubstring("body_late"), ContainSubstring(`"outcome":"not-run"`)))
+	g.Expect(time.Since(started)).To(BeNumerically("~", 500*time.Millisecond, 250*time.Millisecond))
+	g.Expect(r.requests()).To(BeEmpty())
+}
+
+// Guards against a deadline for the body that cancels the request after its body has arrived.
+func TestBodyDeadlineEndsWithTheBody(t *testing.T) {
+	g := NewWithT(t)
+	r := newHarness(t, map[string]script{"u1": func(req *http.Request, w io.Writer) bool {
+		time.Sleep(400 * time.Millisecond)
+		return ok("done")(req, w)
+	}})
+	conn, err := net.Dial("tcp", r.addr)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for range 3 {
+		_, err = io.WriteString(conn, "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k1\r\nX-Left: 600\r\nContent-Length: 3\r\n\r\nabc")
+		g.Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(reader, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		_, err = io.Copy(io.Discard, resp.Body)
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(700 * time.Millisecond) // longer than the deadline of the request
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -70,7 +71,7 @@
 
 // accept reads and validates a request and determines its route, team and service. full is
 // set if the router has reached its request limit.
-func (s *Server) accept(in *http.Request, full bool) (*request, *refusal) {
+func (s *Server) accept(in *http.Request, control *http.ResponseController, full bool) (*request, *refusal) {
 	r := &request{ctx: in.Context(), in: in, id: in.Header.Get(s.cfg.Headers.RequestID), arrived: time.Now()}
 	r.record.id, r.record.resumes = r.id, in.Header.Get(s.cfg.Headers.Resumes)
 	r.state = s.state.Snapshot()
@@ -106,7 +107,7 @@
 	if refused := s.shed(r); refused != nil {
 		return r, refused
 	}
-	if refused := s.readBody(r); refused != nil {
+	if refused := s.readBody(r, control); refused != nil {
 		return r, refused
 	}
 	return r, s.refuseQuarantined(r)
@@ -165,8 +166,8 @@
 const defaultMaxBodyBytes = 4 << 20
 
 // readBody buffers the whole body, up to the configured limit, so that the request can be
-// sent again on a retry.
-func (s *Server) readBody(r *request) *refusal {
+// sent again on a retry. A body that hasn't arrived by the request's deadline is refused: the request can't be served any more.
+func (s *Server) readBody(r *request, control *http.ResponseController) *refusal {
 	if r.in.Body == nil || r.in.Body == http.NoBody {
 		return nil
 	}
@@ -181,10 +182,21 @@
 		return refuseLargeBody()
 	}
 	r.body = heldBody{budget: s.bodies, team: r.teamName(), requests: s.activeRequests.Load}
+	if err := control.SetReadDeadline(r.deadline); err != nil {
+		return notRun("caller_left", "the caller left before its request was read", 0)
+	}
 	err := r.body.read(r.in.Body, r.in.ContentLength, limit)
+	if err == nil {
+		// The server reads on, to detect that the caller leaves.
+		err = control.SetReadDeadline(time.Time{})
+	}
 	switch {
 	case err == nil:
 		return nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		r.body.release()
+		s.stats.lateBodies.Inc(1)
+		return notRun("body_late", "the body did not arrive before the request's deadline; the request was not run", defaultRetryAfter)
 	case errors.Is(err, errNoRoom):
 		r.body.release()
 		s.stats.bodiesWithoutRoom.Inc(1)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -210,7 +210,7 @@
 	s.counts.received.Add(1)
 	active := s.activeRequests.Add(1)
 	defer s.activeRequests.Add(-1)
-	r, refused := s.accept(in, s.bodies.full(active-1))
+	r, refused := s.accept(in, http.NewResponseController(w), s.bodies.full(active-1))
 	defer r.body.release()
 	truncated := false
 	if refused == nil {
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -22,6 +22,8 @@
 	unknownVersion tally.Counter
 	// noPath counts requests that were refused because this router reached no upstream.
 	noPath tally.Counter
+	// lateBodies counts requests whose body did not arrive before their deadline.
+	lateBodies tally.Counter
 	// bodiesWithoutRoom counts requests that were refused because there was no room for their body.
 	bodiesWithoutRoom tally.Counter
 	// brokenStreams counts upstreams' streams that ended before they were complete, by framing.
@@ -43,6 +45,7 @@
 		quarantined:       scope.Counter("quarantined"),
 		unknownVersion:    scope.Counter("unknown_version"),
 		noPath:            scope.Counter("no_path"),
+		lateBodies:        scope.Counter("late_bodies"),
 		bodiesWithoutRoom: scope.Counter("bodies_without_room"),
 		brokenStreams:     map[eventstream.Framing]tally.Counter{},
 		malformed:         map[upstream.MalformedReason]tally.Counter{},
