--- a/upstream/malformed_test.go
+++ b/upstream/malformed_test.go
@@ -330,3 +330,19 @@
 		})
 	}
 }
+
+// Guards against log lines that contain a whole header.
+func TestInvalidHeaderIsNotQuotedAsAWhole(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if _, _, err := readRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+strings.Repeat("a", 10<<10)+"\r\n\r\n")
+	})
+	_, err := newPool(t).Do(context.Background(), s.request("1", ""))
+	var malformed *upstream.MalformedResponseError
+	g.Expect(errors.As(err, &malformed)).To(BeTrue(), "%v", err)
+	g.Expect(malformed.Reason).To(Equal(upstream.InvalidHeader))
+	g.Expect(len(err.Error())).To(BeNumerically("<", 512))
+}
