--- a/daemon/auxiliary_internal_test.go
+++ b/daemon/auxiliary_internal_test.go
@@ -40,7 +40,7 @@
 			t.Logf("%d bytes allocated in %v: %v", after.TotalAlloc-before.TotalAlloc, time.Since(started), err)
 			g.Expect(err).To(HaveOccurred(), "the connection must be closed")
 			g.Expect(time.Since(started)).To(BeNumerically("<", auxReadTimeout+time.Second))
-			g.Expect(after.TotalAlloc-before.TotalAlloc).To(BeNumerically("<", 1<<20))
+			g.Expect(after.TotalAlloc - before.TotalAlloc).To(BeNumerically("<", 1<<20))
 		})
 	}
 }
--- a/peer/codec_internal_test.go
+++ b/peer/codec_internal_test.go
@@ -38,5 +38,5 @@
 	}
 	runtime.ReadMemStats(&after)
 	// Most of it is for the compression.
-	g.Expect(after.TotalAlloc-before.TotalAlloc).To(BeNumerically("<", conns*maxMessage/4))
+	g.Expect(after.TotalAlloc - before.TotalAlloc).To(BeNumerically("<", conns*maxMessage/4))
 }
