--- a/daemon/auxiliary_internal_test.go
+++ b/daemon/auxiliary_internal_test.go
@@ -4,11 +4,12 @@
 	"bytes"
 	"net"
 	"net/http"
-	"runtime"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/aspenswitch/aspenswitch/heapcheck"
 )
 
 // Guards against requests without an end at the readiness, control and metrics listeners.
@@ -28,19 +29,18 @@
 			conn, err := net.Dial("tcp", l.Addr().String())
 			g.Expect(err).NotTo(HaveOccurred())
 			defer func() { _ = conn.Close() }()
-			var before, after runtime.MemStats
-			runtime.ReadMemStats(&before)
 			started := time.Now()
-			_, err = conn.Write([]byte(c.start))
-			block := bytes.Repeat([]byte(c.unit), (32<<10)/len(c.unit))
-			for sent := 0; err == nil && sent < 128<<20; sent += len(block) {
-				_, err = conn.Write(block)
-			}
-			runtime.ReadMemStats(&after)
-			t.Logf("%d bytes allocated in %v: %v", after.TotalAlloc-before.TotalAlloc, time.Since(started), err)
+			allocated := heapcheck.Allocated(func() {
+				_, err = conn.Write([]byte(c.start))
+				block := bytes.Repeat([]byte(c.unit), (32<<10)/len(c.unit))
+				for sent := 0; err == nil && sent < 128<<20; sent += len(block) {
+					_, err = conn.Write(block)
+				}
+			})
+			t.Logf("%d bytes allocated in %v: %v", allocated, time.Since(started), err)
 			g.Expect(err).To(HaveOccurred(), "the connection must be closed")
 			g.Expect(time.Since(started)).To(BeNumerically("<", auxReadTimeout+time.Second))
-			g.Expect(after.TotalAlloc - before.TotalAlloc).To(BeNumerically("<", 1<<20))
+			g.Expect(allocated).To(BeNumerically("<", 1<<20))
 		})
 	}
 }
--- a/fleet/endless_message_test.go
+++ b/fleet/endless_message_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net"
 	"net/netip"
-	"runtime"
 	"testing"
 	"time"
 
@@ -16,6 +15,7 @@
 	"github.com/aspenswitch/aspenswitch/boottime"
 	"github.com/aspenswitch/aspenswitch/feed"
 	"github.com/aspenswitch/aspenswitch/fleet"
+	"github.com/aspenswitch/aspenswitch/heapcheck"
 )
 
 // maxSentBytes ends a test in which the node never closes the connection.
@@ -45,15 +45,15 @@
 }
 
 // newLoopbackNode returns a node on loopback that has a state.
-func newLoopbackNode(t *testing.T, log zerolog.Logger) (*fleet.Node, netip.AddrPort) {
+func newLoopbackNode(t *testing.T) (*fleet.Node, netip.AddrPort) {
 	t.Helper()
 	g := NewWithT(t)
 	transport, err := fleet.Listen("127.0.0.1", 0)
 	g.Expect(err).NotTo(HaveOccurred())
 	cfg := fleet.DefaultConfig()
 	cfg.IP = "127.0.0.1"
-	n := fleet.New(cfg, transport, boottime.Now, log)
-	n.Attach(feed.New(feed.DefaultConfig(5*time.Second, 2*time.Second), &source{revision: 1, version: 1}, boottime.Now, log, func() bool { return false }, func() {}))
+	n := fleet.New(cfg, transport, boottime.Now, zerolog.Nop())
+	n.Attach(feed.New(feed.DefaultConfig(5*time.Second, 2*time.Second), &source{revision: 1, version: 1}, boottime.Now, zerolog.Nop(), func() bool { return false }, func() {}))
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { defer close(ended); n.Run(ctx) }()
@@ -66,19 +66,16 @@
 	for name, c := range endlessMessages {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			var log bytes.Buffer
-			_, at := newLoopbackNode(t, zerolog.New(zerolog.SyncWriter(&log)))
+			_, at := newLoopbackNode(t)
 			conn, err := net.Dial("tcp", at.String())
 			g.Expect(err).NotTo(HaveOccurred())
 			defer func() { _ = conn.Close() }()
 			started := time.Now()
-			var before, after runtime.MemStats
-			runtime.ReadMemStats(&before)
-			sent := sendEndless(conn, c.start, c.unit)
-			runtime.ReadMemStats(&after)
-			t.Logf("%d bytes sent in %v, %d allocated", sent, time.Since(started), after.TotalAlloc-before.TotalAlloc)
+			sent := 0
+			allocated := heapcheck.Allocated(func() { sent = sendEndless(conn, c.start, c.unit) })
+			t.Logf("%d bytes sent in %v, %d allocated", sent, time.Since(started), allocated)
 			g.Expect(time.Since(started)).To(BeNumerically("<", time.Second))
-			g.Expect(after.TotalAlloc - before.TotalAlloc).To(BeNumerically("<", 1<<20))
+			g.Expect(allocated).To(BeNumerically("<", 1<<20))
 		})
 	}
 }
@@ -88,7 +85,7 @@
 	for name, c := range endlessMessages {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			n, _ := newLoopbackNode(t, zerolog.Nop())
+			n, _ := newLoopbackNode(t)
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			g.Expect(err).NotTo(HaveOccurred())
 			defer func() { _ = l.Close() }()
@@ -103,7 +100,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 			defer cancel()
 			started := time.Now()
-			peak := peakHeap(func() { err = n.Pull(ctx, netip.MustParseAddrPort(l.Addr().String())) })
+			peak := heapcheck.Peak(func() { err = n.Pull(ctx, netip.MustParseAddrPort(l.Addr().String())) })
 			t.Logf("heap grew by %d bytes in %v: %v", peak, time.Since(started), err)
 			var tooLarge *fleet.MessageTooLargeError
 			g.Expect(errors.As(err, &tooLarge)).To(BeTrue(), "%v", err)
@@ -112,29 +109,3 @@
 		})
 	}
 }
-
-// peakHeap returns the largest growth of the heap while f runs.
-func peakHeap(f func()) (peak uint64) {
-	var m runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&m)
-	before, done, ended := m.HeapAlloc, make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(ended)
-		for running := true; running; {
-			select {
-			case <-done:
-				running = false
-			case <-time.After(time.Millisecond):
-			}
-			runtime.ReadMemStats(&m)
-			if m.HeapAlloc > before {
-				peak = max(peak, m.HeapAlloc-before)
-			}
-		}
-	}()
-	f()
-	close(done)
-	<-ended
-	return peak
-}
--- a/gateway/large_bodies_test.go
+++ b/gateway/large_bodies_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/aspenswitch/aspenswitch/gateway"
+	"github.com/aspenswitch/aspenswitch/heapcheck"
 	"github.com/aspenswitch/aspenswitch/registry"
 )
 
@@ -122,8 +123,7 @@
 					time.Sleep(500 * time.Millisecond) // a Retry-After delay
 				}
 			}
-			var peak uint64
-			stopSampling := sampleHeap(&peak)
+			stopSampling := heapcheck.Sample()
 			for range callers {
 				senders.Go(func() {
 					for {
@@ -148,7 +148,7 @@
 				}
 			}
 			close(stop)
-			stopSampling()
+			peak := stopSampling()
 			senders.Wait()
 			t.Logf("heap grew by %d MB of %d for the runtime; large bodies: %d served, %d refused, %d without an answer; others: %d of %d served", peak>>20, cfg.RuntimeMemory>>20, served.Load(), refused.Load(), unanswered.Load(), othersServed, others)
 			g.Expect(peak).To(BeNumerically("<", cfg.RuntimeMemory))
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
+	"github.com/aspenswitch/aspenswitch/heapcheck"
 )
 
 // maxSentBytes is the number of bytes after which an endless response is sent slowly.
@@ -38,15 +38,6 @@
 	}
 }
 
-// allocatedBytes returns the bytes of heap that f allocates, which bound the bytes that it holds.
-func allocatedBytes(f func()) uint64 {
-	var before, after runtime.MemStats
-	runtime.ReadMemStats(&before)
-	f()
-	runtime.ReadMemStats(&after)
-	return after.TotalAlloc - before.TotalAlloc
-}
-
 // Guards against malformed responses that hold up a request, take memory, or count as crashes.
 func TestRequestIsRetriedAfterAnEndlessHeader(t *testing.T) {
 	g := NewWithT(t)
@@ -55,7 +46,7 @@
 	var resp *http.Response
 	var body string
 	var err error
-	allocated := allocatedBytes(func() { resp, body, err = r.call("/safe/x", nil) })
+	allocated := heapcheck.Allocated(func() { resp, body, err = r.call("/safe/x", nil) })
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
 	g.Expect(body).To(Equal("right"))
@@ -128,11 +119,8 @@
 			started := time.Now()
 			var received int64
 			var err error
-			var peak uint64
-			stop := sampleHeap(&peak)
-			received, err = r.discardResponse(c.path)
+			peak := heapcheck.Peak(func() { received, err = r.discardResponse(c.path) })
 			took := time.Since(started)
-			stop()
 			t.Logf("caller received %d bytes in %v, heap grew by %d: %v", received, took, peak, err)
 			g.Expect(err).To(HaveOccurred(), "the response must not look complete")
 			g.Expect(peak).To(BeNumerically("<", 8<<20))
@@ -144,29 +132,6 @@
 	}
 }
 
-// sampleHeap stores the largest growth of the heap until the returned function is called.
-func sampleHeap(peak *uint64) (stop func()) {
-	var m runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&m)
-	before, done, ended := m.HeapAlloc, make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(ended)
-		for {
-			runtime.ReadMemStats(&m)
-			if m.HeapAlloc > before {
-				*peak = max(*peak, m.HeapAlloc-before)
-			}
-			select {
-			case <-done:
-				return
-			case <-time.After(2 * time.Millisecond):
-			}
-		}
-	}()
-	return func() { close(done); <-ended }
-}
-
 // discardResponse sends a request and counts the bytes of its response's body.
 func (r *harness) discardResponse(path string) (int64, error) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+r.addr+path, strings.NewReader("hello"))
--- a/upstream/malformed_test.go
+++ b/upstream/malformed_test.go
@@ -8,13 +8,13 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/aspenswitch/aspenswitch/heapcheck"
 	"github.com/aspenswitch/aspenswitch/upstream"
 )
 
@@ -43,15 +43,6 @@
 	})
 }
 
-// allocatedBytes returns the bytes of heap that f allocates, which bound the bytes that it holds.
-func allocatedBytes(f func()) uint64 {
-	var before, after runtime.MemStats
-	runtime.ReadMemStats(&before)
-	f()
-	runtime.ReadMemStats(&after)
-	return after.TotalAlloc - before.TotalAlloc
-}
-
 // Guards against response headers without an end, which took all memory of the process until the
 // deadline of the request.
 func TestEndlessResponseHeader(t *testing.T) {
@@ -78,7 +69,7 @@
 			defer cancel()
 			started := time.Now()
 			var err error
-			allocated := allocatedBytes(func() { _, err = p.Do(ctx, s.request("1", "")) })
+			allocated := heapcheck.Allocated(func() { _, err = p.Do(ctx, s.request("1", "")) })
 			t.Logf("%d bytes allocated, %v, %v", allocated, time.Since(started), err)
 			var malformed *upstream.MalformedResponseError
 			g.Expect(err).To(BeAssignableToTypeOf(&upstream.RequestError{}))
@@ -241,7 +232,7 @@
 			defer cancel()
 			started := time.Now()
 			var err error
-			allocated := allocatedBytes(func() {
+			allocated := heapcheck.Allocated(func() {
 				var resp *upstream.Response
 				if resp, err = newPool(t).Do(ctx, s.request("1", "")); err == nil {
 					_, err = io.Copy(io.Discard, resp)
@@ -324,7 +315,7 @@
 			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.listener.Addr().String(), nil)
 			g.Expect(err).NotTo(HaveOccurred())
 			var malformed *upstream.MalformedResponseError
-			allocated := allocatedBytes(func() { _, err = client.Do(req, true) })
+			allocated := heapcheck.Allocated(func() { _, err = client.Do(req, true) })
 			t.Logf("%d bytes allocated: %v", allocated, err)
 			g.Expect(errors.As(err, &malformed)).To(BeTrue(), "%v", err)
 			g.Expect(malformed.Reason).To(Equal(upstream.HeaderTooLarge))
