--- a/gateway/large_bodies_test.go
+++ b/gateway/large_bodies_test.go
@@ -203,3 +203,23 @@
 		time.Sleep(700 * time.Millisecond) // longer than the deadline of the request
 	}
 }
+
+// Guards against a reset in place of the refusal, where a caller reads only after it has sent its body.
+func TestRefusalOfABodyCanBeReadAfterSendingIt(t *testing.T) {
+	g := NewWithT(t)
+	r := newHarnessWith(t, map[string]script{"u1": ok("done")}, func(cfg *gateway.Config) { cfg.MaxRequests = 4 })
+	conn, err := net.Dial("tcp", r.addr)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	const bodyBytes, pieces = 1 << 20, 16
+	_, err = fmt.Fprintf(conn, "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k1\r\nX-Left: 5000\r\nContent-Length: %d\r\n\r\n", bodyBytes)
+	g.Expect(err).NotTo(HaveOccurred())
+	for range pieces {
+		_, err := conn.Write(make([]byte, bodyBytes/pieces))
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(100 * time.Millisecond)
+	}
+	response, err := io.ReadAll(conn)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(response)).To(And(HavePrefix("HTTP/1.1 503"), ContainSubstring("no_body_room"), ContainSubstring("Retry-After")))
+}
