gateway: the refusals of bodies are counted for accepted connections, strictly

Traced with 12 busy loops beside the test: all 45 callers without an answer had an EOF 18 to 150 microseconds after they connected, before any byte of theirs was read.

--- a/gateway/large_bodies_test.go
+++ b/gateway/large_bodies_test.go
@@ -96,6 +96,8 @@
 					framing = "Transfer-Encoding: chunked"
 				}
 				_, _ = fmt.Fprintf(conn, "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k2\r\nX-Left: 1900\r\n%s\r\n\r\n", framing)
+				// Where the processor is scarce, the listener closes connections that wait to be accepted.
+				accepted := false
 				for i := range pieces {
 					if !c.complete && i == pieces-1 {
 						time.Sleep(time.Second)
@@ -104,6 +106,7 @@
 					if _, err := conn.Write(piece); err != nil {
 						break
 					}
+					accepted = i > 0
 					time.Sleep(40 * time.Millisecond)
 				}
 				if c.chunked {
@@ -112,7 +115,9 @@
 				status := make([]byte, len("HTTP/1.1 200"))
 				_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
 				if _, err := io.ReadFull(conn, status); err != nil {
-					unanswered.Add(1)
+					if accepted {
+						unanswered.Add(1)
+					}
 					return
 				}
 				switch string(status) {
@@ -156,8 +161,7 @@
 			if c.complete {
 				g.Expect(served.Load()).To(BeNumerically(">", 0))
 				g.Expect(refused.Load()).To(BeNumerically(">", 0))
-				// A few connections may be refused before they are accepted, and closed with unread bytes.
-				g.Expect(unanswered.Load()).To(BeNumerically("<=", refused.Load()/20), "callers must be able to read the refusal")
+				g.Expect(unanswered.Load()).To(BeZero(), "callers must be able to read the refusal")
 			}
 		})
 	}
