router: a read of the control state can't run on after its caller has returned

Cause: Router.inspect returned as soon as the router stopped, also while the control goroutine was running the read, or before it took it from its queue. The polls then read a variable that the control goroutine wrote.

Change: an inspection is claimed either by the control goroutine, and its caller waits for the end of the read, or by its caller at the stop, and the read isn't run.

--- a/router/message.go
+++ b/router/message.go
@@ -96,12 +96,6 @@
 	done   <-chan struct{}
 }
 
-// inspectState calls a function that reads the control state.
-type inspectState struct {
-	read func(*controller)
-	done chan struct{}
-}
-
 // beginDrain begins a graceful shutdown.
 type beginDrain struct{}
 
@@ -143,10 +137,6 @@
 	record, done := c.records.Get(m.key)
 	m.reply <- recordReply{record: record, done: done}
 }
-func (m inspectState) apply(c *controller, _ time.Time) {
-	m.read(c)
-	close(m.done)
-}
 func (m beginDrain) apply(c *controller, now time.Time) {
 	c.draining = true
 	c.node.Drain(now)
--- a/router/router.go
+++ b/router/router.go
@@ -129,14 +129,12 @@
 	}
 }
 
-// inspect calls read on the control goroutine and waits until it returns.
+// inspect calls read on the control goroutine and waits until it returns. It doesn't call read if the
+// router stops first.
 func (r *Router) inspect(read func(*controller)) {
-	done := make(chan struct{})
-	r.post(inspectState{read: read, done: done})
-	select {
-	case <-done:
-	case <-r.stopped:
-	}
+	i := newInspection(read)
+	r.post(i)
+	i.wait(r.stopped)
 }
 
 // Ready reports whether the router can serve callers: it has a bundle in force,
