daemon: a stopping router retries until its requests have ended

Callers saw: a request whose upstream failed after the listener of its stopping router had closed wasn't sent to another upstream. It waited for its deadline or for the end of the grace period.

Cause: FleetDaemon.Run cancelled its background tasks when Serve returned, which is when the listener closes. One of them is the control goroutine, which places retries; events posted to it after its end are dropped.

Change: Run returns when Drain has ended.

--- a/cmd/aspenswitchd/fleet.go
+++ b/cmd/aspenswitchd/fleet.go
@@ -21,7 +21,6 @@
 	if err != nil {
 		return err
 	}
-	drained := make(chan struct{})
 	go func() {
 		draining := false
 		for sig := range startup.Signals() {
@@ -30,18 +29,12 @@
 				d.Reload(file)
 			case !draining:
 				draining = true
-				go func() {
-					d.Drain()
-					close(drained)
-				}()
+				go d.Drain()
 			}
 		}
 	}()
 	go d.WatchSettings(file)
 	err = d.Run(context.Background())
-	if err == nil {
-		<-drained
-	}
 	log.Info().Str("event", "stop").Err(err).Msg("stopped")
 	if closeErr := out.Close(); err == nil {
 		err = closeErr
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -38,6 +38,8 @@
 	pool      *upstream.Pool
 	gateway   *gateway.Server
 	listeners fleetListeners
+	// drained is closed when Drain has ended.
+	drained chan struct{}
 }
 
 type fleetListeners struct{ callers, readiness, control, metrics net.Listener }
@@ -49,7 +51,7 @@
 	// Near the limit the garbage collector runs more often, before the process is killed for
 	// exceeding its memory.
 	debug.SetMemoryLimit(cfg.RuntimeMemory)
-	d := &FleetDaemon{settings: s, log: log, metrics: obs.NewMetrics("aspenswitch"), pool: upstream.NewPool(upstream.DefaultPoolConfig())}
+	d := &FleetDaemon{settings: s, log: log, metrics: obs.NewMetrics("aspenswitch"), pool: upstream.NewPool(upstream.DefaultPoolConfig()), drained: make(chan struct{})}
 	if err := d.openListeners(); err != nil {
 		return nil, err
 	}
@@ -165,8 +167,9 @@
 // ControlAddress returns the address of the control listener, for settings with port 0.
 func (d *FleetDaemon) ControlAddress() string { return d.listeners.control.Addr().String() }
 
-// Run serves until Drain closes the callers' listener, which is before running requests have
-// finished, or until that listener fails. When ctx is done, only the background tasks end.
+// Run serves until Drain has ended, or until the callers' listener fails. Drain closes that listener
+// before running requests have finished: the background tasks go on, since a request may need another
+// upstream. When ctx is done, only the background tasks end.
 func (d *FleetDaemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -180,7 +183,11 @@
 	go d.serveAuxiliary(d.listeners.control, d.control())
 	go d.serveAuxiliary(d.listeners.metrics, d.metrics.Handler)
 	d.log.Info().Str("event", "start").Str("callers", d.settings.Callers).Str("failure_domain", d.settings.FailureDomain).Msg("serving")
-	return d.gateway.Serve(d.listeners.callers)
+	if err := d.gateway.Serve(d.listeners.callers); err != nil {
+		return err
+	}
+	<-d.drained
+	return nil
 }
 
 // serveAuxiliary serves the readiness, control or metrics listener until the process exits.
@@ -308,8 +315,9 @@
 const exitMargin = 400 * time.Millisecond
 
 // Drain stops serving gracefully. Running requests may finish within the termination grace
-// period; Drain logs an error and aborts those that don't.
+// period; Drain logs an error and aborts those that don't. It must be called once.
 func (d *FleetDaemon) Drain() {
+	defer close(d.drained)
 	grace := d.settings.Bounds.TerminationGracePeriod() - exitMargin
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
