gateway: changed limits on callers' headers and idle time take effect

Callers saw: limits that the operator changed had no effect on routers that were running; they kept those of their first configuration.

Cause: http.Server takes its limits when it starts, and one server served for the life of the process.

Change: each set of limits has its own http.Server on the same listener, and connections with former limits close with their next response. Shutdown and Close cover all of them.

--- a/gateway/server.go
+++ b/gateway/server.go
@@ -3,10 +3,9 @@
 import (
 	"context"
 	"errors"
-	"io"
-	stdlog "log"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,16 +39,23 @@
 	teams   teamLoads
 	bodies  *bodyBudget
 
-	// mu guards budget.
+	// mu guards budget, listener, servers and closed.
 	mu     sync.Mutex
 	budget retry.Budget
+	// servers has the callerServer of the limits in force as its last element, and those of former
+	// limits that have open connections.
+	servers []*callerServer
+	// closed is set by Shutdown and Close: no other callerServer starts after that.
+	closed bool
+	// nextConn is a connection that was accepted when the limits had changed. Only the goroutine of
+	// Serve uses it.
+	nextConn net.Conn
 
 	// stoppingSince is when Shutdown was called, in nanoseconds since start; 0 before.
 	stoppingSince  atomic.Int64
 	openConns      atomic.Int64
 	activeRequests atomic.Int64
 	counts         counts
-	httpServer     *http.Server
 	listener       *boundedListener
 
 	// baseCtx is canceled when pending requests are aborted at the end of a shutdown.
@@ -72,11 +78,11 @@
 }
 
 // initialConfigTimeout is how long Serve waits for the first configuration before it
-// accepts connections. The listener's limits come from the configuration, and a short
-// wait is better for callers than a refusal.
+// accepts connections: a short wait is better for callers than a refusal.
 const initialConfigTimeout = 500 * time.Millisecond
 
-// Serve accepts connections until Shutdown or Close is called.
+// Serve accepts connections until Shutdown or Close is called. Connections have the limits of the
+// configuration that is in force when they are accepted.
 func (s *Server) Serve(l net.Listener) error {
 	deadline := time.Now().Add(initialConfigTimeout)
 	for s.state.Snapshot() == nil && time.Now().Before(deadline) {
@@ -88,13 +94,49 @@
 	}
 	s.mu.Lock()
 	s.listener = bounded
-	s.httpServer = s.newHTTPServer()
-	server := s.httpServer
 	s.mu.Unlock()
-	if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
-		return Error.Wrap(err)
+	defer func() {
+		_ = bounded.Close() // has no effect if it is closed
+		if s.nextConn != nil {
+			_ = s.nextConn.Close()
+		}
+	}()
+	for {
+		server := s.startCallerServer()
+		if server == nil {
+			return nil
+		}
+		err := server.Serve(&limitsListener{boundedListener: bounded, server: s, limits: server.limits})
+		switch {
+		case errors.Is(err, errLimitsChanged):
+			s.log.Info("caller_limits", func(e *obs.Event) { e.Msg("the limits on callers' headers and idle time have changed") })
+		case errors.Is(err, http.ErrServerClosed):
+			return nil
+		default:
+			return Error.Wrap(err)
+		}
 	}
-	return nil
+}
+
+// startCallerServer returns a callerServer with the limits in force, or nil after Shutdown or Close.
+func (s *Server) startCallerServer() *callerServer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
+	s.servers = slices.DeleteFunc(s.servers, func(c *callerServer) bool { return c.conns.Load() == 0 })
+	server := s.newCallerServer(s.callerLimits())
+	s.servers = append(s.servers, server)
+	return server
+}
+
+// closeServers returns the servers of all connections. No other one starts after that.
+func (s *Server) closeServers() []*callerServer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	return slices.Clone(s.servers)
 }
 
 // countRejected counts connections that were refused before they were accepted, and the
@@ -104,35 +146,8 @@
 	s.counts.rejectionTime.Add(int64(took))
 }
 
-func (s *Server) newHTTPServer() *http.Server {
-	h := &http.Server{
-		Handler:                      s,
-		ConnState:                    s.connState,
-		BaseContext:                  func(net.Listener) context.Context { return s.baseCtx },
-		ReadHeaderTimeout:            s.cfg.HeaderTimeout,
-		IdleTimeout:                  s.cfg.IdleTimeout,
-		MaxHeaderBytes:               s.cfg.MaxHeaderBytes,
-		DisableGeneralOptionsHandler: true,
-		// Its messages are about callers that disconnect, which the request log covers.
-		ErrorLog: stdlog.New(io.Discard, "", 0),
-	}
-	if state := s.state.Snapshot(); state != nil {
-		limits := state.Table.Config.Limits
-		if limits.HeaderTimeout > 0 {
-			h.ReadHeaderTimeout = limits.HeaderTimeout
-		}
-		if limits.IdleTimeout > 0 {
-			h.IdleTimeout = limits.IdleTimeout
-		}
-		if limits.MaxHeaderBytes > 0 {
-			h.MaxHeaderBytes = limits.MaxHeaderBytes
-		}
-	}
-	return h
-}
-
 // connState counts callers' connections and releases their listener slots.
-func (s *Server) connState(_ net.Conn, state http.ConnState) {
+func (s *Server) connState(state http.ConnState) {
 	switch state {
 	case http.StateNew:
 		s.openConns.Add(1)
@@ -165,18 +180,25 @@
 	case <-ctx.Done():
 	case <-delay.C:
 	}
-	s.mu.Lock()
-	server := s.httpServer
-	s.mu.Unlock()
-	if server == nil {
-		return nil
-	}
-	if err := server.Shutdown(ctx); err != nil {
-		return Error.Wrap(errors.Join(err, s.abortPending(server)))
+	servers := s.closeServers()
+	if err := shutdownAll(ctx, servers); err != nil {
+		return Error.Wrap(errors.Join(err, s.abortPending(servers)))
 	}
 	return nil
 }
 
+// shutdownAll shuts servers down gracefully, all at the same time. Until ctx is done, none of them has
+// to wait for another one's requests.
+func shutdownAll(ctx context.Context, servers []*callerServer) error {
+	results := make([]error, len(servers))
+	var wg sync.WaitGroup
+	for i, server := range servers {
+		wg.Go(func() { results[i] = server.Shutdown(ctx) })
+	}
+	wg.Wait()
+	return errors.Join(results...)
+}
+
 // finalResponseTimeout is the time for sending error responses to the callers that still
 // wait: one write to each of a few hundred connections.
 const finalResponseTimeout = 200 * time.Millisecond
@@ -185,25 +207,23 @@
 // response. Otherwise the callers of an unresponsive upstream would see their connection
 // close without a response at the end of the grace period. Streams that have started are
 // truncated. It returns an error if some requests did not end in time.
-func (s *Server) abortPending(server *http.Server) error {
+func (s *Server) abortPending(servers []*callerServer) error {
 	s.cancelRequests(errStopping)
 	ctx, cancel := context.WithTimeout(context.Background(), finalResponseTimeout)
 	defer cancel()
-	return server.Shutdown(ctx)
+	return shutdownAll(ctx, servers)
 }
 
 // Close closes all connections immediately.
 func (s *Server) Close() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.httpServer != nil {
-		_ = s.httpServer.Close() // errors are about connections that are already closed
+	for _, server := range s.closeServers() {
+		_ = server.Close() // errors are about connections that are already closed
 	}
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, in *http.Request) {
-	if s.Stopping() || s.openConns.Load() > int64(s.cfg.MaxKeepAliveConns) {
+	if s.Stopping() || s.openConns.Load() > int64(s.cfg.MaxKeepAliveConns) || s.hasFormerLimits(in) {
 		w.Header().Set("Connection", "close")
 	}
 	s.stats.begin()
