--- a/gateway/body_budget_internal_test.go
+++ b/gateway/body_budget_internal_test.go
@@ -10,11 +10,17 @@
 	. "github.com/onsi/gomega"
 )
 
+// teamBytes is what a team holds. The order in which teams take their room matters.
+type teamBytes struct {
+	team  string
+	bytes int64
+}
+
 // Guards against a budget that one team can use up, or that is exceeded.
 func TestBodyBudget(t *testing.T) {
 	const requests, unit = 100, RequestBytes
 	for name, c := range map[string]struct {
-		held   map[string]int64
+		held   []teamBytes
 		active int64
 		team   string
 		ask    int64
@@ -23,27 +29,27 @@
 		"first":                          {nil, 1, "a", unit, true},
 		"half of all":                    {nil, 0, "a", 50 * unit, true},
 		"more than half of all":          {nil, 0, "a", 50*unit + 1, false},
-		"half, a byte more":              {map[string]int64{"a": 50 * unit}, 0, "a", 1, false},
-		"another beside half":            {map[string]int64{"a": 50 * unit}, 0, "b", 25 * unit, true},
-		"another, too much beside half":  {map[string]int64{"a": 50 * unit}, 0, "b", 25*unit + 1, false},
-		"a third team":                   {map[string]int64{"a": 40 * unit, "b": 30 * unit}, 0, "c", 15 * unit, true},
+		"half, a byte more":              {[]teamBytes{{"a", 50 * unit}}, 0, "a", 1, false},
+		"another beside half":            {[]teamBytes{{"a", 50 * unit}}, 0, "b", 25 * unit, true},
+		"another, too much beside half":  {[]teamBytes{{"a", 50 * unit}}, 0, "b", 25*unit + 1, false},
+		"a third team":                   {[]teamBytes{{"a", 40 * unit}, {"b", 30 * unit}}, 0, "c", 15 * unit, true},
 		"pending requests count":         {nil, 60, "a", 20 * unit, true},
 		"pending requests count, beyond": {nil, 60, "a", 20*unit + 1, false},
 		"no room":                        {nil, 100, "a", 1, false},
-		"requests without a team":        {map[string]int64{"": 50 * unit}, 0, "", 1, false},
+		"requests without a team":        {[]teamBytes{{"", 50 * unit}}, 0, "", 1, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			b := newBodyBudget(requests)
-			for team, n := range c.held {
-				g.Expect(b.take(team, n, 0)).To(BeTrue())
+			for _, h := range c.held {
+				g.Expect(b.take(h.team, h.bytes, 0)).To(BeTrue())
 			}
 			g.Expect(b.take(c.team, c.ask, c.active)).To(Equal(c.want))
 			if c.want {
 				b.give(c.team, c.ask)
 			}
-			for team, n := range c.held {
-				b.give(team, n)
+			for _, h := range c.held {
+				b.give(h.team, h.bytes)
 			}
 			g.Expect(b.held).To(BeZero())
 			g.Expect(b.byTeam).To(BeEmpty())
