gateway: the time of a body no longer counts toward its route's target

Callers saw: a request whose body takes longer to arrive than its route's target was refused with no_room on an idle fleet, each time again; and a body that came a byte at a time held its request's place until its deadline.

Cause: the target that a placement gets was reduced by the time since the header arrived. Nothing but the request's deadline bounded a body.

Change: the target counts from the time at which the request was complete; the deadline still counts from its header. A body has a least average rate, 4 KB/s beyond the time that a header may take (body_slow, slow_bodies).

--- a/gateway/body_budget_internal_test.go
+++ b/gateway/body_budget_internal_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -77,7 +78,7 @@
 				if announced {
 					size = n
 				}
-				err := h.read(src, size, limit)
+				err := h.read(src, size, limit, anyPace)
 				if n > limit {
 					g.Expect(err).To(MatchError(errBodyTooLarge))
 				} else {
@@ -99,13 +100,33 @@
 	b := newBodyBudget(1000)
 	h := heldBody{budget: b, team: "a", requests: func() int64 { return 1 }}
 	lost := errors.New("lost")
-	g.Expect(h.read(iotest.ErrReader(lost), 4<<20, 4<<20)).To(MatchError(lost))
+	g.Expect(h.read(iotest.ErrReader(lost), 4<<20, 4<<20, anyPace)).To(MatchError(lost))
 	g.Expect(b.held).To(BeZero())
 	g.Expect(cap(h.bytes)).To(BeNumerically("<=", IncludedBodyBytes))
 
 	full := newBodyBudget(2)
 	h = heldBody{budget: full, team: "a", requests: func() int64 { return 1 }}
-	g.Expect(h.read(bytes.NewReader(make([]byte, 1<<20)), 1<<20, 4<<20)).To(MatchError(errNoRoom))
+	g.Expect(h.read(bytes.NewReader(make([]byte, 1<<20)), 1<<20, 4<<20, anyPace)).To(MatchError(errNoRoom))
 	h.release()
 	g.Expect(full.held).To(BeZero())
 }
+
+// anyPace lets a body take any time.
+func anyPace(int64) error { return nil }
+
+func TestBodyPace(t *testing.T) {
+	start := time.Now()
+	pace := bodyPace{start: start, grace: 3 * time.Second, end: start.Add(10 * time.Second)}
+	for _, c := range []struct {
+		received int64
+		want     time.Duration
+	}{
+		{0, 3 * time.Second},
+		{minBodyRate / 2, 3500 * time.Millisecond},
+		{4 * minBodyRate, 7 * time.Second},
+		{7 * minBodyRate, 10 * time.Second},
+		{1 << 40, 10 * time.Second},
+	} {
+		NewWithT(t).Expect(pace.deadline(c.received).Sub(start)).To(Equal(c.want), "%d bytes", c.received)
+	}
+}
--- a/gateway/held_body.go
+++ b/gateway/held_body.go
@@ -28,8 +28,10 @@
 func charge(n int64) int64 { return max(n-IncludedBodyBytes, 0) }
 
 // read reads src, whose size was announced as size, -1 if it is unknown, up to limit bytes. It
-// allocates as bytes arrive: an announced size alone takes no memory.
-func (h *heldBody) read(src io.Reader, size, limit int64) error {
+// allocates as bytes arrive: an announced size alone takes no memory. It calls onProgress, with the
+// number of bytes that have been received, before each read that may have to wait for bytes of the body.
+func (h *heldBody) read(src io.Reader, size, limit int64, onProgress func(received int64) error) error {
+	announced := size
 	if size < 0 || size > limit {
 		size = limit
 	}
@@ -41,6 +43,11 @@
 				return err
 			}
 		}
+		if received := int64(len(h.bytes)); received != announced {
+			if err := onProgress(received); err != nil {
+				return err
+			}
+		}
 		n, err := src.Read(h.bytes[len(h.bytes):cap(h.bytes)])
 		h.bytes = h.bytes[:len(h.bytes)+n]
 		switch {
--- a/gateway/large_bodies_test.go
+++ b/gateway/large_bodies_test.go
@@ -18,6 +18,7 @@
 	"github.com/aspenswitch/aspenswitch/gateway"
 	"github.com/aspenswitch/aspenswitch/heapcheck"
 	"github.com/aspenswitch/aspenswitch/registry"
+	"github.com/aspenswitch/aspenswitch/routing"
 )
 
 // discardBodies starts an upstream that keeps no bodies and responds to large ones after 300 ms.
@@ -208,6 +209,105 @@
 	}
 }
 
+// Guards against a deadline for the body that ends the request in place of the request's own deadline.
+func TestBodyDeadlineIsNotTakenForACallerThatLeft(t *testing.T) {
+	g := NewWithT(t)
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	r := newHarness(t, map[string]script{"u1": func(*http.Request, io.Writer) bool {
+		<-release
+		return false
+	}})
+	const requests = 20
+	statuses := make(chan int, requests)
+	for i := range requests {
+		go func() {
+			resp, _, err := r.call("/unsafe/", func(req *http.Request) {
+				req.Header.Set(names.RequestID, fmt.Sprint("id", i))
+				req.Header.Set(names.Deadline, "500")
+			})
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			statuses <- resp.StatusCode
+		}()
+	}
+	for range requests {
+		g.Eventually(statuses, 5*time.Second).Should(Receive(Equal(http.StatusGatewayTimeout)))
+	}
+	g.Expect(r.logs.String()).NotTo(ContainSubstring("caller_left"))
+}
+
+// Guards against a body that arrives byte by byte and holds its request's place until its deadline, and
+// against refusing one that stalls for a while.
+func TestSlowBodyIsRefused(t *testing.T) {
+	const grace = 300 * time.Millisecond
+	for name, c := range map[string]struct {
+		bytes  int
+		chunk  int
+		pause  time.Duration
+		status int
+	}{
+		"a byte at a time":        {bytes: 100, chunk: 1, pause: 20 * time.Millisecond, status: http.StatusServiceUnavailable},
+		"at once":                 {bytes: 100, chunk: 100, status: http.StatusOK},
+		"fast enough":             {bytes: 8 << 10, chunk: 1 << 10, pause: 100 * time.Millisecond, status: http.StatusOK},
+		"a stall within its pace": {bytes: 8 << 10, chunk: 4 << 10, pause: 600 * time.Millisecond, status: http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := newHarness(t, map[string]script{"u1": func(req *http.Request, w io.Writer) bool {
+				time.Sleep(2 * grace) // the bound of the body must not apply to the response
+				return ok("done")(req, w)
+			}})
+			r.publishLimits(routing.Limits{MaxBodyBytes: 1 << 20, HeaderTimeout: grace})
+			conn, err := net.Dial("tcp", r.addr)
+			g.Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = conn.Close() }()
+			started := time.Now()
+			_, err = fmt.Fprintf(conn, "POST /safe/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k1\r\nX-Left: 5000\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", c.bytes)
+			g.Expect(err).NotTo(HaveOccurred())
+			go func() {
+				for range c.bytes / c.chunk {
+					_, _ = conn.Write(make([]byte, c.chunk))
+					time.Sleep(c.pause)
+				}
+			}()
+			g.Expect(conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			body, err := io.ReadAll(resp.Body)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(resp.StatusCode).To(Equal(c.status), string(body))
+			if c.status == http.StatusServiceUnavailable {
+				g.Expect(string(body)).To(And(ContainSubstring("body_slow"), ContainSubstring(`"outcome":"not-run"`)))
+				g.Expect(time.Since(started)).To(BeNumerically("<", 4*grace))
+				g.Expect(r.requests()).To(BeEmpty())
+			}
+		})
+	}
+}
+
+// Guards against a request that is refused since the time its body took counts toward the time to serve it.
+func TestTimeToServeStartsWhenTheBodyHasArrived(t *testing.T) {
+	g := NewWithT(t)
+	r := newHarness(t, map[string]script{"u1": ok("done")})
+	body, send := io.Pipe()
+	const bodyTime = 700 * time.Millisecond
+	go func() {
+		time.Sleep(bodyTime)
+		_, _ = io.WriteString(send, "hello")
+		_ = send.Close()
+	}()
+	resp, _, err := r.call("/safe/1", func(req *http.Request) { req.Body, req.ContentLength = body, 5 })
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	placed := r.placer.placedRequests()
+	g.Expect(placed).To(HaveLen(1))
+	g.Expect(placed[0].Target).To(BeNumerically(">", 900*time.Millisecond), "of a target of 1 s")
+	g.Expect(placed[0].Timeout).To(BeNumerically("<", 1500*time.Millisecond-bodyTime), "the caller's deadline stays")
+}
+
 // Guards against a reset in place of the refusal, where a caller reads only after it has sent its body.
 func TestRefusalOfABodyCanBeReadAfterSendingIt(t *testing.T) {
 	g := NewWithT(t)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -27,7 +27,8 @@
 	team    *routing.Team
 	service string
 	body    heldBody
-	arrived time.Time
+	// arrived is when the request's header had been read, and complete when its body had, too.
+	arrived, complete time.Time
 	// deadline is when the caller must have a response: the earlier of its own deadline
 	// and the route's timeout, minus Config.DeadlineMargin.
 	deadline     time.Time
@@ -73,6 +74,7 @@
 // set if the router has reached its request limit.
 func (s *Server) accept(in *http.Request, control *http.ResponseController, full bool) (*request, *refusal) {
 	r := &request{ctx: in.Context(), in: in, id: in.Header.Get(s.cfg.Headers.RequestID), arrived: time.Now()}
+	r.complete = r.arrived
 	r.record.id, r.record.resumes = r.id, in.Header.Get(s.cfg.Headers.Resumes)
 	r.state = s.state.Snapshot()
 	if r.state == nil {
@@ -166,7 +168,7 @@
 const defaultMaxBodyBytes = 4 << 20
 
 // readBody buffers the whole body, up to the configured limit, so that the request can be
-// sent again on a retry. A body that hasn't arrived by the request's deadline is refused: the request can't be served any more.
+// sent again on a retry. A body that arrives too slowly, or not by the request's deadline, is refused.
 func (s *Server) readBody(r *request, control *http.ResponseController) *refusal {
 	if r.in.Body == nil || r.in.Body == http.NoBody {
 		return nil
@@ -182,17 +184,20 @@
 		return refuseLargeBody()
 	}
 	r.body = heldBody{budget: s.bodies, team: r.teamName(), requests: s.activeRequests.Load}
-	if err := control.SetReadDeadline(r.deadline); err != nil {
-		return notRun("caller_left", "the caller left before its request was read", 0)
-	}
-	err := r.body.read(r.in.Body, r.in.ContentLength, limit)
-	if err == nil {
-		// The server reads on, to detect that the caller leaves.
-		err = control.SetReadDeadline(time.Time{})
-	}
+	pace := bodyPace{start: r.arrived, grace: s.callerLimits().headerTimeout, end: r.deadline}
+	err := r.body.read(r.in.Body, r.in.ContentLength, limit, func(received int64) error {
+		return control.SetReadDeadline(pace.deadline(received))
+	})
 	switch {
-	case err == nil:
+	case err == nil: // the server clears the read deadline at the end of the body
+		r.complete = time.Now()
 		return nil
+	case errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(r.deadline):
+		r.body.release()
+		s.stats.slowBodies.Inc(1)
+		refused := notRun("body_slow", "the body arrived too slowly; the request was not run", defaultRetryAfter)
+		refused.bodyUnread = true
+		return refused
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		r.body.release()
 		s.stats.lateBodies.Inc(1)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -120,8 +120,9 @@
 	return s.send(ctx, r, out, ticket, d)
 }
 
-// placementRequest returns the request's description for the placer. The target of a broken stream
-// counts from now, like that of a new one: its first byte was due long ago, and a home refuses
+// placementRequest returns the request's description for the placer. The target counts from the time
+// at which the request was complete: a request whose body takes longer than the target isn't late when
+// it can first be served. The target of a broken stream counts from now, like that of a new one: its first byte was due long ago, and a home refuses
 // requests that are late.
 func (s *Server) placementRequest(r *request, t dispatch.Ticket, avoid []string) dispatch.Request {
 	target := r.route.Target
@@ -129,7 +130,7 @@
 		target = r.deadline.Sub(r.arrived)
 	}
 	if !r.began {
-		target -= time.Since(r.arrived)
+		target -= time.Since(r.complete)
 	}
 	return dispatch.Request{
 		Ticket: t, ID: r.id, Team: r.teamName(), Priority: r.priority(), Prompt: r.promptTokens, Output: r.outputTokens, Parts: r.parts,
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -24,6 +24,8 @@
 	noPath tally.Counter
 	// lateBodies counts requests whose body did not arrive before their deadline.
 	lateBodies tally.Counter
+	// slowBodies counts requests whose body arrived more slowly than minBodyRate.
+	slowBodies tally.Counter
 	// bodiesWithoutRoom counts requests that were refused because there was no room for their body.
 	bodiesWithoutRoom tally.Counter
 	// brokenStreams counts upstreams' streams that ended before they were complete, by framing.
@@ -46,6 +48,7 @@
 		unknownVersion:    scope.Counter("unknown_version"),
 		noPath:            scope.Counter("no_path"),
 		lateBodies:        scope.Counter("late_bodies"),
+		slowBodies:        scope.Counter("slow_bodies"),
 		bodiesWithoutRoom: scope.Counter("bodies_without_room"),
 		brokenStreams:     map[eventstream.Framing]tally.Counter{},
 		malformed:         map[upstream.MalformedReason]tally.Counter{},
