fleet: a transfer of the state ends for lack of progress, not for its length

Cause: a router gave a transfer 600 ms, whatever had arrived, and started it again from its beginning. 1 MB takes 1.1 s on such a link: never complete.

Change: a transfer ends after 600 ms without a byte (2 s for the first state), and in any case after 13.4 s, the time of the two largest states on the slowest link. A router sends at most two large states at a time, the others wait for 0.3 s and ask another router. Typed errors and counts tell stalled, too slow and too large apart.

--- a/fleet/dump.go
+++ b/fleet/dump.go
@@ -36,6 +36,8 @@
 	Streams int          `json:"streams"`
 	Members []MemberDump `json:"members"`
 	Groups  []GroupDump  `json:"groups"`
+	// PullFailures are the transfers of peers' states to this router that failed.
+	PullFailures PullFailures `json:"pullFailures"`
 	// Entry is this router's part in leaving the load balancer when it is overloaded.
 	Entry EntryDump `json:"entry"`
 	// Quarantine lists the contents and parts that are suspect or in quarantine.
@@ -93,7 +95,7 @@
 }
 
 func (n *Node) dump(now boottime.Time) Dump {
-	d := Dump{Router: n.self, Domain: n.cfg.Domain, Hub: n.isHub, ReadsPlatform: n.readsPlatform.Load(), Pending: len(n.pending), InFlight: len(n.inFlight), Streams: n.streams.origins.Len()}
+	d := Dump{Router: n.self, Domain: n.cfg.Domain, Hub: n.isHub, ReadsPlatform: n.readsPlatform.Load(), Pending: len(n.pending), InFlight: len(n.inFlight), PullFailures: n.pullFailures.Dump(), Streams: n.streams.origins.Len()}
 	if n.feed != nil {
 		d.PlatformUnreachable = n.feed.PlatformUnreachable()
 		d.AgeMs = n.feed.Age().Milliseconds()
--- a/fleet/endless_message_test.go
+++ b/fleet/endless_message_test.go
@@ -97,10 +97,8 @@
 				defer func() { _ = conn.Close() }()
 				sendEndless(conn, c.start, c.unit)
 			}()
-			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-			defer cancel()
 			started := time.Now()
-			peak := heapcheck.Peak(func() { err = n.Pull(ctx, netip.MustParseAddrPort(l.Addr().String())) })
+			peak := heapcheck.Peak(func() { err = n.Pull(netip.MustParseAddrPort(l.Addr().String())) })
 			t.Logf("heap grew by %d bytes in %v: %v", peak, time.Since(started), err)
 			var tooLarge *fleet.MessageTooLargeError
 			g.Expect(errors.As(err, &tooLarge)).To(BeTrue(), "%v", err)
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"context"
 	"math"
 	"net"
 	"net/netip"
@@ -77,7 +76,7 @@
 }
 
 // Pull fetches the state of a peer.
-func (n *Node) Pull(ctx context.Context, addr netip.AddrPort) error { return n.pull(ctx, addr) }
+func (n *Node) Pull(addr netip.AddrPort) error { return n.pull(addr, pullStallTimeout) }
 
 // ExtensionHeader is the first byte of a datagram with an extension.
 const ExtensionHeader = extensionHeader
--- a/fleet/memnet_test.go
+++ b/fleet/memnet_test.go
@@ -24,6 +24,14 @@
 	cut func(from, to netip.AddrPort) bool
 	// readDelay is how long a router takes to read a datagram that has arrived.
 	readDelay map[netip.AddrPort]time.Duration
+	// rate is how many bytes per second the streams of a router transfer to the peers that opened them, 0 for
+	// no limit. Of their chunks, lateShare are late by lateBy.
+	rate      float64
+	lateShare float64
+	// busyUntil is when the link of a router has transferred what its streams have sent.
+	busyUntil map[netip.AddrPort]time.Time
+	// streamed is the number of bytes that streams have transferred.
+	streamed int
 	// sent and bytes are the numbers of datagrams and of bytes sent, by sender.
 	sent, bytes map[netip.AddrPort]int
 	// extensions is the number of datagrams with an extension that all routers have sent.
@@ -34,8 +42,8 @@
 	return &network{
 		rnd: rand.New(rand.NewPCG(seed, 1)), endpoints: map[netip.AddrPort]*endpoint{}, delay: 500 * time.Microsecond,
 		cut:       func(netip.AddrPort, netip.AddrPort) bool { return false },
-		readDelay: map[netip.AddrPort]time.Duration{},
-		sent:      map[netip.AddrPort]int{}, bytes: map[netip.AddrPort]int{},
+		readDelay: map[netip.AddrPort]time.Duration{}, busyUntil: map[netip.AddrPort]time.Time{},
+		sent: map[netip.AddrPort]int{}, bytes: map[netip.AddrPort]int{},
 	}
 }
 
@@ -158,7 +166,8 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	near, far := net.Pipe()
+	pipe, far := net.Pipe()
+	near := &slowConn{Conn: pipe, net: e.net, from: to}
 	select {
 	case peer.dialed <- far:
 		return near, nil
@@ -184,3 +193,59 @@
 	e.once.Do(func() { close(e.closed) })
 	return nil
 }
+
+// setLink limits the rate of streams.
+func (n *network) setLink(rate, lateShare float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rate, n.lateShare = rate, lateShare
+}
+
+// streamedBytes returns the number of bytes that streams have transferred.
+func (n *network) streamedBytes() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.streamed
+}
+
+const (
+	// linkChunk is the number of bytes that a slow link transfers at once.
+	linkChunk = 16 << 10
+	// lateBy is how much later a late chunk arrives: the shortest time after which TCP sends it again.
+	lateBy = 200 * time.Millisecond
+)
+
+// slowConn is the dialing end of a stream, which shares the link of the router at the other end.
+type slowConn struct {
+	net.Conn
+	net  *network
+	from netip.AddrPort
+}
+
+// Read implements net.Conn.
+func (c *slowConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p[:min(len(p), linkChunk)])
+	time.Sleep(c.net.transfer(c.from, n))
+	return n, err
+}
+
+// transfer records n bytes that a router sends in a stream, and returns how long they take.
+func (n *network) transfer(from netip.AddrPort, bytes int) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.streamed += bytes
+	if n.rate == 0 {
+		return 0
+	}
+	now := time.Now()
+	start := n.busyUntil[from]
+	if start.Before(now) {
+		start = now
+	}
+	n.busyUntil[from] = start.Add(time.Duration(float64(bytes) / n.rate * float64(time.Second)))
+	took := n.busyUntil[from].Sub(now)
+	if n.rnd.Float64() < n.lateShare {
+		took += lateBy
+	}
+	return took
+}
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -57,8 +57,11 @@
 	unreadSince atomic.Int64
 
 	encodedStates stateCache
-	shed          shedList
-	quarantine    quarantineState
+	// largeStates has an element for each large state that is being sent.
+	largeStates  chan struct{}
+	pullFailures pullFailures
+	shed         shedList
+	quarantine   quarantineState
 	// availability has the upstreams that are shutting down, as reported by any router.
 	availability *availability.Table
 	// groupCounts has the number of groups of each service.
@@ -121,8 +124,8 @@
 		cfg: cfg, now: now, log: log, net: t, random: rand.New(rand.NewPCG(cfg.RandomSeed, 0)),
 		limited: obs.NewLimitedLogger(log, logLinesPerSecond),
 		events:  make(chan any, eventQueueSize), done: make(chan struct{}),
-		cacheReports: make(chan struct{}, maxCacheReports),
-		members:      map[uint64]*member{}, byIP: map[string]*member{}, groups: map[groupKey]*group{},
+		cacheReports: make(chan struct{}, maxCacheReports), largeStates: make(chan struct{}, maxLargeStates),
+		members: map[uint64]*member{}, byIP: map[string]*member{}, groups: map[groupKey]*group{},
 		pending: map[uint64]*pending{}, inFlight: map[uint64]*inFlightRequest{}, sessionUpstreams: map[uint64]dispatch.Incarnation{},
 		usageInterval: minUsageInterval, groupCounts: newGroupCounts(cfg.GroupSize),
 		availability: availability.NewTable(), streams: newStreamState(), entry: newEntryState(cfg.Metrics),
--- a/fleet/pull.go
+++ b/fleet/pull.go
@@ -38,12 +38,17 @@
 }
 
 const (
-	// pullTimeout limits the transfer of changes. Another peer or the platform may provide them
-	// as well.
-	pullTimeout = 600 * time.Millisecond
-	// firstPullTimeout limits the transfer of the first state. It is long enough for a small VM
-	// whose processor is busy with the start, and short enough to leave a slow peer for another.
-	firstPullTimeout = 2 * time.Second
+	// pullStallTimeout is how long a transfer of changes may bring no byte. Another peer or the
+	// platform may provide them as well.
+	pullStallTimeout = 600 * time.Millisecond
+	// firstPullStallTimeout is the same for the first state. It is long enough for a small VM whose
+	// processor is busy with the start, and short enough to leave a silent peer for another.
+	firstPullStallTimeout = 2 * time.Second
+	// slowestPeerLink is the rate of the slowest link between routers in bytes per second: 10 Mbit/s.
+	slowestPeerLink = 10e6 / 8
+	// maxTransferTime limits a transfer: the time of the largest state on the slowest link, which the
+	// sender shares among maxLargeStates of them.
+	maxTransferTime = maxLargeStates * maxStateBytes * time.Second / slowestPeerLink
 	// maxPullsServed is the number of peers that are served at the same time, each of which
 	// takes a few megabytes. Others are rejected and turn to another peer.
 	maxPullsServed = 8
@@ -59,30 +64,42 @@
 	if !n.pulling.CompareAndSwap(false, true) {
 		return
 	}
-	timeout := pullTimeout
+	stall := pullStallTimeout
 	if n.feed.Snapshot() == nil {
-		timeout = firstPullTimeout
+		stall = firstPullStallTimeout
 	}
 	go func() {
 		defer n.pulling.Store(false)
-		ctx, cancel := context.WithTimeout(context.Background(), timeout)
-		defer cancel()
-		if err := n.pull(ctx, addr); err != nil {
+		if err := n.pull(addr, stall); err != nil {
+			n.pullFailures.count(err)
 			n.log.Warn().Str("event", "peer").Stringer("from", addr).Err(err).Msg("failed to fetch the state of a peer")
 		}
 	}()
 }
 
-func (n *Node) pull(ctx context.Context, addr netip.AddrPort) error {
+// dialPull connects to a peer, which may take as long as a transfer may bring no byte.
+func (n *Node) dialPull(addr netip.AddrPort, stall time.Duration) (*progressConn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), stall)
+	defer cancel()
 	conn, err := n.net.Dial(ctx, addr)
 	if err != nil {
-		return Error.Wrap(err)
+		return nil, Error.Wrap(err)
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		if err := conn.SetDeadline(deadline); err != nil {
-			return Error.Wrap(err)
-		}
+	progress, err := newProgressConn(conn, stall, maxTransferTime)
+	if err != nil {
+		_ = conn.Close()
+		return nil, Error.Wrap(err)
 	}
+	return progress, nil
+}
+
+func (n *Node) pull(addr netip.AddrPort, stall time.Duration) error {
+	conn, err := n.dialPull(addr, stall)
+	if err != nil {
+		return err
+	}
+	// The deadlines of conn end the call.
+	ctx := context.Background()
 	limited := &limitedConn{Conn: conn, limit: maxStateBytes}
 	stream := jsonrpc2.NewBufferedStream(limited, jsonrpc2.VSCodeObjectCodec{})
 	rpc := jsonrpc2.NewConn(ctx, stream, noopHandler{}, discardRPCLog)
@@ -93,7 +110,7 @@
 	if err := rpc.Call(ctx, methodState, stateParams{
 		ConfigVersion: known.ConfigVersion, Revision: revision.Counter(known.Revision), Epoch: revision.Epoch(known.Revision), Compact: true,
 	}, &reply); err != nil {
-		return Error.Wrap(limited.err(err))
+		return Error.Wrap(limited.err(conn.err(err)))
 	}
 	state := reply.PeerState
 	if len(reply.Compact) > 0 {
@@ -136,19 +153,19 @@
 }
 
 func (n *Node) servePull(conn net.Conn) {
-	ctx, cancel := context.WithTimeout(context.Background(), firstPullTimeout)
-	defer cancel()
-	// If the deadline can't be set, the connection is broken and the RPC fails below.
-	_ = conn.SetDeadline(time.Now().Add(firstPullTimeout))
-	limited := &limitedConn{Conn: conn, limit: maxPullRequestBytes}
-	stream := jsonrpc2.NewBufferedStream(limited, jsonrpc2.VSCodeObjectCodec{})
-	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(n.serveState), discardRPCLog)
-	select {
-	case <-ctx.Done():
-	case <-rpc.DisconnectNotify():
+	progress, err := newProgressConn(conn, firstPullStallTimeout, maxTransferTime)
+	if err != nil {
+		_ = conn.Close()
+		return
 	}
+	limited := &limitedConn{Conn: progress, limit: maxPullRequestBytes}
+	stream := jsonrpc2.NewBufferedStream(limited, jsonrpc2.VSCodeObjectCodec{})
+	server := &pullServer{node: n}
+	rpc := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(server.handle), discardRPCLog)
+	<-rpc.DisconnectNotify()
 	_ = rpc.Close()
-	if err := limited.err(nil); err != nil {
+	server.release()
+	if err := limited.err(progress.err(nil)); err != nil {
 		n.limited.Warn("pull_rejected", func(e *obs.Event) {
 			e.Stringer("from", conn.RemoteAddr()).Err(err).Msg("closed the connection of a peer that fetched the state")
 		})
@@ -158,35 +175,3 @@
 // discardRPCLog discards the messages of JSON-RPC about broken connections. They are not in the format
 // of the log, and quote what was received.
 var discardRPCLog = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
-
-func (n *Node) serveState(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
-	if req.Method != methodState {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
-	}
-	var params stateParams
-	if err := decodeParams(req, &params); err != nil {
-		return nil, err
-	}
-	knownRevision, err := revision.New(params.Epoch, params.Revision)
-	if err != nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
-	}
-	known := feed.StateVersion{ConfigVersion: params.ConfigVersion, Revision: knownRevision}
-	if !params.Compact {
-		if state := n.feed.Export(known); state != nil {
-			state.SplitEpoch()
-			return state, nil
-		}
-		return nil, errNoState
-	}
-	encoded, age, err := n.encodedStates.encode(n.feed, known)
-	if err != nil {
-		return nil, err
-	}
-	if encoded == nil {
-		return nil, errNoState
-	}
-	return stateReply{PeerState: feed.PeerState{AgeNanos: age}, Compact: encoded}, nil
-}
-
-var errNoState = &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "no state yet"}
--- a/fleet/pull_test.go
+++ b/fleet/pull_test.go
@@ -56,9 +56,7 @@
 				c := startCluster(t, 1, &source{revision: 1, version: 1})
 				m := c.all[0]
 				before := m.feed.Snapshot()
-				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-				defer cancel()
-				err := m.node.Pull(ctx, peerReplying(c, reply))
+				err := m.node.Pull(peerReplying(c, reply))
 				if name != "changes after an unknown revision" {
 					g.Expect(err).To(HaveOccurred())
 				}
@@ -74,7 +72,7 @@
 		g := NewWithT(t)
 		c := startCluster(t, 1, &source{revision: 1, version: 1})
 		reply := feed.PeerState{Revision: 9, Upstreams: []registry.Upstream{{ID: "u", Service: "llm", Slots: 1, Revision: 9}}}
-		g.Expect(c.all[0].node.Pull(context.Background(), peerReplying(c, reply))).To(Succeed())
+		g.Expect(c.all[0].node.Pull(peerReplying(c, reply))).To(Succeed())
 		g.Expect(c.all[0].feed.Snapshot().View.Upstream("u")).NotTo(BeNil())
 	})
 }
