feed: a read of the platform ends for lack of progress, not for its length

Cause: a call ended 0.7 s after its wait, whatever had arrived, and a watch was asked for again after the same revision, whose answer only grows.

Change: the source reports what arrives. A call whose answer arrives ends after 600 ms without a byte, or at the age up to which a state may be served from. A watch that breaks off after a part has arrived is followed by a listing, whose pages are bounded. stalledReads and slowReads in the dump tell these from a platform that doesn't answer.

--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -290,8 +290,11 @@
 	Placement     settings.Placement `json:"placement"`
 	Entry         settings.Entry     `json:"entry"`
 	PlatformCalls int64              `json:"platformCalls"`
-	// OversizedWatches counts the platform's answers that were too large to be read.
+	// OversizedWatches counts the platform's answers that were too large to be read, StalledReads those
+	// that stopped arriving, and SlowReads those that took longer than a state may be old.
 	OversizedWatches int64      `json:"oversizedWatches"`
+	StalledReads     int64      `json:"stalledReads"`
+	SlowReads        int64      `json:"slowReads"`
 	Connections      int64      `json:"upstreamConnectionsOpened"`
 	Datagrams        int64      `json:"datagramsSent"`
 	Node             fleet.Dump `json:"node"`
@@ -300,7 +303,7 @@
 func (d *FleetDaemon) dump() fleetDump {
 	return fleetDump{
 		Ready: d.Ready(), Stopping: d.gateway.Stopping(), ConfigVersion: d.feed.Snapshot().ConfigVersion(), Placement: d.settings.Placement, Entry: d.settings.Entry,
-		PlatformCalls: d.feed.Calls(), OversizedWatches: d.feed.Oversized(), Connections: d.pool.Dials(), Datagrams: d.node.Datagrams(), Node: d.node.Dump(),
+		PlatformCalls: d.feed.Calls(), OversizedWatches: d.feed.Oversized(), StalledReads: d.feed.Stalled(), SlowReads: d.feed.TooSlow(), Connections: d.pool.Dials(), Datagrams: d.node.Datagrams(), Node: d.node.Dump(),
 	}
 }
 
--- a/feed/config.go
+++ b/feed/config.go
@@ -11,9 +11,13 @@
 	// MinInterval is the minimum time between two watches. A change ends the watch;
 	// the interval batches a burst of changes into one more call.
 	MinInterval time.Duration
-	// CallMargin is how much longer than its wait a call may take. It tolerates a
-	// platform that is sixty times slower than its usual 4 ms.
+	// CallMargin is how much longer than its wait a call may take until its answer starts to
+	// arrive. It tolerates a platform that is sixty times slower than its usual 4 ms.
 	CallMargin time.Duration
+	// StallTimeout is how long an answer that has started to arrive may bring no byte.
+	StallTimeout time.Duration
+	// MaxReadTime is how long a call may take, with the time until its answer starts to arrive.
+	MaxReadTime time.Duration
 	// MaxFollowerAge is the age of the newest confirmed state at which a router
 	// that relies on its peers reads the platform itself.
 	MaxFollowerAge time.Duration
@@ -45,6 +49,10 @@
 		WatchWait:   min(apply/5, revoke/6, 3*time.Second),
 		MinInterval: 150 * time.Millisecond,
 		CallMargin:  700 * time.Millisecond,
+		// Three times the shortest time after which TCP sends a lost packet again.
+		StallTimeout: 600 * time.Millisecond,
+		// An answer that took longer would bring a state too old to serve from.
+		MaxReadTime: revoke * 9 / 10,
 		// The routers that read on behalf of the others may lose the platform
 		// undetected. The others must then read it themselves and still meet the
 		// bounds. In normal operation a snapshot is younger: two watch waits and
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -35,6 +35,8 @@
 	calls       atomic.Int64
 	// oversized counts watches whose answer was too large.
 	oversized atomic.Int64
+	// stalled and tooSlow count answers that ended for lack of progress or of time.
+	stalled, tooSlow atomic.Int64
 	// listing is owned by the goroutine that reads the platform.
 	listing listing
 
@@ -73,6 +75,13 @@
 // Oversized returns the number of watches whose answer was too large.
 func (f *Feed) Oversized() int64 { return f.oversized.Load() }
 
+// Stalled returns the number of answers of the platform that started to arrive and then brought no byte
+// for a while.
+func (f *Feed) Stalled() int64 { return f.stalled.Load() }
+
+// TooSlow returns the number of answers of the platform that did not arrive whole in Config.MaxReadTime.
+func (f *Feed) TooSlow() int64 { return f.tooSlow.Load() }
+
 // ConfirmedAt returns the time as of which the snapshot was confirmed, or 0 if it
 // never was.
 func (f *Feed) ConfirmedAt() boottime.Time { return boottime.Time(f.confirmedAt.Load()) }
--- a/feed/read.go
+++ b/feed/read.go
@@ -31,11 +31,11 @@
 }
 
 func (f *Feed) watch(ctx context.Context, after int64, wait time.Duration) bool {
-	callCtx, cancel := context.WithTimeout(ctx, wait+f.cfg.CallMargin)
-	defer cancel()
 	f.calls.Add(1)
 	sentAt := f.now()
-	b, err := f.source.Watch(callCtx, after, wait)
+	call := f.newCall(ctx, wait+f.cfg.CallMargin)
+	b, err := f.source.Watch(call.ctx, after, wait)
+	err = call.end(err)
 	if errors.Is(err, ErrHistoryGone) {
 		f.log.Warn().Str("event", "platform").Int64("after", after).Msg("history no longer available; listing again")
 		return f.list(ctx)
@@ -46,6 +46,12 @@
 		f.log.Warn().Str("event", "platform").Int64("after", after).Err(err).Msg("changes are too large to be read at once; listing instead")
 		return f.list(ctx)
 	}
+	if err != nil && call.progressed && ctx.Err() == nil {
+		// The same watch would bring the same bytes again, and more. The pages of a listing are bounded.
+		f.countFailure(err)
+		f.log.Warn().Str("event", "platform").Int64("after", after).Err(err).Msg("failed to read all changes; listing instead")
+		return f.list(ctx)
+	}
 	if err != nil {
 		f.recordFailure(ctx, err, sentAt)
 		return false
@@ -100,10 +106,10 @@
 }
 
 func (f *Feed) listPage(ctx context.Context) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.WatchWait+f.cfg.CallMargin)
-	defer cancel()
 	f.calls.Add(1)
-	return f.source.List(ctx, f.listing.next)
+	call := f.newCall(ctx, f.cfg.WatchWait+f.cfg.CallMargin)
+	page, err := f.source.List(call.ctx, f.listing.next)
+	return page, call.end(err)
 }
 
 // applyListing applies a complete listing. Upstreams missing from it have been deleted, or have
@@ -166,6 +172,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	f.countFailure(err)
 	firstFailure := f.failedAt.Swap(int64(f.now())) == 0
 	if firstFailure {
 		f.log.Warn().Str("event", "platform").Err(err).Dur("after", f.now().Sub(sentAt)).
@@ -173,6 +180,16 @@
 	}
 }
 
+// countFailure counts answers that did not arrive whole.
+func (f *Feed) countFailure(err error) {
+	switch {
+	case errors.Is(err, errCallStalled):
+		f.stalled.Add(1)
+	case errors.Is(err, errCallTooSlow):
+		f.tooSlow.Add(1)
+	}
+}
+
 // recordSuccess marks the platform as reachable. After an outage it starts the window
 // in which deletions are treated as lapses.
 func (f *Feed) recordSuccess() {
--- a/feed/source.go
+++ b/feed/source.go
@@ -21,7 +21,8 @@
 // same watch only grows.
 var ErrAnswerTooLarge = errs.New("feed: the answer to the watch is too large")
 
-// Source reads what operators and upstreams publish. All reads are linearizable.
+// Source reads what operators and upstreams publish. All reads are linearizable. A source calls
+// ReportProgress as an answer arrives; a call that reports none ends like one without an answer.
 type Source interface {
 	// List reads a page of the full state: the first one if after is empty, else the one that
 	// follows the page whose Next is given. The state is complete as of the revision of the
