upstream: a connection that ends inside a header line isn't a malformed response

Cause: the parser takes a line that the connection cut off for a whole one and calls it invalid. Since such a response counts as malformed, which is no crash: a part or a content that crashes upstreams inside the header of their answer was never put in quarantine.

Change: if the parser had read to the end of the connection, the error is that end.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -213,6 +213,12 @@
 	if isConnError(err) {
 		return nil, err
 	}
+	if c.header.readErr == io.EOF {
+		return nil, io.ErrUnexpectedEOF // the connection ended inside a line, which the parser took for a whole one
+	}
+	if c.header.readErr != nil {
+		return nil, c.header.readErr
+	}
 	return nil, &MalformedResponseError{Reason: InvalidHeader, Bytes: c.header.received, Cause: err}
 }
 
--- a/upstream/header_limit.go
+++ b/upstream/header_limit.go
@@ -14,10 +14,14 @@
 	maxTime time.Duration
 	// first and last are when the current header's first and last bytes so far arrived.
 	first, last time.Time
+	// readErr is the error at which the current header's bytes ended, nil if there was none.
+	readErr error
 }
 
 // begin starts a header.
-func (l *headerLimit) begin() { l.active, l.first, l.last = true, time.Time{}, time.Time{} }
+func (l *headerLimit) begin() {
+	l.active, l.first, l.last, l.readErr = true, time.Time{}, time.Time{}, nil
+}
 
 func (l *headerLimit) end() { l.active = false }
 
--- a/upstream/malformed_test.go
+++ b/upstream/malformed_test.go
@@ -340,3 +340,22 @@
 	g.Expect(malformed.Reason).To(Equal(upstream.InvalidHeader))
 	g.Expect(len(err.Error())).To(BeNumerically("<", 512))
 }
+
+// Guards against a crash inside a header line that is taken for a malformed response, and isn't counted.
+func TestConnectionThatEndsInsideAHeaderIsNotMalformed(t *testing.T) {
+	for _, header := range []string{"HT", "HTTP/1.1 2", "HTTP/1.1 200 OK\r\nX-Se", "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 1", "HTTP/1.1 200 OK\r\nX-Seal: s\r\n"} {
+		t.Run(header, func(t *testing.T) {
+			g := NewWithT(t)
+			s := serve(t, func(c net.Conn, r *bufio.Reader) {
+				if _, _, err := readRequest(r); err == nil {
+					_, _ = io.WriteString(c, header)
+				}
+				_ = c.Close()
+			})
+			_, err := newPool(t).Do(context.Background(), s.request("1", ""))
+			var malformed *upstream.MalformedResponseError
+			g.Expect(errors.As(err, &malformed)).To(BeFalse(), "%v", err)
+			g.Expect(errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)).To(BeTrue(), "%v", err)
+		})
+	}
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -139,6 +139,7 @@
 	}
 	n, err := c.Conn.Read(b[:min(int64(len(b)), room)])
 	c.header.add(n, time.Now())
+	c.header.readErr = err
 	return n, err
 }
 
