gateway, fleet: a stream that ends before its answer has started is no success

Cause: between two events such a stream is complete, and it counted as a success, which cleared the crashes that had been counted.

Change: the end of such a stream waits for what its upstream does next. If it interrupts other requests, the end is a crash; if it answers later, a success; else neither, and a trial has failed.

--- a/fleet/events.go
+++ b/fleet/events.go
@@ -129,6 +129,8 @@
 		n.cfg.Seeds = e.ips
 	case crashEvent:
 		n.handleCrash(now, e)
+	case unconfirmedEndEvent:
+		n.handleUnconfirmedEnd(now, e)
 	case successEvent:
 		n.clearSuspicion(now, e)
 	case trialEvent:
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -155,6 +155,7 @@
 	if n.feed != nil && n.feed.Snapshot() != n.appliedSnapshot {
 		n.applyState(now)
 	}
+	n.decideEnds(now)
 	n.probeLagIfStale(now)
 	n.contactSeeds(now)
 	n.chooseReaders(now)
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -134,6 +134,7 @@
 		n.ledgers[i] = dispatch.NewLedger(cfg.Engine.ShareWindow)
 	}
 	n.quarantine.table = quarantine.NewTable(cfg.Quarantine)
+	n.quarantine.answeredAt = map[uint32]boottime.Time{}
 	n.quarantine.pendingTrials = map[quarantine.Key]*trialRequest{}
 	n.quarantine.successes = quarantine.NewRecentSuccesses(quarantine.MaxSuccesses)
 	n.quarantine.started = quarantine.NewRecentSuccesses(quarantine.MaxSuccesses)
--- a/fleet/quarantine.go
+++ b/fleet/quarantine.go
@@ -29,6 +29,8 @@
 	pendingTrials map[quarantine.Key]*trialRequest
 	start         quarantineStart
 	expiredAt     boottime.Time
+	// ends are the streams whose end isn't confirmed, the oldest first.
+	ends []unconfirmedEnd
 
 	// mu guards the fields below it.
 	mu sync.Mutex
@@ -36,6 +38,8 @@
 	// are harmless.
 	successes, started *quarantine.RecentSuccesses
 	broken             quarantine.BrokenUpstreams
+	// answeredAt is when the upstreams of ends last answered this router, 0 if not since the first end.
+	answeredAt map[uint32]boottime.Time
 }
 
 const (
@@ -95,7 +99,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.successes.Add(now, content)
-	q.broken.RecordSuccess(upstream)
+	q.recordAnswer(now, upstream)
 }
 
 func (q *quarantineState) addStarted(now time.Duration, parts []dispatch.Part, upstream uint32) {
@@ -104,7 +108,7 @@
 	for _, part := range parts {
 		q.started.Add(now, quarantine.NewPartKey(part.ID))
 	}
-	q.broken.RecordSuccess(upstream)
+	q.recordAnswer(now, upstream)
 }
 
 // succeeded reports whether this router has observed that a key is harmless: shortly before now, or
@@ -172,6 +176,11 @@
 	} else {
 		n.reportBroken(now, e.upstream)
 	}
+	n.reportCrash(now, e, keys)
+}
+
+// reportCrash records a crash for the given keys and reports it to their hubs.
+func (n *Node) reportCrash(now boottime.Time, e crashEvent, keys []quarantine.Key) {
 	updates := map[*member]*quarantineUpdate{}
 	for _, key := range keys {
 		n.recordCrash(now, quarantine.Crash{ID: key, Team: e.request.Team, Upstream: e.upstream, Sent: e.sent})
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -138,6 +138,7 @@
 	case err == nil:
 		recordRan(r, resp.Status)
 		r.record.cause = ""
+		r.endUnconfirmed = resp.Framing == eventstream.Connection && !r.answerStarted
 		return result{}, dispatch.Served
 	case out.callerDisconnected || r.ctx.Err() != nil:
 		r.record.cause = "caller disconnected: " + err.Error()
--- a/gateway/deps.go
+++ b/gateway/deps.go
@@ -53,6 +53,10 @@
 	// ReportCrash reports that an upstream closed the connection after it had been handling
 	// a request for the time ran.
 	ReportCrash(request quarantine.Interruption, upstream dispatch.Incarnation, ran time.Duration)
+	// ReportUnconfirmedEnd reports a stream that ended with its connection before its answer had
+	// started, ran after it was sent. It is a success of the request, or a crash of the upstream if that
+	// interrupts other requests.
+	ReportUnconfirmedEnd(request quarantine.Interruption, upstream dispatch.Incarnation, ran time.Duration)
 	// ReportSuccess reports that a request received a complete response from an upstream.
 	ReportSuccess(content quarantine.Key, from dispatch.Incarnation)
 	// ReportStarted reports that an upstream has started to answer a prompt with these parts.
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -51,6 +51,8 @@
 	// table is the quarantine table of the fleet; crashes is the number of reported crashes.
 	table   *quarantine.Table
 	crashes int
+	// unconfirmed has the requests whose streams ended without a sign that they were complete.
+	unconfirmed []quarantine.Interruption
 	// started has the parts of prompts that were reported as started.
 	started []uint64
 	// ended has the keys of trials that ended without a result.
@@ -181,6 +183,18 @@
 	}
 }
 
+func (p *fakePlacer) ReportUnconfirmedEnd(i quarantine.Interruption, _ dispatch.Incarnation, _ time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unconfirmed = append(p.unconfirmed, i)
+}
+
+func (p *fakePlacer) unconfirmedEnds() []quarantine.Interruption {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]quarantine.Interruption(nil), p.unconfirmed...)
+}
+
 func (p *fakePlacer) ReportSuccess(id quarantine.Key, _ dispatch.Incarnation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/quarantine"
@@ -100,6 +101,10 @@
 // yet: a recent success clears content that many callers share when upstreams crash.
 func (s *Server) reportSuccess(r *request) {
 	r.trialResult = true
+	if r.endUnconfirmed {
+		s.placer.ReportUnconfirmedEnd(r.interruption(), r.sentTo, time.Since(r.sentAt))
+		return
+	}
 	s.placer.ReportSuccess(r.ensureContentKey(), r.sentTo)
 	s.reportStarted(r)
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -49,6 +49,9 @@
 	// is set once its upstream has started to answer.
 	events        int64
 	answerStarted bool
+	// endUnconfirmed is set if a stream ended with its connection before its upstream had started to
+	// answer. Nothing shows that it is complete.
+	endUnconfirmed bool
 	// trialResult is set once a crash or a success was reported of a trial.
 	trialResult bool
 	// sentVersion is the software version of that upstream, "" if unknown.
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -68,6 +68,10 @@
 	ShouldCrash func(*http.Request) bool
 	// CrashInEvent makes a crash end streams inside an event by a regular close instead of a reset.
 	CrashInEvent bool
+	// CrashDelay, with CrashInEvent, is the time from the close of the connection of the request that
+	// crashes the runner, after the bytes CrashAfter of its stream, until the other connections are reset.
+	CrashDelay time.Duration
+	CrashAfter string
 	// BreakStreamAfter returns the number of events of this run after which the connection of a
 	// request's stream is reset, 0 for never; nil means never. Unframed streams are closed inside the
 	// next event instead.
@@ -169,14 +173,15 @@
 // Close closes the listener; open connections stay open.
 func (r *Runner) Close() error { return r.listener.Close() }
 
-// Crash closes the listener and all connections, by a reset unless CrashInEvent is set.
+// Crash closes the listener and all connections, by a reset unless CrashInEvent is set without a
+// CrashDelay.
 func (r *Runner) Crash() {
 	_ = r.listener.Close() // it may be closed already
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.crashed = true
 	for c := range r.conns {
-		if r.opts.CrashInEvent {
+		if r.opts.CrashInEvent && r.opts.CrashDelay == 0 {
 			_, _ = io.WriteString(c, "id:") // the connection ends either way
 			_ = c.Close()
 			continue
@@ -267,6 +272,11 @@
 		if r.opts.CrashInEvent && work.Events > 0 {
 			_, _ = io.WriteString(c, r.responseHead(http.StatusOK, id, r.headers.Seal+": seal", "Content-Type: text/event-stream"))
 		}
+		if r.opts.CrashInEvent && r.opts.CrashDelay > 0 {
+			_, _ = io.WriteString(c, r.opts.CrashAfter)
+			r.closeConn(c)
+			time.Sleep(r.opts.CrashDelay)
+		}
 		r.Crash()
 		ended(true)
 		return false
