entry, dispatch, fleet: plain words where the hard load's packages had figures of speech

Cause: comments and unexported names said that routers want, callers are turned away and give up, hubs know and learn, homes ask questions and copies are paid for. Change: rejected, deadline, received, detected, requests and replies; three constants and a method are renamed. No statement changes.

--- a/dispatch/locality.go
+++ b/dispatch/locality.go
@@ -104,7 +104,7 @@
 		return best
 	}
 	if local.copied = c.extraWork(j, best, local); local.copied > 0 {
-		if !c.paysForCopy(now, j, local.copied) {
+		if !c.justifiesCopy(now, j, local.copied) {
 			return best
 		}
 		distance += time.Duration((1 + c.cfg.RecomputeWeight) * float64(local.copied))
@@ -139,9 +139,9 @@
 	return local.plan.cost - local.u.cost(&j.Request, cached, 0)
 }
 
-// paysForCopy reports whether the domain's recent requests for the session, with this one, are
-// worth the work of copying the session's parts.
-func (c *Core) paysForCopy(now time.Duration, j *job, work time.Duration) bool {
+// justifiesCopy reports whether the domain's recent requests for the session, with this one, save at
+// least the work of copying the session's parts.
+func (c *Core) justifiesCopy(now time.Duration, j *job, work time.Duration) bool {
 	if work > c.cfg.MaxRecompute || c.locality.find(j.Domain).exhausted(now) {
 		return false
 	}
--- a/dispatch/locality_internal_test.go
+++ b/dispatch/locality_internal_test.go
@@ -83,7 +83,7 @@
 		return
 	}
 	work := c.extraWork(j, plain, near)
-	if work > 0 && !c.paysForCopy(now, j, work) {
+	if work > 0 && !c.justifiesCopy(now, j, work) {
 		return
 	}
 	if cost := time.Duration((1 + c.cfg.RecomputeWeight) * float64(work)); near.score-cost < local.score+c.distance(j, plain.u, near.u) {
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -6,7 +6,7 @@
 type reservation struct {
 	fingerprint Fingerprint
 	team        teamNumber
-	// at is when the caller was asked to return, and deadlineAt when it gives up.
+	// at is when the caller should return, and deadlineAt its deadline.
 	at, deadlineAt time.Duration
 	// work is the predicted work in group time, and taken where it is in the calendar.
 	work  time.Duration
@@ -46,7 +46,7 @@
 	return now > max(x.at, j.submittedAt)+sendTolerance
 }
 
-// missesDeadline reports whether the caller certainly gives up before the first byte if the
+// missesDeadline reports whether the caller's deadline certainly passes before the first byte if the
 // upstream starts on the job after wait.
 func (j *job) missesDeadline(now, wait, delay time.Duration) bool {
 	return now+wait+j.cost+delay > j.deadlineAt
--- a/entry/detector.go
+++ b/entry/detector.go
@@ -5,7 +5,7 @@
 const (
 	// sampleInterval is the time between two measurements.
 	sampleInterval = 100 * time.Millisecond
-	// windowSamples intervals are considered. In two of them callers must be turned away: after a
+	// windowSamples intervals are considered. In two of them callers must be rejected: after a
 	// pause of the process, a single interval shows an accept queue that is emptied at once. An
 	// overload is therefore detected within three intervals, which is short compared to the two
 	// seconds that the load balancer takes, and ends after three intervals without one.
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -14,7 +14,7 @@
 	// once a second, so a grant in between would rarely take effect sooner.
 	refusedInterval = time.Second
 	// The first requests of an overload are sent with each measurement. A hub that hasn't answered
-	// within unansweredTime is asked every refusedInterval.
+	// within unansweredTime gets a request every refusedInterval.
 	unansweredTime = time.Second
 	// maxAnswerAge is the age of a request above which the grant for it isn't used. A flooded router may
 	// read the answer hundreds of milliseconds late; half of the lease remains for the first renewal.
@@ -27,7 +27,7 @@
 	// balancer. With FirstSpan they are served at least three quarters of the time.
 	FirstSpan = 7 * time.Second
 	// MaxSpan is how long it is out if the overload has always returned. Its callers are then
-	// turned away for less than a tenth of the time.
+	// rejected for less than a tenth of the time.
 	MaxSpan = 4 * FirstSpan
 )
 
@@ -47,7 +47,7 @@
 // Action is a message to the hub.
 type Action struct {
 	Kind ActionKind
-	// Span is how long the router wants to be out, from now on.
+	// Span is how long the router requests to be out, from now on.
 	Span time.Duration
 	// Demand is set with Ask; see Figures.Demand.
 	Demand float64
--- a/entry/load.go
+++ b/entry/load.go
@@ -33,21 +33,21 @@
 }
 
 const (
-	// minTurnedAwayRate is the rate of callers turned away, per second, below which a router isn't
+	// minRejectionRate is the rate of rejected callers, per second, below which a router isn't
 	// overloaded. Leaving takes the load balancer two seconds and moves all callers of the router:
 	// it must help hundreds of them.
-	minTurnedAwayRate = 100
-	// A router isn't overloaded unless it turns away one of maxTurnedAwayOf callers. Most callers
+	minRejectionRate = 100
+	// A router isn't overloaded unless it rejects one of callersPerRejection callers. Most callers
 	// retry once and reach the same router, so one of nine then fails.
-	maxTurnedAwayOf = 3
+	callersPerRejection = 3
 )
 
-// overloaded reports whether callers were turned away at a rate, and in a proportion, at which
+// overloaded reports whether callers were rejected at a rate, and in a proportion, at which
 // another router would serve them better. New connections and requests are compared separately:
 // requests on open connections may be served while all new connections are refused.
 func (f Figures) overloaded() bool {
-	minimum := int64(minTurnedAwayRate * f.Span.Seconds())
-	exceeds := func(turnedAway, all int64) bool { return turnedAway > minimum && turnedAway*maxTurnedAwayOf >= all }
+	minimum := int64(minRejectionRate * f.Span.Seconds())
+	exceeds := func(rejected, all int64) bool { return rejected > minimum && rejected*callersPerRejection >= all }
 	return exceeds(f.Rejected, f.Opened+f.Rejected) || exceeds(f.Busy, f.Received)
 }
 
--- a/entry/reason.go
+++ b/entry/reason.go
@@ -8,7 +8,7 @@
 const (
 	// NoReason is the zero value.
 	NoReason Reason = iota
-	// HubIsNew means that the hub doesn't know yet which routers are out.
+	// HubIsNew means that the hub has not received yet which routers are out.
 	HubIsNew
 	// UnknownRouter means that the hub has no router at the address in the failure domain.
 	UnknownRouter
--- a/entry/table.go
+++ b/entry/table.go
@@ -31,7 +31,7 @@
 	// the others get at most a third more.
 	maxOutFraction = 0.25
 	// maxUnavailableFraction limits the routers that are out, lost or stopping. At more than a half
-	// the load balancer uses all of them; the difference covers losses that the hub doesn't know yet.
+	// the load balancer uses all of them; the difference covers losses that the hub has not detected yet.
 	maxUnavailableFraction = 0.4
 	// minHelped is the number of callers that other routers must be expected to accept for each one
 	// that the router accepts now. It is below 1 because the expectation is that of a single caller's
@@ -217,7 +217,7 @@
 // rounding covers the rounding errors of sums of processor shares.
 const rounding = 1e-9
 
-// Renew decides whether a router may remain out, for the rest of its span. A new hub thereby learns
+// Renew decides whether a router may remain out, for the rest of its span. A new hub thereby receives
 // which routers are out.
 func (t *Table) Renew(now time.Duration, address string, left time.Duration) Decision {
 	t.expire(now)
--- a/fleet/handover.go
+++ b/fleet/handover.go
@@ -9,8 +9,8 @@
 	"github.com/aspenswitch/aspenswitch/obs"
 )
 
-// handOverPrefix begins the CopyFrom of a refusal by which a home hands a request over to another group:
-// it is followed by the index of the group. The Upstream of such a refusal is the one that has most of the
+// handOverPrefix is the prefix of the CopyFrom of a refusal by which a home hands a request over to another
+// group. The index of the group follows it. The Upstream of such a refusal is the one that has most of the
 // prompt cached. Routers of earlier releases use neither field of a refusal, and refuse the request.
 const handOverPrefix = "group/"
 
--- a/fleet/handover_internal_test.go
+++ b/fleet/handover_internal_test.go
@@ -36,7 +36,7 @@
 		for index := range min(count, 8) {
 			others := n.otherGroups(index, count)
 			g.Expect(others).NotTo(ContainElement(index))
-			g.Expect(len(others)).To(BeNumerically("<=", spareQuestions))
+			g.Expect(len(others)).To(BeNumerically("<=", sparePeers))
 		}
 	}
 }
--- a/fleet/spare_message.go
+++ b/fleet/spare_message.go
@@ -7,8 +7,8 @@
 	"github.com/aspenswitch/aspenswitch/dispatch"
 )
 
-// spareMessage asks the home of a group what its upstreams could serve beside the work that they have,
-// or answers.
+// spareMessage requests from the home of a group what its upstreams could serve beside the work that they
+// have, or replies.
 type spareMessage struct {
 	Service string      `cbor:"0,keyasint"`
 	Group   groupNumber `cbor:"1,keyasint"`
@@ -18,17 +18,17 @@
 }
 
 const (
-	// spareInterval is the time between two questions of a home that has no room. An answer is
+	// spareInterval is the time between two requests of a home that has no room. A reply is
 	// used for three times as long.
 	spareInterval = 100 * time.Millisecond
-	// spareQuestions is the number of groups that are asked at a time. Two choices are much better
-	// than one; the others cover answers that are lost, and groups without room.
-	spareQuestions = 4
+	// sparePeers is the number of groups whose homes get a request at a time. Two choices are much better
+	// than one; the others cover replies that are lost, and groups without room.
+	sparePeers = 4
 	// maxSpareWork bounds the work that a peer may report.
 	maxSpareWork = time.Hour
 )
 
-// seekSpare asks the homes of other groups for what they could serve, for each group of which this
+// seekSpare requests from the homes of other groups what they could serve, for each group of which this
 // router is the home and that has recently had no room.
 func (n *Node) seekSpare(now boottime.Time) {
 	for key, g := range n.groups {
@@ -43,10 +43,10 @@
 	}
 }
 
-// otherGroups returns the indices of at most spareQuestions groups besides one, chosen at random.
+// otherGroups returns the indices of at most sparePeers groups besides one, chosen at random.
 func (n *Node) otherGroups(except, count int) []int {
 	var others []int
-	if count <= spareQuestions+1 {
+	if count <= sparePeers+1 {
 		for i := range count {
 			if i != except {
 				others = append(others, i)
@@ -54,7 +54,7 @@
 		}
 		return others
 	}
-	for range spareQuestions {
+	for range sparePeers {
 		if i := n.random.IntN(count); i != except {
 			others = append(others, i)
 		}
