fleet, gateway: three comments in plain words

Cause: a newcomer's reading of the diff found figures of speech. Change: comments only, no statement changes.

--- a/fleet/progress_conn.go
+++ b/fleet/progress_conn.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// TransferReason is why a transfer between peers was given up.
+// TransferReason is why a transfer between peers was ended.
 type TransferReason string
 
 // Reasons of a TransferError.
@@ -80,7 +80,7 @@
 	return n, c.record(n, err)
 }
 
-// writeChunk is the number of bytes that are written at once. Progress is seen between two chunks.
+// writeChunk is the number of bytes that are written at once. Progress is recorded between two chunks.
 const writeChunk = 32 << 10
 
 // Write implements net.Conn.
--- a/fleet/pull_server.go
+++ b/fleet/pull_server.go
@@ -26,7 +26,7 @@
 	// the state serve others meanwhile.
 	maxLargeStates = 2
 	// maxSlotWait is how long a peer waits for its turn: several transfers on a fast link, and less than
-	// the time after which it gives up.
+	// the time without a byte after which it ends the transfer.
 	maxSlotWait = pullStallTimeout / 2
 )
 
--- a/gateway/body_pace.go
+++ b/gateway/body_pace.go
@@ -3,7 +3,7 @@
 import "time"
 
 // minBodyRate is the least average rate of a body in bytes per second: half of the slowest uplinks in
-// use (64 kbit/s). A slower body holds its request's place for longer than it is worth.
+// use (64 kbit/s). A slower body would hold the memory of its request for minutes.
 const minBodyRate = 4 << 10
 
 // bodyPace bounds how long a body may take.
