fleet: the time between two reads of a transfer is no stall

Cause: the deadline for a stall was set after each read. A process that got no processor for 0.6 s before its next read found it expired, although bytes had arrived. A busy router would give up transfers that go on.

Change: the deadline is set before each read and each write.

--- a/fleet/progress_conn.go
+++ b/fleet/progress_conn.go
@@ -52,7 +52,8 @@
 	return c, c.extend()
 }
 
-// extend moves the deadline after a byte was transferred.
+// extend moves the deadline before a read or a write. The time between two of them, in which the process
+// does other work, doesn't count.
 func (c *progressConn) extend() error {
 	left := c.total - time.Since(c.started)
 	return c.SetDeadline(time.Now().Add(min(c.stall, left)))
@@ -67,15 +68,15 @@
 		}
 		c.failure.CompareAndSwap(nil, e)
 	}
-	if n == 0 || err != nil {
-		return err
-	}
 	c.bytes.Add(int64(n))
-	return c.extend()
+	return err
 }
 
 // Read implements net.Conn.
 func (c *progressConn) Read(p []byte) (int, error) {
+	if err := c.extend(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	return n, c.record(n, err)
 }
@@ -86,6 +87,9 @@
 // Write implements net.Conn.
 func (c *progressConn) Write(p []byte) (written int, err error) {
 	for written < len(p) && err == nil {
+		if err = c.extend(); err != nil {
+			break
+		}
 		var n int
 		n, err = c.Conn.Write(p[written:min(len(p), written+writeChunk)])
 		written += n
