--- a/gateway/caller_limits_test.go
+++ b/gateway/caller_limits_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -26,6 +27,18 @@
 	r.state.set(&feed.Snapshot{View: current.View, Table: routing.NewTable(&changed)})
 }
 
+// publishTimeout replaces the timeout of all routes.
+func (r *harness) publishTimeout(timeout time.Duration) {
+	current := r.state.Snapshot()
+	changed := *current.Table.Config
+	changed.Version++
+	changed.Routes = slices.Clone(changed.Routes)
+	for i := range changed.Routes {
+		changed.Routes[i].Timeout = timeout
+	}
+	r.state.set(&feed.Snapshot{View: current.View, Table: routing.NewTable(&changed)})
+}
+
 // callerConn is a caller's connection on which requests are sent one after the other.
 type callerConn struct {
 	net.Conn
