--- a/fleet/unconfirmed_end.go
+++ b/fleet/unconfirmed_end.go
@@ -22,7 +22,7 @@
 
 const (
 	// endConfirmTime is the time after the end of a stream from which an answer of its upstream shows that
-	// its process goes on: a process that ends may still answer for 0.1 s.
+	// its process is still running: one that is ending may answer for another 0.1 s.
 	endConfirmTime = 300 * time.Millisecond
 	// maxEndWait is how long an end waits for what its upstream does next. It then counts as neither.
 	maxEndWait = quarantine.BrokenTTL
