upstream: a request's body is written from a reference of its own

Cause: a body over 16 KiB is written by a goroutine that read the field Request.Body when it first ran. The gateway sets the field to nil when the response's header has come. If the response was there before the goroutine had run (one processor), it wrote nothing, without an error, which counted as a written body, and the connection was used again.

Change: the bytes are passed to the goroutine before it starts, and a body counts as written if all of its bytes were written.

Tests of upstream and gateway pass with the race detector.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -45,8 +45,8 @@
 	pool    *Pool
 	resp    *http.Response
 	stop    func() bool
-	// written is closed once the request has been written completely.
-	written  chan struct{}
+	// request writes the rest of the request.
+	request  *bodyWriter
 	complete bool
 	closed   bool
 }
@@ -58,14 +58,10 @@
 // Upstreams may repeat a response; more indicate that the connection is out of sync.
 const maxMismatched = 2
 
-// maxInlineBody is the maximum size in bytes of a body that is written before the
-// response is read. A larger one is written concurrently: an upstream may respond
-// before it has read the whole body, and the TCP windows of both sides are small.
-const maxInlineBody = 16 << 10
-
 // Do sends a request. Errors are always of type *RequestError, which records whether
 // any part of the request may have been sent. When ctx ends, the connection is closed,
-// which cancels the request at the upstream.
+// which cancels the request at the upstream. The request isn't read after Do has returned, but the
+// bytes of its body may still be, so they must not be changed.
 func (p *Pool) Do(ctx context.Context, request *Request) (*Response, error) {
 	maxIdle := p.cfg.MaxIdleNonRepeatable
 	if request.Repeatable {
@@ -91,7 +87,7 @@
 }
 
 func (p *Pool) exchange(ctx context.Context, c *poolConn, request *Request) (*Response, error) {
-	r := &Response{conn: c, pool: p, written: make(chan struct{})}
+	r := &Response{conn: c, pool: p}
 	r.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := r.write(c, request); err != nil {
 		r.stop()
@@ -109,10 +105,14 @@
 	return r, nil
 }
 
-// write writes the request's header and body.
+// write writes the request's header and starts to write its body.
 func (r *Response) write(c *poolConn, request *Request) error {
+	inline, rest := request.Body, []byte(nil)
+	if len(request.Body) > maxInlineBody {
+		inline, rest = nil, request.Body
+	}
 	var head bytes.Buffer
-	head.Grow(1<<10 + min(len(request.Body), maxInlineBody))
+	head.Grow(1<<10 + len(inline))
 	head.WriteString(request.Method + " " + request.URI + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	if len(request.Body) > 0 || request.Method != http.MethodGet {
 		head.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
@@ -121,23 +121,12 @@
 		return &RequestError{Cause: err}
 	}
 	head.WriteString("\r\n")
-	if len(request.Body) <= maxInlineBody {
-		head.Write(request.Body)
-	}
+	head.Write(inline)
 	n, err := c.Write(head.Bytes())
 	if err != nil {
 		return &RequestError{Sent: n > 0, Cause: err}
 	}
-	if len(request.Body) <= maxInlineBody {
-		close(r.written)
-		return nil
-	}
-	go func() {
-		// A write error surfaces when the response is read.
-		if _, err := c.Write(request.Body); err == nil {
-			close(r.written)
-		}
-	}()
+	r.request = startBody(c, rest)
 	return nil
 }
 
@@ -273,18 +262,9 @@
 		return
 	}
 	r.closed = true
-	if !r.stop() || !r.complete || r.resp.Close || !r.requestWritten() || r.conn.br.Buffered() > 0 {
+	if !r.stop() || !r.complete || r.resp.Close || !r.request.written() || r.conn.br.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
 	r.pool.put(r.conn, r.resp)
 }
-
-func (r *Response) requestWritten() bool {
-	select {
-	case <-r.written:
-		return true
-	default:
-		return false
-	}
-}
