gateway, upstream: a body takes its room until it is sent

Callers would see a router that is killed for its memory: an upstream that answers before it reads a body ended the body's part in the budget, while the bytes stayed in memory until they were written.

Cause: the gateway gave the room back with the header of the response. The goroutine that writes the body still refers to it.

Change: bodyRoom counts its users, the request and each send; the pool reports with Request.BodyDone when it no longer uses the bytes. Pool.Do is split into send, which may be repeated on another connection, and the reading of the header.

--- a/gateway/held_body.go
+++ b/gateway/held_body.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"time"
 )
 
 // errNoRoom is returned for a body that the budget has no room for.
@@ -20,8 +19,8 @@
 	// requests returns the number of pending requests.
 	requests func() int64
 	bytes    []byte
-	taken    int64
-	since    time.Time
+	// room is nil if the body takes none.
+	room *bodyRoom
 }
 
 // charge returns what a buffer of n bytes takes from the budget.
@@ -68,31 +67,35 @@
 func (h *heldBody) grow(maxSize int64) error {
 	size := min(int64(cap(h.bytes))*bodyGrowth, maxSize)
 	n := charge(size)
-	if n > 0 {
-		if !h.budget.take(h.team, n, h.requests()) {
-			return errNoRoom
-		}
-		if h.since.IsZero() {
-			h.since = time.Now()
-		}
+	if n > 0 && !h.budget.take(h.team, n, h.requests()) {
+		return errNoRoom
 	}
 	larger := make([]byte, len(h.bytes), size)
 	copy(larger, h.bytes)
 	h.bytes = larger
-	if h.taken > 0 {
-		h.budget.give(h.team, h.taken)
+	switch {
+	case h.room != nil:
+		h.budget.give(h.team, h.room.bytes)
+		h.room.bytes = n
+	case n > 0:
+		h.room = newBodyRoom(h.budget, h.team, n)
 	}
-	h.taken = n
 	return nil
 }
 
-// release drops the body and returns its room. It may be called repeatedly.
+// share adds a user of the bytes beside the request. It returns the function that ends its use.
+func (h *heldBody) share() (end func()) {
+	if h.room == nil {
+		return func() {}
+	}
+	return h.room.share()
+}
+
+// release drops the body and ends the request's use of its room. It may be called repeatedly.
 func (h *heldBody) release() {
 	h.bytes = nil
-	if h.taken == 0 {
-		return
+	if h.room != nil {
+		h.room.end()
+		h.room = nil
 	}
-	h.budget.give(h.team, h.taken)
-	h.budget.recordHoldTime(time.Since(h.since))
-	h.taken = 0
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -47,8 +47,8 @@
 	load := s.statedLoad(a)
 	if !r.route.Repeatable() {
 		// The body won't be sent again. Keeping it would hold hundreds of prompts in memory
-		// for as long as their responses run. The content key is computed first, since it is
-		// needed if the response is interrupted.
+		// for as long as their responses run; the pool keeps it until it is sent. The content
+		// key is computed first, since it is needed if the response is interrupted.
 		r.ensureContentKey()
 		r.body.release()
 		call.Body = nil
@@ -176,7 +176,7 @@
 	}
 	r.record.resumedAfter = h.Get(lastEventID)
 	return &upstream.Request{
-		Address: u.Address, Started: u.Started, Method: r.in.Method, URI: r.in.RequestURI, Host: r.in.Host, Header: h, Body: r.body.bytes,
+		Address: u.Address, Started: u.Started, Method: r.in.Method, URI: r.in.RequestURI, Host: r.in.Host, Header: h, Body: r.body.bytes, BodyDone: r.body.share(),
 		IDHeader: n.RequestID, ID: r.id, Repeatable: r.route.Kind == routing.Safe || r.route.Repeatable(),
 	}
 }
--- a/upstream/body_writer.go
+++ b/upstream/body_writer.go
@@ -16,15 +16,18 @@
 	complete bool
 }
 
-// startBody writes body concurrently. A body of which nothing is left to write is complete at once.
-func startBody(w io.Writer, body []byte) *bodyWriter {
+// startBody writes body concurrently and then calls release. A body of which nothing is left to write is
+// complete at once.
+func startBody(w io.Writer, body []byte, release func()) *bodyWriter {
 	b := &bodyWriter{done: make(chan struct{})}
 	if len(body) == 0 {
 		b.complete = true
 		close(b.done)
+		release()
 		return b
 	}
 	go func() {
+		defer release()
 		defer close(b.done)
 		// A write error surfaces when the response is read.
 		n, err := w.Write(body)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -22,6 +22,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// BodyDone, if not nil, is called once when the bytes of Body are no longer used, which may be
+	// before or after Do has returned.
+	BodyDone func()
 	// IDHeader is the name of the header that carries ID in both directions. A
 	// response with another value belongs to another request.
 	IDHeader, ID string
@@ -61,8 +64,30 @@
 // Do sends a request. Errors are always of type *RequestError, which records whether
 // any part of the request may have been sent. When ctx ends, the connection is closed,
 // which cancels the request at the upstream. The request isn't read after Do has returned, but the
-// bytes of its body may still be, so they must not be changed.
+// bytes of its body may still be, until BodyDone is called.
 func (p *Pool) Do(ctx context.Context, request *Request) (*Response, error) {
+	r, err := p.send(ctx, request)
+	if err != nil {
+		request.bodyDone()
+		return nil, err
+	}
+	if err := r.readHeader(request); err != nil {
+		r.stop()
+		_ = r.conn.Close() // which also ends a body that is still being written
+		return nil, &RequestError{Sent: true, Cause: err}
+	}
+	return r, nil
+}
+
+// bodyDone reports that the bytes of the body are no longer used.
+func (r *Request) bodyDone() {
+	if r.BodyDone != nil {
+		r.BodyDone()
+	}
+}
+
+// send connects to the upstream, writes the request's header and starts to write its body.
+func (p *Pool) send(ctx context.Context, request *Request) (*Response, error) {
 	maxIdle := p.cfg.MaxIdleNonRepeatable
 	if request.Repeatable {
 		maxIdle = time.Hour
@@ -72,41 +97,36 @@
 		if err != nil {
 			return nil, &RequestError{Cause: err}
 		}
-		resp, err := p.exchange(ctx, c, request)
-		if err == nil {
-			return resp, nil
+		r := &Response{conn: c, pool: p, stop: context.AfterFunc(ctx, func() { _ = c.Close() })}
+		if err = r.write(request); err == nil {
+			return r, nil
 		}
+		r.stop()
 		_ = c.Close()
 		// An idle connection that broke before any byte was sent does not indicate
 		// that the upstream has failed: a new connection may work.
-		if c.reused && NotSent(err) && ctx.Err() == nil {
-			continue
+		if !c.reused || !NotSent(err) || ctx.Err() != nil {
+			return nil, err
 		}
-		return nil, err
 	}
 }
 
-func (p *Pool) exchange(ctx context.Context, c *poolConn, request *Request) (*Response, error) {
-	r := &Response{conn: c, pool: p}
-	r.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
-	if err := r.write(c, request); err != nil {
-		r.stop()
-		return nil, err
-	}
-	c.header = headerLimit{maxBytes: p.cfg.MaxHeaderBytes, maxTime: p.cfg.MaxHeaderTime}
-	resp, err := readResponse(c, request)
+// readHeader reads the header of the response.
+func (r *Response) readHeader(request *Request) error {
+	cfg := &r.pool.cfg
+	r.conn.header = headerLimit{maxBytes: cfg.MaxHeaderBytes, maxTime: cfg.MaxHeaderTime}
+	resp, err := readResponse(r.conn, request)
 	if err != nil {
-		r.stop()
-		return nil, &RequestError{Sent: true, Cause: err}
+		return err
 	}
 	r.resp = resp
 	r.Status, r.Header, r.BodyLength, r.body = resp.StatusCode, resp.Header, resp.ContentLength, resp.Body
 	r.Framing = eventstream.FramingOf(request.Method, resp)
-	return r, nil
+	return nil
 }
 
 // write writes the request's header and starts to write its body.
-func (r *Response) write(c *poolConn, request *Request) error {
+func (r *Response) write(request *Request) error {
 	inline, rest := request.Body, []byte(nil)
 	if len(request.Body) > maxInlineBody {
 		inline, rest = nil, request.Body
@@ -122,11 +142,11 @@
 	}
 	head.WriteString("\r\n")
 	head.Write(inline)
-	n, err := c.Write(head.Bytes())
+	n, err := r.conn.Write(head.Bytes())
 	if err != nil {
 		return &RequestError{Sent: n > 0, Cause: err}
 	}
-	r.request = startBody(c, rest)
+	r.request = startBody(r.conn, rest, request.bodyDone)
 	return nil
 }
 
