feed: what is older than a restore keeps its epoch between routers

Cause: a state has one epoch when it is sent to a peer, and its entries have counters. Upstreams that the copy lacks are still part of it for 1.5 s, with counters of the epoch before. The receiver gave them the new epoch, so they counted as newer than what the upstreams wrote afterwards, and that was dropped. The revision of the state was the newest all the same, so nothing was fetched again.

Evidence: in one process, the reader has the new entries, and a follower that fetches from it drops them. The same conversion makes an evacuation that was ordered again impossible to withdraw at followers.

Change: the state names the epochs of the entries and evacuations that are older than it. A state that has none is encoded as before.

Tests of feed, fleet, registry and revision pass with the race detector.

--- a/feed/peer.go
+++ b/feed/peer.go
@@ -18,8 +18,12 @@
 // PeerState is a router's state as sent to its peers.
 type PeerState struct {
 	Revision int64
-	// Epoch is set between SplitEpoch and JoinEpoch; all revisions are counters then.
-	Epoch int64 `json:",omitempty"`
+	// Epoch is set between SplitEpoch and JoinEpoch; all revisions are counters then, of this epoch or
+	// of the one that UpstreamEpochs has for the ID of an upstream, or EvacuationEpochs for an evacuated
+	// failure domain.
+	Epoch            int64            `json:",omitempty"`
+	UpstreamEpochs   map[string]int64 `json:",omitempty"`
+	EvacuationEpochs map[string]int64 `json:",omitempty"`
 	// AgeNanos is the time in nanoseconds between the confirmation of the state and
 	// its export.
 	AgeNanos int64
--- a/feed/restore_test.go
+++ b/feed/restore_test.go
@@ -56,7 +56,7 @@
 			kept = append(kept, e)
 		}
 	}
-	if c.DeletedUpstream == "" {
+	if c.DeletedUpstream == "" && (c.Evacuation == nil || !c.Evacuation.Ended) {
 		kept = append(kept, c)
 	}
 	s.entries, s.history = kept, append(s.history, c)
@@ -68,6 +68,8 @@
 		return "config"
 	case c.Upstream != nil:
 		return c.Upstream.ID
+	case c.Evacuation != nil:
+		return "evacuation of " + c.Evacuation.Domain
 	}
 	return c.DeletedUpstream
 }
