registry: an upstream that has registered again isn't withheld after a restore

Callers would see requests sent to an upstream that leaves, for up to ten seconds after the platform was restored from a copy.

Cause: an entry of the copy is withheld if its upstream was deleted before the restore. The deletion stayed recorded after the upstream had registered again, so the router went on with the entry from before the restore and ignored that the copy's shows the upstream as leaving.

Change: an entry of an upstream that is in use isn't withheld, unless it is of another start of it.

--- a/registry/epoch.go
+++ b/registry/epoch.go
@@ -30,8 +30,14 @@
 }
 
 // withhold reports whether an entry is kept back: its upstream was deleted in an earlier epoch, and the
-// entry may be the copy's. An entry that is written after the first state is the upstream's own.
+// entry may be the copy's. An entry that is written after the first state is the upstream's own, and one of
+// an upstream that has registered again is newer than the deletion.
 func (r *Registry) withhold(now boottime.Time, u Upstream) bool {
+	current, known := r.entries[u.ID]
+	if known && !u.RestartOf(&current) {
+		delete(r.withheld, u.ID)
+		return false
+	}
 	d, deleted := r.deletions[u.ID]
 	fromCopy := deleted && revision.Epoch(u.Revision) > revision.Epoch(d.revision) && u.Revision <= r.epochRevision
 	restarted := u.Started != 0 && d.started != 0 && u.Started != d.started
--- a/registry/epoch_test.go
+++ b/registry/epoch_test.go
@@ -126,3 +126,34 @@
 	var end boottime.Time = receivedAt.Add(64 * time.Second)
 	g.Expect(r.View().Upstream("a").WarmUpEnd).To(Equal(end), "written again by a later start")
 }
+
+// Guards against an upstream that registered again after its entry had expired, and whose leaving is
+// ignored if the copy shows it.
+func TestUpstreamThatRegisteredAgainIsNotWithheld(t *testing.T) {
+	g := NewWithT(t)
+	r := registry.New()
+	r.Put(receivedAt, newEntry("a", at(0, 5)))
+	r.Delete("a", at(0, 20))
+	r.Put(receivedAt, newEntry("a", at(0, 22)))
+	r.BeginEpoch(receivedAt, at(1, 25))
+	leaving := newEntry("a", at(1, 24))
+	leaving.Draining = true
+	g.Expect(r.Put(receivedAt, leaving)).To(BeTrue())
+	g.Expect(r.View().Upstream("a")).To(BeNil())
+}
+
+// Guards against an earlier start of an upstream, with another address, that replaces the one that
+// registered after it.
+func TestEarlierStartInTheCopyIsWithheld(t *testing.T) {
+	g := NewWithT(t)
+	r := registry.New()
+	earlier, later := newEntry("a", at(0, 5)), newEntry("a", at(0, 22))
+	earlier.Started, later.Started = 3, 4
+	r.Put(receivedAt, earlier)
+	r.Delete("a", at(0, 20))
+	r.Put(receivedAt, later)
+	r.BeginEpoch(receivedAt, at(1, 10))
+	earlier.Revision = at(1, 5)
+	g.Expect(r.Put(receivedAt, earlier)).To(BeFalse())
+	g.Expect(r.View().Upstream("a").Started).To(Equal(int64(4)))
+}
