feed: followers and starting routers hold what a restored platform's copy shows

Callers would see upstreams that get no requests from any router which fetches its state from peers, and failure domains that stay evacuated at a router that started within ten seconds after a restore.

Cause: entries of the copy whose upstreams had been deleted are withheld for ten seconds and then used, without a new revision. The state for peers did not contain them, so followers never got them. A router that started in this time did not take part in the hold and never ended evacuations of before.

Change: the state for peers says that a restore is being held, from which revision on, and which entries are withheld.

--- a/feed/peer.go
+++ b/feed/peer.go
@@ -41,6 +41,8 @@
 	// Evacuated maps the evacuated failure domains to the revisions of the
 	// evacuation orders. It is always complete, also if Since is set.
 	Evacuated map[string]int64 `json:",omitempty"`
+	// Restore is set for a while after the platform was restored from a copy.
+	Restore *registry.Restore `json:",omitempty"`
 }
 
 // StateVersion returns the version of the current state, zero if there is none.
@@ -64,9 +66,9 @@
 	if s == nil {
 		return nil
 	}
-	state := &PeerState{Revision: s.Revision, AgeNanos: int64(age), Evacuated: f.upstreams.Evacuated()}
-	f.exportUpstreams(state, s, known.Revision)
 	now := f.now()
+	state := &PeerState{Revision: s.Revision, AgeNanos: int64(age), Evacuated: f.upstreams.Evacuated(), Restore: f.upstreams.Restore(now)}
+	f.exportUpstreams(state, s, known.Revision)
 	for id, expiry := range f.upstreams.Lapsed() {
 		if state.Lapsed == nil {
 			state.Lapsed = map[string]int64{}
@@ -131,7 +133,7 @@
 // permanently.
 func (f *Feed) importUpstreams(state *PeerState) bool {
 	now := f.now()
-	f.beginEpoch(state.Revision)
+	f.beginPeerEpoch(state)
 	if state.Since == 0 {
 		f.importListing(state, now)
 		return true
@@ -153,6 +155,20 @@
 	return true
 }
 
+// beginPeerEpoch handles a peer's state that is the first one after a restore of the platform, also if it
+// is the first one of this router: the peer may know more than the copy has.
+func (f *Feed) beginPeerEpoch(state *PeerState) {
+	switch {
+	case state.Restore == nil:
+		f.beginEpoch(state.Revision)
+	case f.revision == 0:
+		f.recoveredAt = f.now()
+		f.upstreams.BeginEpoch(f.recoveredAt, state.Restore.First)
+	default:
+		f.beginEpoch(state.Restore.First)
+	}
+}
+
 // importListing replaces the upstreams by those of a complete state.
 func (f *Feed) importListing(state *PeerState, now boottime.Time) {
 	if f.revision == 0 {
@@ -165,6 +181,12 @@
 			f.changes.add(state.Revision, u.ID)
 		}
 	}
+	if state.Restore != nil {
+		for _, u := range state.Restore.Withheld {
+			listed[u.ID] = true
+			f.upstreams.Withhold(now, u)
+		}
+	}
 	for _, id := range f.upstreams.Missing(listed) {
 		f.upstreams.Delete(id, state.Revision)
 		f.changes.add(state.Revision, id)
--- a/feed/peer_epoch.go
+++ b/feed/peer_epoch.go
@@ -13,6 +13,12 @@
 		s.UpstreamEpochs = s.recordEarlier(s.UpstreamEpochs, u.ID, u.Revision)
 		u.Revision = revision.Counter(u.Revision)
 	}
+	if s.Restore != nil { // all of it is of this epoch
+		s.Restore.First = revision.Counter(s.Restore.First)
+		for i := range s.Restore.Withheld {
+			s.Restore.Withheld[i].Revision = revision.Counter(s.Restore.Withheld[i].Revision)
+		}
+	}
 	for domain, at := range s.Evacuated {
 		s.EvacuationEpochs = s.recordEarlier(s.EvacuationEpochs, domain, at)
 		s.Evacuated[domain] = revision.Counter(at)
@@ -48,6 +54,17 @@
 			return err
 		}
 	}
+	if s.Restore != nil {
+		if s.Restore.First, err = revision.New(s.Epoch, s.Restore.First); err != nil {
+			return err
+		}
+		for i := range s.Restore.Withheld {
+			u := &s.Restore.Withheld[i]
+			if u.Revision, err = revision.New(s.Epoch, u.Revision); err != nil {
+				return err
+			}
+		}
+	}
 	for domain, counter := range s.Evacuated {
 		if s.Evacuated[domain], err = s.joined(s.EvacuationEpochs, domain, counter); err != nil {
 			return err
--- a/feed/restore_test.go
+++ b/feed/restore_test.go
@@ -74,6 +74,18 @@
 	return c.DeletedUpstream
 }
 
+// has reports whether a change is published already.
+func (s *restoredSource) has(c feed.Change) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.entries {
+		if entryName(e) == entryName(c) {
+			return e.Upstream != nil && c.Upstream != nil && *e.Upstream == *c.Upstream || e.Evacuation != nil && !c.Evacuation.Ended
+		}
+	}
+	return c.DeletedUpstream != "" || c.Evacuation != nil && c.Evacuation.Ended
+}
+
 // copied returns a function that restores the platform to its present state. The caller of the
 // function must hold mu.
 func (s *restoredSource) copied() func() {
--- a/registry/epoch.go
+++ b/registry/epoch.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/boottime"
@@ -24,6 +26,34 @@
 	clear(r.withheld)
 }
 
+// Restore is what a router knows of the first state after a restore of the platform, as long as what was
+// known before takes precedence.
+type Restore struct {
+	// First is that state's revision.
+	First int64
+	// Withheld are its entries whose upstreams are known to have been removed.
+	Withheld []Upstream `json:",omitempty"`
+}
+
+// Restore returns what was recorded of the current epoch's first state, or nil if the state is accepted as
+// it is.
+func (r *Registry) Restore(now boottime.Time) *Restore {
+	if !r.holds(now) {
+		return nil
+	}
+	return &Restore{First: r.epochRevision, Withheld: slices.Collect(maps.Values(r.withheld))}
+}
+
+// Withhold records an entry of the current epoch's first state that another router withholds, unless this
+// one knows more of it.
+func (r *Registry) Withhold(now boottime.Time, u Upstream) {
+	current, known := r.entries[u.ID]
+	if known && !u.RestartOf(&current) || !r.holds(now) || max(current.Revision, r.deletions[u.ID].revision) > u.Revision {
+		return
+	}
+	r.withheld[u.ID] = u
+}
+
 // holds reports whether what was known before the current epoch takes precedence.
 func (r *Registry) holds(now boottime.Time) bool {
 	return r.epochStart != 0 && now < r.epochStart.Add(copyHold)
