gateway, resumption: a stream is as old as its caller's deadline allows

Callers would see a whole answer with status 200 whose text doesn't fit together.

Cause: without a record, a stream goes on if only one version was seen for the timeout of its route and five seconds. A stream can be older: each continuation has the whole timeout again, callers pause between tries, and operators lower timeouts.

Change: the longest deadline that callers have stated on the route within the last minutes bounds the age. If a caller stated none, or no first attempt has been seen, nothing does, and the stream is refused.

Tests of gateway, resumption and fleet pass with the race detector.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -65,6 +65,9 @@
 	warming bool
 	// streams has the origins of streams that the gateway has reported.
 	streams *resumption.Table
+	// history, if not nil, shows the versions that have served until historyAge.
+	history    *resumption.History
+	historyAge time.Duration
 	// group is the upstream group whose home decides.
 	group int
 	// loads are the loads that were reported with the first bytes of responses.
@@ -226,14 +229,18 @@
 	p.streams.Record(0, resumption.NewStreamID(attempt), origin)
 }
 
-func (p *fakePlacer) StreamVersion(_ context.Context, service, attempt string, _ time.Duration) resumption.Decision {
+func (p *fakePlacer) StreamVersion(_ context.Context, service, attempt string, window time.Duration) resumption.Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now, version, evidence := p.historyAge, "", resumption.Several
+	if p.history != nil {
+		version, evidence = p.history.SoleVersion(now, service, now, window)
+	}
 	q := resumption.NewQuery(0, resumption.NewStreamID(attempt), service, nil, 0)
 	if origin, found := p.streams.Lookup(q.ID); found {
 		q.Known(origin, "the test")
 	}
-	return q.Decide(0, "", resumption.Several)
+	return q.Decide(0, version, evidence)
 }
 
 func (p *fakePlacer) Quarantine() *quarantine.View {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"strconv"
@@ -29,6 +30,8 @@
 	body    heldBody
 	// arrived is when the request's header had been read, and complete when its body had, too.
 	arrived, complete time.Time
+	// statedDeadline is how long the caller waits from arrived on by its own words, 0 if it states nothing.
+	statedDeadline time.Duration
 	// deadline is when the caller must have a response: the earlier of its own deadline
 	// and the route's timeout, minus Config.DeadlineMargin.
 	deadline     time.Time
@@ -152,11 +155,20 @@
 	return nil
 }
 
-// timeLeft returns how long the caller may wait for a response.
+// readDeadline returns how long the caller waits by its own words, false if it states nothing.
+func (s *Server) readDeadline(in *http.Request) (stated time.Duration, ok bool) {
+	ms, err := strconv.ParseFloat(in.Header.Get(s.cfg.Headers.Deadline), 64)
+	if err != nil || math.IsNaN(ms) || ms < 0 {
+		return 0, false
+	}
+	return time.Duration(min(ms, maxDeadlineMs) * float64(time.Millisecond)), true
+}
+
+// timeLeft returns how long the caller may wait for a response, and records what it states.
 func (s *Server) timeLeft(r *request) time.Duration {
 	left := s.cfg.DefaultDeadline
-	if ms, err := strconv.ParseFloat(r.in.Header.Get(s.cfg.Headers.Deadline), 64); err == nil && ms >= 0 {
-		left = time.Duration(min(ms, maxDeadlineMs) * float64(time.Millisecond))
+	if stated, ok := s.readDeadline(r.in); ok {
+		r.statedDeadline, left = stated, stated
 	}
 	if r.route.Timeout > 0 {
 		left = min(left, r.route.Timeout)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -32,6 +32,8 @@
 			if refused := s.findVersion(ctx, r); refused != nil {
 				return refused, false
 			}
+		} else {
+			s.streamAges.observe(time.Since(s.start), r.route.Name, r.statedDeadline)
 		}
 	}
 	for {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/aspenswitch/aspenswitch/abort"
 	"github.com/aspenswitch/aspenswitch/obs"
+	"github.com/aspenswitch/aspenswitch/resumption"
 	"github.com/aspenswitch/aspenswitch/retry"
 	"github.com/aspenswitch/aspenswitch/upstream"
 )
@@ -38,6 +39,8 @@
 	shedder *shedder
 	teams   teamLoads
 	bodies  *bodyBudget
+	// streamAges bounds the ages of streams that callers continue.
+	streamAges streamAges
 
 	// mu guards budget, listener, servers and closed.
 	mu     sync.Mutex
@@ -72,7 +75,7 @@
 	baseCtx, cancelRequests := context.WithCancelCause(context.Background())
 	return &Server{
 		cfg: cfg, state: state, placer: placer, pool: pool, budget: budget,
-		log: log, stats: newStats(metrics.Scope), start: time.Now(), shedder: newShedder(cfg.Shed), availability: newUpstreamAvailability(), path: newUpstreamPath(), bodies: newBodyBudget(cfg.MaxRequests),
+		log: log, stats: newStats(metrics.Scope), start: time.Now(), shedder: newShedder(cfg.Shed), availability: newUpstreamAvailability(), path: newUpstreamPath(), bodies: newBodyBudget(cfg.MaxRequests), streamAges: streamAges{routes: map[string]*resumption.AgeBound{}},
 		baseCtx: baseCtx, cancelRequests: cancelRequests,
 	}
 }
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -20,18 +20,18 @@
 	return h.Get(lastEventID) != "" || h.Get(s.cfg.Headers.Resumes) != ""
 }
 
-// continuationMargin is the time after its route's timeout within which a stream is continued: its
-// upstream may serve on for seconds after its entry was removed, and callers wait before they try
-// again.
-const continuationMargin = 5 * time.Second
+// removalMargin is how long after the removal of its entry an upstream may still begin a stream: it serves
+// on for seconds, and routers with an older state send it requests.
+const removalMargin = 5 * time.Second
 
 // findVersion finds the software version at which a stream continues that another attempt began.
 func (s *Server) findVersion(ctx context.Context, r *request) *refusal {
-	timeout := r.route.Timeout
-	if timeout <= 0 {
-		timeout = s.cfg.DefaultDeadline
+	age := s.streamAges.longest(time.Since(s.start), r.route.Name)
+	if age != resumption.UnknownAge {
+		// The caller waits for this long from now on, and has waited before.
+		age = max(age, r.statedDeadline) + removalMargin
 	}
-	d := s.placer.StreamVersion(ctx, r.service, r.record.resumes, timeout+continuationMargin)
+	d := s.placer.StreamVersion(ctx, r.service, r.record.resumes, age)
 	r.record.versionSource = d.Source
 	if d.Verdict != resumption.Continue {
 		r.record.cause = d.Source
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -101,3 +101,47 @@
 	g.Expect(body).To(And(ContainSubstring("version_unknown"), ContainSubstring(`"outcome":"not-run"`)))
 	g.Expect(r.requests()).To(HaveLen(2), "refused continuations don't run")
 }
+
+// Guards against a stream of a version that left before all routers restarted, and that goes on at the only
+// version that they have seen, since its caller waits for longer than the timeout of the route.
+func TestStreamThatMayBeOlderThanTheRoutersIsNotContinued(t *testing.T) {
+	const deadline = "15000"
+	for name, c := range map[string]struct {
+		historyAge time.Duration
+		// stated are the deadlines that callers state with first attempts.
+		stated []string
+		status int
+	}{
+		"younger than the callers' deadline":     {10 * time.Second, []string{"1000", deadline, "1000"}, http.StatusServiceUnavailable},
+		"upstreams serve on after their removal": {19 * time.Second, []string{deadline}, http.StatusServiceUnavailable},
+		"older than any stream":                  {25 * time.Second, []string{"1000", deadline, "1000"}, http.StatusOK},
+		"no caller has stated a deadline":        {25 * time.Second, []string{deadline, ""}, http.StatusServiceUnavailable},
+		"no caller has been seen":                {25 * time.Second, nil, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := newHarness(t, map[string]script{"u1": events(4, 6, "", true)})
+			history := resumption.NewHistory()
+			history.Update(0, resumption.Versions{"llm": {"v1"}})
+			for at := time.Duration(0); at <= c.historyAge; at += time.Second {
+				history.Confirm(at)
+			}
+			r.placer.history, r.placer.historyAge = history, c.historyAge
+			for _, stated := range c.stated {
+				_, _, err := r.call("/resume/", func(req *http.Request) {
+					req.Header.Del(names.Deadline)
+					if stated != "" {
+						req.Header.Set(names.Deadline, stated)
+					}
+				})
+				g.Expect(err).NotTo(HaveOccurred())
+			}
+			resp, body, err := r.call("/resume/", func(req *http.Request) {
+				req.Header.Set("Last-Event-Id", "3")
+				req.Header.Set(names.Resumes, "before the restart")
+			})
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(resp.StatusCode).To(Equal(c.status), body)
+		})
+	}
+}
