upstream: a response without a length is complete once its request is written

Cause: the kernel reports a reset once. The goroutine that writes the body got it and dropped it; the one that reads the response got a regular end, which marks the end of a body without a length.

Evidence: in the failing tests the write returns ECONNRESET and the next read 0 without an error.

Change: at the end of a connection the reader waits for the writer, and the body is complete only if the request was written. A rejection without a length isn't read to its end any more, since its connection can't be reused.

--- a/upstream/body_writer.go
+++ b/upstream/body_writer.go
@@ -1,19 +1,26 @@
 package upstream
 
-import "io"
+import (
+	"errors"
+	"fmt"
+	"io"
+)
 
 // maxInlineBody is the maximum size in bytes of a body that is written before the
 // response is read. A larger one is written concurrently: an upstream may respond
 // before it has read the whole body, and the TCP windows of both sides are small.
 const maxInlineBody = 16 << 10
 
+// errUnwritten is returned for a response that ended with its connection before the request was written.
+var errUnwritten = errors.New("upstream: the connection ended before the request was written")
+
 // bodyWriter writes the part of a request's body that isn't sent with the header. It has its own
 // reference to the bytes: the caller may drop its own as soon as it has the response.
 type bodyWriter struct {
 	// done is closed when nothing more is written.
 	done chan struct{}
-	// complete is whether the whole body was written. It is valid once done is closed.
-	complete bool
+	// err is nil if the whole body was written. It is valid once done is closed.
+	err error
 }
 
 // startBody writes body concurrently and then calls release. A body of which nothing is left to write is
@@ -21,7 +28,6 @@
 func startBody(w io.Writer, body []byte, release func()) *bodyWriter {
 	b := &bodyWriter{done: make(chan struct{})}
 	if len(body) == 0 {
-		b.complete = true
 		close(b.done)
 		release()
 		return b
@@ -29,9 +35,11 @@
 	go func() {
 		defer release()
 		defer close(b.done)
-		// A write error surfaces when the response is read.
 		n, err := w.Write(body)
-		b.complete = err == nil && n == len(body)
+		if err == nil && n < len(body) {
+			err = io.ErrShortWrite
+		}
+		b.err = err
 	}()
 	return b
 }
@@ -40,8 +48,17 @@
 func (b *bodyWriter) written() bool {
 	select {
 	case <-b.done:
-		return b.complete
+		return b.err == nil
 	default:
 		return false
 	}
 }
+
+// wait waits until nothing more is written. It returns an error if the body was not written completely.
+func (b *bodyWriter) wait() error {
+	<-b.done
+	if b.err != nil {
+		return fmt.Errorf("%w: %w", errUnwritten, b.err)
+	}
+	return nil
+}
--- a/upstream/body_writer_test.go
+++ b/upstream/body_writer_test.go
@@ -74,3 +74,54 @@
 	body := <-received
 	g.Expect(body == strings.Repeat("x", 20<<10) || !reused).To(BeTrue(), "%d bytes of the body came, and the connection is reused: %t", len(body), reused)
 }
+
+// Guards against a part of a response that counts as complete because the reset of its connection was
+// reported to the goroutine that writes the request.
+func TestUnframedResponseThatIsResetDuringTheUpload(t *testing.T) {
+	for name, c := range map[string]struct {
+		head     string
+		end      func(c *net.TCPConn, r *bufio.Reader)
+		complete bool
+	}{
+		"reset":                   {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", func(c *net.TCPConn, _ *bufio.Reader) { _ = c.SetLinger(0); _ = c.Close() }, false},
+		"reset after an interim":  {"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\n\r\n", func(c *net.TCPConn, _ *bufio.Reader) { _ = c.SetLinger(0); _ = c.Close() }, false},
+		"reset, old version":      {"HTTP/1.0 200 OK\r\nId: 1\r\n\r\n", func(c *net.TCPConn, _ *bufio.Reader) { _ = c.SetLinger(0); _ = c.Close() }, false},
+		"closed with unread data": {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", func(c *net.TCPConn, _ *bufio.Reader) { _ = c.Close() }, false},
+		"half closed, then reset": {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", func(c *net.TCPConn, _ *bufio.Reader) {
+			_ = c.CloseWrite()
+			time.Sleep(100 * time.Millisecond)
+			_ = c.Close()
+		}, false},
+		"half closed, and read on": {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", func(c *net.TCPConn, r *bufio.Reader) {
+			_ = c.CloseWrite()
+			time.Sleep(100 * time.Millisecond)
+			_, _ = io.Copy(io.Discard, r)
+		}, true},
+		"read to the end": {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", func(c *net.TCPConn, r *bufio.Reader) {
+			_, _, _ = readRequest(r)
+			_ = c.Close()
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			got := make(chan struct{})
+			s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+				_, _ = io.WriteString(conn, c.head+"part")
+				<-got
+				c.end(conn.(*net.TCPConn), r)
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			resp, err := newPool(t).Do(ctx, s.request("1", strings.Repeat("x", 8<<20)))
+			g.Expect(err).NotTo(HaveOccurred())
+			defer resp.Close()
+			_, err = io.ReadFull(resp, make([]byte, 4))
+			g.Expect(err).NotTo(HaveOccurred())
+			close(got)
+			time.Sleep(50 * time.Millisecond) // the write has failed
+			_, err = io.ReadAll(resp)
+			g.Expect(err == nil).To(Equal(c.complete), "%v", err)
+			g.Expect(resp.Complete()).To(Equal(c.complete))
+		})
+	}
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -250,8 +250,17 @@
 }
 
 // Read implements io.Reader on the body. It returns io.EOF only if the body is complete.
+//
+// If a body is framed by the end of its connection and the request is still being written, Read waits for
+// the writer: the kernel reports a reset once, and if the writer gets the error, the reader sees a regular
+// end. An upstream that has closed only its side of the connection reads on, and the writer succeeds.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
+	if err == io.EOF && r.Framing == eventstream.Connection {
+		if writeErr := r.request.wait(); writeErr != nil {
+			return n, writeErr
+		}
+	}
 	switch {
 	case err == nil:
 	case err == io.EOF:
@@ -265,6 +274,9 @@
 // Discard reads the rest of the body, so that the connection can be reused. It gives up, and Close
 // closes the connection, after maxBytes bytes or maxTime.
 func (r *Response) Discard(maxBytes int64, maxTime time.Duration) {
+	if r.Framing == eventstream.Connection {
+		return // the connection can't be reused
+	}
 	_, _ = r.conn.discard(r, maxBytes, maxTime)
 }
 
