upstream: the own API's client waits for the report of the request's write

Callers of the own API would see a part of a response without a length as a complete one, if the upstream ended during the upload and its connection was closed with FIN.

Change: a body that ends with its connection is complete only if the transport has reported that the request was written without an error.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -7,10 +7,11 @@
 	"net/http"
 	"net/http/httptrace"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/aspenswitch/aspenswitch/eventstream"
 )
 
 // Error is the class of this package's errors.
@@ -115,13 +116,15 @@
 	if !repeatable {
 		transport = c.unpooled
 	}
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	ctx, cancel := context.WithCancelCause(httptrace.WithClientTrace(req.Context(), trace))
+	trace := &requestTrace{}
+	ctx, cancel := context.WithCancelCause(httptrace.WithClientTrace(req.Context(), trace.hooks()))
 	resp, err := transport.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		cancel(err)
-		return nil, &RequestError{Sent: sent.Load(), Cause: c.markMalformed(err)}
+		return nil, &RequestError{Sent: trace.sent(), Cause: c.markMalformed(err)}
+	}
+	if eventstream.FramingOf(req.Method, resp) == eventstream.Connection {
+		resp.Body = &unframedBody{ReadCloser: resp.Body, trace: trace}
 	}
 	resp.Body = newIdleBody(resp.Body, c.cfg.IdleTimeout, cancel)
 	return resp, nil
