responsehead: one judge of whether bytes are the head of a response

Reported from systems of this kind: callers got answers with status 000, and answers in whose header a name has a blank or a control byte (MIXED). Here they got statuses like 999, responses with such names, with a body that isn't the upstream's if the name was 'Content-Length ', and waited until the deadline after a status 000 or 101.

Cause: net/http parses more than is a response, and the router took what it parses for valid, and a status below 200 for an interim response.

Change: package responsehead checks a head as its bytes arrive: version, status, names, values, and a framing that is clear. What it refuses is a MalformedResponseError with a reason of its own, counted and logged, and the request may have run. The pool uses it for each head, interim ones too; the clients built on http.Transport (own API, platform, bundles, load reports) judge what was parsed. A platform's 'Epoch : 3' was read as no epoch.

--- a/bundlefeed/client.go
+++ b/bundlefeed/client.go
@@ -12,6 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/aspenswitch/aspenswitch/membership"
+	"github.com/aspenswitch/aspenswitch/upstream"
 )
 
 // Error is the class of this package's errors.
@@ -38,7 +39,7 @@
 // this timeout detects it.
 func NewClient(baseURL string, wait time.Duration) *Client {
 	return &Client{baseURL: baseURL, http: &http.Client{
-		Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: wait, MaxResponseHeaderBytes: maxHeaderBytes},
+		Transport: &upstream.CheckedTransport{Base: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: wait, MaxResponseHeaderBytes: maxHeaderBytes}},
 		Timeout:   wait + watchMargin,
 	}}
 }
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -127,13 +127,13 @@
 // platformClient returns an HTTP client that keeps one idle connection for the watch. It has no
 // overall timeout, since each call has a deadline.
 func platformClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: &upstream.CheckedTransport{Base: &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
 		MaxIdleConnsPerHost:    1,
 		IdleConnTimeout:        10 * time.Second,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: upstream.DefaultPoolConfig().MaxHeaderBytes,
-	}}
+	}}}
 }
 
 func (d *FleetDaemon) openListeners() error {
--- a/router/watch.go
+++ b/router/watch.go
@@ -11,6 +11,7 @@
 	"github.com/aspenswitch/aspenswitch/limits"
 	"github.com/aspenswitch/aspenswitch/membership"
 	"github.com/aspenswitch/aspenswitch/sched"
+	"github.com/aspenswitch/aspenswitch/upstream"
 )
 
 // pollVMs polls the platform's list of VMs until the router stops.
@@ -99,7 +100,7 @@
 
 // pollLoads polls the load reports of the upstreams whose home is this router.
 func (r *Router) pollLoads() {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{MaxResponseHeaderBytes: maxLoadReportBytes}}
+	client := &http.Client{Timeout: time.Second, Transport: &upstream.CheckedTransport{Base: &http.Transport{MaxResponseHeaderBytes: maxLoadReportBytes}}}
 	for r.sleep(r.cfg.LoadPollInterval) {
 		var homes []sched.Upstream
 		r.inspect(func(c *controller) { homes = c.node.HomedUpstreams() })
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -123,6 +123,10 @@
 		cancel(err)
 		return nil, &RequestError{Sent: trace.sent(), Cause: c.markMalformed(err)}
 	}
+	if err := checkParsed(resp); err != nil {
+		cancel(err)
+		return nil, &RequestError{Sent: true, Cause: err}
+	}
 	if eventstream.FramingOf(req.Method, resp) == eventstream.Connection {
 		resp.Body = &unframedBody{ReadCloser: resp.Body, trace: trace}
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -206,13 +206,17 @@
 
 // readHeader reads one response header.
 func readHeader(c *poolConn, req *http.Request) (*http.Response, error) {
-	c.header.begin()
+	buffered, _ := c.br.Peek(c.br.Buffered()) // what is buffered can be peeked
+	c.header.begin(buffered)
 	defer c.header.end()
 	if err := expectProtocol(c); err != nil {
 		return nil, err
 	}
 	resp, err := http.ReadResponse(c.br, req)
 	if err == nil {
+		if err := newInvalidHead(c.header.checker.Err(), c.header.received); err != nil {
+			return nil, err
+		}
 		return resp, nil
 	}
 	// The parser may report what it has read instead of the limit at which the read ended.
--- a/upstream/header_limit.go
+++ b/upstream/header_limit.go
@@ -1,6 +1,10 @@
 package upstream
 
-import "time"
+import (
+	"time"
+
+	"github.com/aspenswitch/aspenswitch/responsehead"
+)
 
 // headerLimit bounds the bytes and the time of the headers of one exchange. Without it, a line that
 // doesn't end would be held in memory until the deadline of the request.
@@ -14,13 +18,17 @@
 	maxTime time.Duration
 	// first and last are when the current header's first and last bytes so far arrived.
 	first, last time.Time
+	// checker checks the current header.
+	checker responsehead.Checker
 	// readErr is the error at which the current header's bytes ended, nil if there was none.
 	readErr error
 }
 
-// begin starts a header.
-func (l *headerLimit) begin() {
+// begin starts a header, of which buffered has arrived.
+func (l *headerLimit) begin(buffered []byte) {
 	l.active, l.first, l.last, l.readErr = true, time.Time{}, time.Time{}, nil
+	l.checker = responsehead.Checker{}
+	_, _ = l.checker.Write(buffered) // its error is kept
 }
 
 func (l *headerLimit) end() { l.active = false }
@@ -38,12 +46,13 @@
 	return l.maxBytes - l.received, nil
 }
 
-// add counts n received bytes.
-func (l *headerLimit) add(n int, now time.Time) {
-	if n <= 0 {
+// add records received bytes.
+func (l *headerLimit) add(received []byte, now time.Time) {
+	if len(received) == 0 {
 		return
 	}
-	l.received += int64(n)
+	_, _ = l.checker.Write(received) // its error is kept
+	l.received += int64(len(received))
 	l.last = now
 	if l.first.IsZero() {
 		l.first = now
--- a/upstream/malformed.go
+++ b/upstream/malformed.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net"
+
+	"github.com/aspenswitch/aspenswitch/responsehead"
 )
 
 // MalformedReason is why received bytes are not a response. It is used in logs and as a metric tag.
@@ -20,6 +22,12 @@
 	HeaderTooSlow MalformedReason = "header_too_slow"
 	// InvalidHeader is for a status line or a header that can't be parsed.
 	InvalidHeader MalformedReason = "invalid_header"
+	// InvalidStatus, UnrequestedUpgrade, InvalidField and InvalidFraming are for a status line or a header
+	// that can be parsed and isn't valid, see package responsehead.
+	InvalidStatus      = MalformedReason(responsehead.InvalidStatus)
+	UnrequestedUpgrade = MalformedReason(responsehead.UnrequestedUpgrade)
+	InvalidField       = MalformedReason(responsehead.InvalidField)
+	InvalidFraming     = MalformedReason(responsehead.InvalidFraming)
 	// InvalidBody is for a body whose chunks can't be parsed.
 	InvalidBody MalformedReason = "invalid_body"
 	// BodyTooLarge is for a body that is read as a whole and exceeds its limit.
@@ -31,7 +39,10 @@
 )
 
 // MalformedReasons are all reasons.
-var MalformedReasons = []MalformedReason{NotHTTP, HeaderTooLarge, HeaderTooSlow, InvalidHeader, InvalidBody, BodyTooLarge, EventTooLarge, MismatchedBody}
+var MalformedReasons = []MalformedReason{
+	NotHTTP, HeaderTooLarge, HeaderTooSlow, InvalidHeader, InvalidStatus, UnrequestedUpgrade, InvalidField, InvalidFraming,
+	InvalidBody, BodyTooLarge, EventTooLarge, MismatchedBody,
+}
 
 // MalformedResponseError is returned for bytes that are not a response, or for a response that
 // exceeds a limit. The upstream is reachable and may have run the request.
@@ -53,6 +64,16 @@
 	return text
 }
 
+// newInvalidHead returns the error for a head that isn't valid, nil if err is nil. received is the number
+// of bytes that have been received of it.
+func newInvalidHead(err error, received int64) error {
+	var invalid *responsehead.Error
+	if !errors.As(err, &invalid) {
+		return err
+	}
+	return &MalformedResponseError{Reason: MalformedReason(invalid.Reason), Bytes: received, Cause: invalid}
+}
+
 // maxCauseBytes limits the text of a parser's error, which may quote a whole header. The text is logged.
 const maxCauseBytes = 128
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -138,7 +138,7 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(b[:min(int64(len(b)), room)])
-	c.header.add(n, time.Now())
+	c.header.add(b[:n], time.Now())
 	c.header.readErr = err
 	return n, err
 }
