upstream: the idle time that an upstream states is read with its header

Callers would see requests that fail because their connection is being closed by the upstream: the time after which it closes idle connections, in its Keep-Alive field, had no effect.

Cause: the gateway removes the fields of one connection from the header that it passes on, which is the same map, and the pool reads the field after the response has ended.

Change: the pool reads it with the header.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -38,9 +38,11 @@
 	placer *fakePlacer
 	server *gateway.Server
 	addr   string
-	// mu guards received, the requests that the upstreams have read.
+	// mu guards received, the requests that the upstreams have read, and conns.
 	mu       sync.Mutex
 	received []receivedRequest
+	// conns is the number of connections to upstreams.
+	conns    int
 	logs     logBuffer
 	registry *registry.Registry
 }
@@ -174,6 +176,9 @@
 
 func (r *harness) handleConn(id string, c net.Conn, s script) {
 	defer func() { _ = c.Close() }()
+	r.mu.Lock()
+	r.conns++
+	r.mu.Unlock()
 	br := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(br)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -47,7 +47,9 @@
 	conn    *poolConn
 	pool    *Pool
 	resp    *http.Response
-	stop    func() bool
+	// idleTimeout is how long the connection may stay idle after the response.
+	idleTimeout time.Duration
+	stop        func() bool
 	// request writes the rest of the request.
 	request  *bodyWriter
 	complete bool
@@ -119,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	r.resp = resp
+	r.resp, r.idleTimeout = resp, r.pool.idleTimeout(resp.Header)
 	r.Status, r.Header, r.BodyLength, r.body = resp.StatusCode, resp.Header, resp.ContentLength, resp.Body
 	r.Framing = eventstream.FramingOf(request.Method, resp)
 	return nil
@@ -302,5 +304,5 @@
 		_ = r.conn.Close()
 		return
 	}
-	r.pool.put(r.conn, r.resp)
+	r.pool.put(r.conn, r.idleTimeout)
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -204,9 +204,8 @@
 	return c
 }
 
-// put returns a connection to the pool after a complete response.
-func (p *Pool) put(c *poolConn, resp *http.Response) {
-	idle := p.idleTimeout(resp)
+// put returns a connection to the pool after a complete response. It may stay idle for the given time.
+func (p *Pool) put(c *poolConn, idle time.Duration) {
 	if idle <= 0 {
 		_ = c.Close()
 		return
@@ -223,9 +222,9 @@
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
-// idleTimeout returns how long a connection may stay idle after a response.
-func (p *Pool) idleTimeout(resp *http.Response) time.Duration {
-	for part := range strings.SplitSeq(resp.Header.Get("Keep-Alive"), ",") {
+// idleTimeout returns how long a connection may stay idle after a response with the given header.
+func (p *Pool) idleTimeout(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		value, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
 		if !found {
 			continue
