gateway: a response is validated as it is passed on

Callers would get a success without the upstream's seal (MIXED) if the upstream named the seal in its Connection field.

Cause: the response was validated with the fields of one connection, and passed on without them.

Change: these fields are removed before the response is validated.

Result: TestResponseWhoseSealIsForOneConnectionIsInvalid failed before (200 without a seal; now 502). Tests of gateway pass with the race detector.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -10,6 +10,7 @@
 
 	"github.com/aspenswitch/aspenswitch/dispatch"
 	"github.com/aspenswitch/aspenswitch/eventstream"
+	"github.com/aspenswitch/aspenswitch/headers"
 	"github.com/aspenswitch/aspenswitch/routing"
 	"github.com/aspenswitch/aspenswitch/upstream"
 )
@@ -19,6 +20,7 @@
 // outcome that the caller sees is in result.refused.
 func (s *Server) handleResponse(ctx context.Context, r *request, out *relay, resp *upstream.Response, onFirstByte func()) (result, dispatch.Outcome) {
 	r.record.framing, r.record.streamEnd = resp.Framing.String(), ""
+	headers.RemoveHopByHop(resp.Header) // before the response is validated, as it is passed on without them
 	notice := s.parseUpstreamNotice(resp)
 	r.record.upstreamLeaving, r.record.upstreamRetryAfter = notice.leaving, notice.retryAfter
 	s.handleNotice(r, notice)
--- a/gateway/connection_fields_test.go
+++ b/gateway/connection_fields_test.go
@@ -10,6 +10,19 @@
 	. "github.com/onsi/gomega"
 )
 
+// Guards against a success without its seal, which callers can't verify, because the upstream names the
+// seal in its Connection field.
+func TestResponseWhoseSealIsForOneConnectionIsInvalid(t *testing.T) {
+	g := NewWithT(t)
+	r := newHarness(t, map[string]script{"u1": func(req *http.Request, w io.Writer) bool {
+		_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nConnection: X-Seal\r\nContent-Length: 5\r\n\r\nwrong", req.Header.Get("X-Id"))
+		return err == nil
+	}})
+	resp, body, err := r.call("/unsafe/x", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusBadGateway), body)
+}
+
 // Guards against requests on connections that the upstream has announced to close, since its Keep-Alive
 // field was removed before the connection was put back.
 func TestIdleTimeOfAnUpstreamIsHeeded(t *testing.T) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -8,7 +8,6 @@
 	"strconv"
 
 	"github.com/aspenswitch/aspenswitch/eventstream"
-	"github.com/aspenswitch/aspenswitch/headers"
 	"github.com/aspenswitch/aspenswitch/routing"
 	"github.com/aspenswitch/aspenswitch/upstream"
 )
@@ -61,7 +60,6 @@
 	if l.onStart != nil {
 		l.onStart()
 	}
-	headers.RemoveHopByHop(a.Header)
 	h := l.w.Header()
 	for name, values := range a.Header {
 		h[name] = values
