gateway: a stopping router sends only requests that can end in its grace

Reported from systems like this one: in a planned stop, requests that came late in the grace were passed on and cut at its end (LOST). Here: requests longer than the grace that is left, uploads that end late, and requests that wait for an upstream were sent and ended with an unknown outcome; an upload that outlasted the grace had no answer.

Cause: only the arrival of a request was compared with the stop, not how long it would run, nor when it would be sent.

Change: a request is sent if its route's recent requests (95 of 100) have run for less than the time until the router aborts what is left, or if its own deadline is earlier. It is decided at the edge, while the request waits for its body or an upstream, and at the moment of sending; otherwise the request is refused as not run, at once.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -42,6 +42,8 @@
 	upstreams   []string
 	outcomes    []dispatch.Outcome
 	beforePlace func()
+	// waitToPlace, if not nil, is called with the context of each placement, and ends it with an error.
+	waitToPlace func(ctx context.Context) error
 	refuse      *dispatch.Decision
 	// placed are the requests to be placed.
 	placed  []dispatch.Request
@@ -74,10 +76,15 @@
 	loads []dispatch.LoadReport
 }
 
-func (p *fakePlacer) Place(_ context.Context, _ string, r dispatch.Request) (dispatch.Decision, error) {
+func (p *fakePlacer) Place(ctx context.Context, _ string, r dispatch.Request) (dispatch.Decision, error) {
 	if p.beforePlace != nil {
 		p.beforePlace()
 	}
+	if p.waitToPlace != nil {
+		if err := p.waitToPlace(ctx); err != nil {
+			return dispatch.Decision{}, err
+		}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.placed = append(p.placed, r)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -94,7 +94,7 @@
 	}
 	r.record.route = r.route.Name
 	if s.forwardingEnded() {
-		return r, notRun("stopping", "this router is stopping; the request was not run", minRetryAfter)
+		return r, stoppingRefusal(r)
 	}
 	if refused := s.authenticate(r); refused != nil {
 		return r, refused
@@ -105,6 +105,9 @@
 	}
 	r.record.remaining = s.timeLeft(r)
 	r.deadline = r.arrived.Add(r.record.remaining)
+	if refused := s.refuseUnfinishable(r); refused != nil {
+		return r, refused
+	}
 	s.readPrompt(r)
 	r.service = r.route.ServiceFor(r.sessionKey())
 	r.record.service = r.service
@@ -200,13 +203,17 @@
 	}
 	r.body = heldBody{budget: s.bodies, team: r.teamName(), requests: s.activeRequests.Load}
 	pace := bodyPace{start: r.arrived, grace: s.callerLimits().headerTimeout, end: r.deadline}
-	err := r.body.read(r.in.Body, r.in.ContentLength, limit, func(received int64) error {
-		return control.SetReadDeadline(pace.deadline(received))
-	})
+	deadline := &bodyDeadline{server: s, request: r, control: control, pace: pace}
+	endUpdates := context.AfterFunc(s.stopping, deadline.update)
+	err := r.body.read(r.in.Body, r.in.ContentLength, limit, deadline.progress)
+	endUpdates()
 	switch {
 	case err == nil: // the server clears the read deadline at the end of the body
 		r.complete = time.Now()
 		return nil
+	case errors.Is(err, os.ErrDeadlineExceeded) && s.unfinishable(r):
+		r.body.release()
+		return s.refuseUnfinishable(r)
 	case errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(r.deadline):
 		r.body.release()
 		s.stats.slowBodies.Inc(1)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -61,6 +61,7 @@
 		s.teams.countStarted(r)
 	})
 	if outcome == dispatch.Served {
+		s.runTimes.record(r.route.Name, time.Since(sentAt))
 		s.reportSuccess(r)
 	}
 	s.placer.Done(r.service, t, outcome, time.Since(sentAt))
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -94,10 +95,18 @@
 	}
 	ticket := s.placer.NewTicket()
 	started, requestedAt := time.Now(), boottime.Now()
-	d, err := s.placer.Place(ctx, r.service, s.placementRequest(r, ticket, avoid))
+	placement, endPlacement := s.placementContext(ctx, r)
+	d, err := s.placer.Place(placement, r.service, s.placementRequest(r, ticket, avoid))
+	tooLate := errors.Is(context.Cause(placement), errTooLateToBegin)
+	endPlacement()
 	r.placements++
 	r.record.placementTime += time.Since(started)
 	r.record.predictedFirstByte, r.record.sinceFirstAttempt, r.record.overShare = d.PredictedFirstByte, d.SinceFirstAttempt, d.OverShare
+	if err != nil && tooLate {
+		r.record.cause = errTooLateToBegin.Error()
+		s.stats.unfinishable.Inc(1)
+		return result{refused: stoppingRefusal(r)}
+	}
 	if err != nil {
 		return result{refused: s.placementFailed(r, err)}
 	}
@@ -109,6 +118,9 @@
 		s.teams.countSent(r)
 	}
 	retryable, refused := s.checkBeforeSend(r, d.Upstream)
+	if refused == nil && !out.started {
+		refused = s.refuseUnfinishable(r)
+	}
 	if refused != nil {
 		s.placer.Done(r.service, ticket, dispatch.NotSent, 0)
 		return result{refused: refused, retryable: retryable}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -13,6 +13,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/aspenswitch/aspenswitch/abort"
+	"github.com/aspenswitch/aspenswitch/durations"
 	"github.com/aspenswitch/aspenswitch/obs"
 	"github.com/aspenswitch/aspenswitch/resumption"
 	"github.com/aspenswitch/aspenswitch/retry"
@@ -54,8 +55,14 @@
 	// Serve uses it.
 	nextConn net.Conn
 
-	// stoppingSince is when Shutdown was called, in nanoseconds since start; 0 before.
+	// runTimes has the run times of each route's requests.
+	runTimes runTimes
+	// stoppingSince is when Shutdown was called, and abortAt when pending requests are aborted, in
+	// nanoseconds since start; 0 before, and if they aren't limited in time. stopping ends then.
 	stoppingSince  atomic.Int64
+	abortAt        atomic.Int64
+	stopping       context.Context
+	beginStop      context.CancelFunc
 	openConns      atomic.Int64
 	activeRequests atomic.Int64
 	counts         counts
@@ -73,9 +80,11 @@
 // New returns a Server; call Serve to accept connections.
 func New(cfg Config, state StateReader, placer Placer, pool *upstream.Pool, budget retry.Budget, log *obs.LimitedLogger, metrics *obs.Metrics) *Server {
 	baseCtx, cancelRequests := context.WithCancelCause(context.Background())
+	stopping, beginStop := context.WithCancel(context.Background())
 	return &Server{
 		cfg: cfg, state: state, placer: placer, pool: pool, budget: budget,
 		log: log, stats: newStats(metrics.Scope), start: time.Now(), shedder: newShedder(cfg.Shed), availability: newUpstreamAvailability(), path: newUpstreamPath(), bodies: newBodyBudget(cfg.MaxRequests), streamAges: streamAges{routes: map[string]*resumption.AgeBound{}},
+		runTimes: runTimes{routes: map[string]*durations.Estimator{}}, stopping: stopping, beginStop: beginStop,
 		baseCtx: baseCtx, cancelRequests: cancelRequests,
 	}
 }
@@ -174,9 +183,13 @@
 // Shutdown stops the server gracefully and lets running responses complete until ctx is
 // done. The load balancer needs time to detect that the VM isn't ready, and callers keep
 // their connections alive, so the listener stays open for the ShutdownDelay and each
-// response closes its connection.
+// response closes its connection. Requests that can't be expected to end before ctx is done are refused.
 func (s *Server) Shutdown(ctx context.Context) error {
+	if end, limited := ctx.Deadline(); limited {
+		s.abortAt.Store(int64(end.Sub(s.start)))
+	}
 	s.stoppingSince.Store(int64(time.Since(s.start)))
+	s.beginStop()
 	delay := time.NewTimer(s.cfg.ShutdownDelay)
 	defer delay.Stop()
 	select {
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -20,6 +20,9 @@
 	// unknownVersion counts continued streams that were refused since no router had recorded which
 	// software version began them.
 	unknownVersion tally.Counter
+	// unfinishable counts requests that this router refused while it was stopping, since they could not be
+	// expected to end before it had stopped.
+	unfinishable tally.Counter
 	// noPath counts requests that were refused because this router reached no upstream.
 	noPath tally.Counter
 	// lateBodies counts requests whose body did not arrive before their deadline.
@@ -46,6 +49,7 @@
 		refused:           scope.Counter("refusals"),
 		quarantined:       scope.Counter("quarantined"),
 		unknownVersion:    scope.Counter("unknown_version"),
+		unfinishable:      scope.Counter("unfinishable"),
 		noPath:            scope.Counter("no_path"),
 		lateBodies:        scope.Counter("late_bodies"),
 		slowBodies:        scope.Counter("slow_bodies"),
