--- a/gateway/request.go
+++ b/gateway/request.go
@@ -204,11 +204,11 @@
 	r.body = heldBody{budget: s.bodies, team: r.teamName(), requests: s.activeRequests.Load}
 	pace := bodyPace{start: r.arrived, grace: s.callerLimits().headerTimeout, end: r.deadline}
 	deadline := &bodyDeadline{server: s, request: r, control: control, pace: pace}
-	endUpdates := context.AfterFunc(s.stopping, deadline.update)
+	end := deadline.watchStop()
 	err := r.body.read(r.in.Body, r.in.ContentLength, limit, deadline.progress)
-	endUpdates()
+	end(err == nil)
 	switch {
-	case err == nil: // the server clears the read deadline at the end of the body
+	case err == nil:
 		r.complete = time.Now()
 		return nil
 	case errors.Is(err, os.ErrDeadlineExceeded) && s.unfinishable(r):
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
-	"sync"
 	"time"
 
 	"github.com/aspenswitch/aspenswitch/limits"
@@ -62,39 +60,3 @@
 		end(nil)
 	}
 }
-
-// bodyDeadline keeps the read deadline of a request's body.
-type bodyDeadline struct {
-	server  *Server
-	request *request
-	control *http.ResponseController
-	pace    bodyPace
-	// mu guards received: the server may begin to stop at any time.
-	mu       sync.Mutex
-	received int64
-}
-
-// progress sets the deadline for the bytes that follow those that have been received.
-func (d *bodyDeadline) progress(received int64) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.received = received
-	return d.set()
-}
-
-// update sets the deadline again when the server has begun to stop.
-func (d *bodyDeadline) update() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	_ = d.set() // the connection is gone
-}
-
-func (d *bodyDeadline) set() error {
-	at := d.pace.deadline(d.received)
-	if left, limited := d.server.beginWithin(d.request); limited {
-		if last := time.Now().Add(left); last.Before(at) {
-			at = last
-		}
-	}
-	return d.control.SetReadDeadline(at)
-}
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -133,6 +133,32 @@
 	<-ended
 }
 
+// Guards against a deadline for the body that outlives the body and ends the request as if its caller had left.
+func TestStopDoesNotCutRequestsWhoseBodyHasArrived(t *testing.T) {
+	g := NewWithT(t)
+	const requests, runTime = 40, 800 * time.Millisecond
+	r := newStopHarness(t, runTime)
+	_, _, err := r.callUntil("/unsafe/x", 5*time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	ended := r.stop()
+	statuses := make(chan int, requests)
+	for i := range requests {
+		go func() {
+			time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+			resp, _, err := r.callUntil("/unsafe/x", 5*time.Second)
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			statuses <- resp.StatusCode
+		}()
+	}
+	for range requests {
+		g.Expect(<-statuses).To(Equal(http.StatusOK))
+	}
+	<-ended
+}
+
 // Guards against a request that waits for an upstream until late in the grace, is passed on then, and cut
 // at its end.
 func TestRequestThatIsPlacedLateIsNotPassedOnByAStoppingRouter(t *testing.T) {
