callers, daemon: requests that are aborted at the end of the grace are answered

Callers of the own API saw a connection that closes without an answer if their request still ran at the end of the shutdown grace.

Cause: the server was closed then, and nothing ended the running requests before.

Change: at the end of the grace the exchanges with the upstreams are ended, and the callers have 0.5 s to get an answer with an unknown outcome.

Result: 'answers the requests that are aborted' failed before (EOF); tests of daemon and router pass with the race detector.

--- a/callers/proxy_request.go
+++ b/callers/proxy_request.go
@@ -65,7 +65,11 @@
 	}
 	p.ctx, p.sendCtx = ctx, ctx
 	p.slotRequest.Deadline, _ = ctx.Deadline()
-	return p, cancel, nil
+	release := context.AfterFunc(s.aborted, cancel)
+	return p, func() {
+		release()
+		cancel()
+	}, nil
 }
 
 // withTimeout returns the request's context with the timeout that the caller set.
@@ -183,6 +187,9 @@
 		return unavailable("no_upstream", "no upstream could be reached", minRetryAfter)
 	}
 	p.completeClaim(nil)
+	if p.server.aborted.Err() != nil {
+		return outcomeUnknown("this router is stopping and no answer has come; the request may have run")
+	}
 	return outcomeUnknown("the upstream's answer was lost")
 }
 
--- a/callers/server.go
+++ b/callers/server.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -32,13 +33,20 @@
 	router *router.Router
 	log    zerolog.Logger
 	policy retry.Policy
+	// aborted ends when the running requests are aborted at the end of a shutdown.
+	aborted context.Context
+	abort   context.CancelFunc
 }
 
 // New returns the API server of a router.
 func New(r *router.Router, log zerolog.Logger) *Server {
-	return &Server{router: r, log: log, policy: retry.DefaultPolicy()}
+	aborted, abort := context.WithCancel(context.Background())
+	return &Server{router: r, log: log, policy: retry.DefaultPolicy(), aborted: aborted, abort: abort}
 }
 
+// Abort ends the running requests. Their callers are told that the outcome is unknown.
+func (s *Server) Abort() { s.abort() }
+
 // Handler returns the handler of all routes.
 func (s *Server) Handler() http.Handler {
 	e := echo.New()
--- a/callers/service.go
+++ b/callers/service.go
@@ -65,6 +65,7 @@
 		p.claim = result.KeyClaim
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(p.ctx), nonRepeatableTimeout)
 		defer cancel()
+		defer context.AfterFunc(p.server.aborted, cancel)()
 		p.sendCtx = ctx
 		return p.serve(p.relayResponse)
 	case idempotency.NotRun:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -34,6 +34,7 @@
 	router         *router.Router
 	metrics        *obs.Metrics
 	callers        *http.Server
+	api            *callers.Server
 	admin          *http.Server
 	listeners      [2]net.Listener
 	peers          net.Addr
@@ -62,7 +63,8 @@
 		Log: log, Metrics: d.metrics, PeerListener: peers, PeerTLS: peerTLS,
 		Platform: bundlefeed.NewClient(s.Platform.URL, cfg.WatchTimeout),
 	})
-	d.callers = callers.NewHTTPServer(callers.New(d.router, log).Handler())
+	d.api = callers.New(d.router, log)
+	d.callers = callers.NewHTTPServer(d.api.Handler())
 	d.admin = callers.NewHTTPServer(admin.New(d.router, s.Admin.TokenHash, d.Drain).Handler())
 	if d.listeners[0], err = listen(s.Callers); err != nil {
 		return nil, err
@@ -129,6 +131,9 @@
 	return Error.Wrap(d.metrics.Close())
 }
 
+// abortAnswerTime is the time for sending answers to the callers of aborted requests.
+const abortAnswerTime = 500 * time.Millisecond
+
 // shutdown waits for running requests to finish, for at most the shutdown grace period.
 func (d *Daemon) shutdown(ctx context.Context) {
 	graceCtx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.ShutdownGrace))
@@ -137,6 +142,10 @@
 	running := d.router.Drain(graceCtx)
 	if running > 0 {
 		d.log.Error().Int("requests", running).Msg("grace period expired; aborting running requests")
+		d.api.Abort()
+		answerCtx, cancel := context.WithTimeout(ctx, abortAnswerTime)
+		defer cancel()
+		_ = d.callers.Shutdown(answerCtx) // requests that don't end in time are closed
 		return
 	}
 	if err := d.callers.Shutdown(graceCtx); err != nil {
