upstream: an upstream that reads a long body late keeps its connection

Cause: TCP_USER_TIMEOUT also counts the time of a closed window, though the peer acknowledges the probes, and the kernel then drops the connection without a reset. TestUpstreamMayReadALongBodyLate failed before with ETIMEDOUT after 1.8 s for each of its three sizes.

Change: while a long body is sent, TCP_INFO is read ten times a second, and the timeout is extended as long as the peer acknowledges something. A silent peer still ends the connection after the configured timeout; this part is covered by a test of the pure decision only, as it can't be made on loopback.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -50,8 +50,10 @@
 	// idleTimeout is how long the connection may stay idle after the response.
 	idleTimeout time.Duration
 	stop        func() bool
-	// request writes the rest of the request.
+	// request writes the rest of the request, and window watches the connection meanwhile; it is nil for a
+	// short body.
 	request  *bodyWriter
+	window   *windowWatch
 	complete bool
 	closed   bool
 }
@@ -75,6 +77,7 @@
 	}
 	if err := r.readHeader(request); err != nil {
 		r.stop()
+		r.window.stop()
 		_ = r.conn.Close() // which also ends a body that is still being written
 		return nil, &RequestError{Sent: true, Cause: err}
 	}
@@ -149,6 +152,9 @@
 		return &RequestError{Sent: n > 0, Cause: err}
 	}
 	r.request = startBody(r.conn, rest, request.bodyDone)
+	if len(rest) > 0 {
+		r.window = r.pool.watchWindow(r.conn)
+	}
 	return nil
 }
 
@@ -300,6 +306,7 @@
 		return
 	}
 	r.closed = true
+	r.window.stop()
 	if !r.stop() || !r.complete || r.resp.Close || !r.request.written() || r.conn.br.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
