upstream: a window is watched until the whole body is written

The watch ended when a check found nothing to be acknowledged, which also happens while the goroutine that writes the body waits for the processor. A window that closed later ended the connection as before. TestWindowIsWatchedUntilTheBodyIsWritten failed (reset by peer) and passes; go test -race -count=3 ./upstream passes.

--- a/upstream/body_writer.go
+++ b/upstream/body_writer.go
@@ -44,16 +44,19 @@
 	return b
 }
 
-// written reports whether the whole body has been written.
-func (b *bodyWriter) written() bool {
+// ended reports whether nothing more is written.
+func (b *bodyWriter) ended() bool {
 	select {
 	case <-b.done:
-		return b.err == nil
+		return true
 	default:
 		return false
 	}
 }
 
+// written reports whether the whole body has been written.
+func (b *bodyWriter) written() bool { return b.ended() && b.err == nil }
+
 // wait waits until nothing more is written. It returns an error if the body was not written completely.
 func (b *bodyWriter) wait() error {
 	<-b.done
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -153,7 +153,7 @@
 	}
 	r.request = startBody(r.conn, rest, request.bodyDone)
 	if len(rest) > 0 {
-		r.window = r.pool.watchWindow(r.conn)
+		r.window = r.pool.watchWindow(r.conn, r.request)
 	}
 	return nil
 }
--- a/upstream/window_watch.go
+++ b/upstream/window_watch.go
@@ -18,6 +18,7 @@
 type windowWatch struct {
 	raw  syscall.RawConn
 	base time.Duration
+	body *bodyWriter
 	// mu guards the fields below.
 	mu      sync.Mutex
 	timer   *time.Timer
@@ -28,9 +29,9 @@
 	started time.Time
 }
 
-// watchWindow starts to watch a connection on which a long body is being sent. It returns nil if the
+// watchWindow starts to watch a connection on which a long body is being written. It returns nil if the
 // connection can't be watched.
-func (p *Pool) watchWindow(c *poolConn) *windowWatch {
+func (p *Pool) watchWindow(c *poolConn, body *bodyWriter) *windowWatch {
 	sys, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil
@@ -39,7 +40,7 @@
 	if err != nil {
 		return nil
 	}
-	w := &windowWatch{raw: raw, base: p.cfg.TCPUserTimeout, timeout: p.cfg.TCPUserTimeout, started: time.Now()}
+	w := &windowWatch{raw: raw, body: body, base: p.cfg.TCPUserTimeout, timeout: p.cfg.TCPUserTimeout, started: time.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(probeInterval(w.base), w.check)
@@ -58,13 +59,14 @@
 	w.set(w.base)
 }
 
-// check extends the timeout, or ends the watch if nothing waits to be sent.
+// check extends the timeout, or ends the watch if the whole body has been acknowledged.
 func (w *windowWatch) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped {
 		return
 	}
+	ended := w.body.ended() // read first: what is written later may not wait yet
 	state, ok := w.read()
 	if !ok {
 		return // closed, or not supported
@@ -72,7 +74,7 @@
 	if timeout := w.stall.userTimeout(time.Since(w.started), state, w.base); timeout > 0 {
 		w.set(timeout)
 	}
-	if state.waiting {
+	if state.waiting || !ended {
 		w.timer.Reset(windowCheckInterval)
 	}
 }
