soak: a run that doesn't serve as before lists the requests that were not served

TestShortSoak failed once with 85 of 91 requests served and nothing told why the six were not: its logs were gone with the temporary folder. The violation names them with router, times and status (up to 16). The check stays as it is. TestUnservedRequestsAreListed failed before (the text had the two counts alone).

--- a/soak/check_history.go
+++ b/soak/check_history.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"fmt"
 	"math"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -151,11 +153,14 @@
 	recoveryTimeout = 6 * time.Second
 	// minServedRatio is the least ratio of eligible requests that are served after recovery.
 	minServedRatio = 0.95
+	// maxListedRequests limits the requests that a violation lists.
+	maxListedRequests = 16
 )
 
 // recovered: once the faults have ended, nearly all eligible requests are served.
 func (c *checker) recovered(settled, end time.Duration) {
 	eligible, served := 0, 0
+	var unserved []string
 	for _, req := range c.h.Requests {
 		if req.Sent < settled+recoveryTimeout || req.Sent > end || !c.eligible(req) {
 			continue
@@ -163,10 +168,13 @@
 		eligible++
 		if req.served() {
 			served++
+		} else if len(unserved) < maxListedRequests {
+			unserved = append(unserved, fmt.Sprintf("%s (%s) at router %d, %v to %v, status %d, complete %t",
+				req.ID, req.uri(), req.Router, req.Sent, req.Ended, req.Status, req.Complete))
 		}
 	}
 	if eligible == 0 || float64(served) < minServedRatio*float64(eligible) {
-		c.report("serves as before", end, "%d of %d requests served once faults had ended", served, eligible)
+		c.report("serves as before", end, "%d of %d requests served once faults had ended; not served: %s", served, eligible, strings.Join(unserved, "; "))
 	}
 }
 
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -192,6 +192,17 @@
 	}
 }
 
+// Guards against a violation that doesn't tell which requests were not served.
+func TestUnservedRequestsAreListed(t *testing.T) {
+	g := NewWithT(t)
+	h := healthyHistory()
+	h.Requests[0].Status = http.StatusServiceUnavailable
+	c := newChecker(h, DefaultConfig().Bounds)
+	c.recovered(0, time.Hour)
+	g.Expect(c.violations).To(HaveLen(1))
+	g.Expect(c.violations[0].Detail).To(And(ContainSubstring(h.Requests[0].ID+" ("), ContainSubstring("status 503")))
+}
+
 // A router that was paused is excused from time bounds, but not from invariants that hold
 // under all faults. Faults of other routers and graceful stops excuse nothing.
 func TestFaultsExcuseOnlyTheirEffects(t *testing.T) {
