feed: what is held after a restore ends at the same time at all routers

A router that started during the ten seconds after a restore, and got the state from a peer, held what it had been told for ten seconds of its own, and so did each that fetched from it while that lasted: an evacuated failure domain could stay so without an end.

Change: the state between routers tells how much of the time is left.

--- a/feed/peer.go
+++ b/feed/peer.go
@@ -158,15 +158,17 @@
 // beginPeerEpoch handles a peer's state that is the first one after a restore of the platform, also if it
 // is the first one of this router: the peer may know more than the copy has.
 func (f *Feed) beginPeerEpoch(state *PeerState) {
-	switch {
-	case state.Restore == nil:
+	if state.Restore == nil {
 		f.beginEpoch(state.Revision)
-	case f.revision == 0:
+		return
+	}
+	if f.revision == 0 {
 		f.recoveredAt = f.now()
 		f.upstreams.BeginEpoch(f.recoveredAt, state.Restore.First)
-	default:
+	} else {
 		f.beginEpoch(state.Restore.First)
 	}
+	f.upstreams.LimitHold(f.now(), time.Duration(state.Restore.LeftNanos))
 }
 
 // importListing replaces the upstreams by those of a complete state.
--- a/feed/restore_peers_test.go
+++ b/feed/restore_peers_test.go
@@ -181,6 +181,38 @@
 	})
 }
 
+// Guards against what routers know from before a restore outlasting its time at routers that start
+// meanwhile, and again at those that fetch from them.
+func TestHoldAfterARestoreEndsAtTheSameTimeAtAllRouters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newRestoredSource(4)
+		r := startRouters(t, s, 2)
+		r.run(time.Second)
+		restore := s.copied()
+		s.write(feed.Change{Evacuation: &feed.Evacuation{Domain: "hall"}})
+		s.write(feed.Change{DeletedUpstream: "u1"})
+		r.run(time.Second)
+		s.mu.Lock()
+		restore()
+		s.mu.Unlock()
+		for range 3 {
+			r.run(3 * time.Second)
+			r.add(s)
+		}
+		r.run(500 * time.Millisecond)
+		for i := range r.feeds {
+			g.Expect(r.evacuated(i)).To(ConsistOf("hall"), "router %d", i)
+			g.Expect(r.ready(i)).To(ConsistOf("u0", "u2", "u3"), "router %d", i)
+		}
+		r.run(3 * time.Second)
+		for i := range r.feeds {
+			g.Expect(r.evacuated(i)).To(BeEmpty(), "router %d", i)
+			g.Expect(r.ready(i)).To(ConsistOf("u0", "u1", "u2", "u3"), "router %d", i)
+		}
+	})
+}
+
 // published is what upstreams and operators want to be published, whatever the platform has lost.
 type published struct {
 	// upstreams has the entries of those that run.
--- a/registry/epoch.go
+++ b/registry/epoch.go
@@ -31,6 +31,8 @@
 type Restore struct {
 	// First is that state's revision.
 	First int64
+	// LeftNanos is the time in nanoseconds until that ends.
+	LeftNanos int64
 	// Withheld are its entries whose upstreams are known to have been removed.
 	Withheld []Upstream `json:",omitempty"`
 }
@@ -41,7 +43,16 @@
 	if !r.holds(now) {
 		return nil
 	}
-	return &Restore{First: r.epochRevision, Withheld: slices.Collect(maps.Values(r.withheld))}
+	left := r.epochStart.Add(copyHold).Sub(now)
+	return &Restore{First: r.epochRevision, LeftNanos: int64(left), Withheld: slices.Collect(maps.Values(r.withheld))}
+}
+
+// LimitHold ends the time in which what was known before the current epoch takes precedence after left at
+// the latest: another router has learned of the restore earlier.
+func (r *Registry) LimitHold(now boottime.Time, left time.Duration) {
+	if r.epochStart != 0 {
+		r.epochStart = min(r.epochStart, now.Add(left-copyHold))
+	}
 }
 
 // Withhold records an entry of the current epoch's first state that another router withholds, unless this
